--- /dev/null
+++ b/adapters/caller_connection_impl.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "adapters/body_decoder.hpp"
+#include "adapters/caller_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace siskinusher
+{
+
+/// What all connections of a server share.
+struct caller_server_state
+{
+    caller_limits limits;
+    bool draining = false;
+    std::size_t open_requests = 0;
+    std::function<void(std::shared_ptr<caller_exchange>)> on_request;
+    std::function<void(caller_connection*)> on_closed;
+};
+
+/// One connection of a caller: reads requests one after the other and writes their answers.
+class caller_connection : public std::enable_shared_from_this<caller_connection>
+{
+public:
+    caller_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<caller_server_state> server);
+
+    void start();
+    void close();
+    /// Waits for the first byte of a request.
+    bool idle() const;
+    steady_time idle_since() const { return idle_since_; }
+    std::string caller_address() const;
+
+    void on_gone(std::function<void()> handler) { gone_handler_ = std::move(handler); }
+    void send_whole(int status, std::string_view header_lines, std::string_view body);
+    void begin(int status, std::string_view header_lines);
+    void write_part(std::string_view part);
+    void end();
+
+private:
+    enum class phase
+    {
+        head,
+        body,
+        serving,
+        closed,
+    };
+
+    void read_more();
+    void on_read(boost::system::error_code error, std::size_t count);
+    void process();
+    bool take_head();
+    bool take_body();
+    void refuse(int status);
+    void put(std::string bytes);
+    void flush();
+    void after_answer();
+    void arm(duration span);
+    void on_timer();
+    std::string status_line(int status, std::string_view header_lines) const;
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    std::shared_ptr<caller_server_state> const server_;
+    phase phase_{phase::head};
+    std::array<char, 16384> chunk_{};
+    std::string in_;
+    std::string out_;
+    std::string writing_;
+    bool reading_ = false;
+    bool close_after_write_ = false;
+    bool keep_alive_ = true;
+    bool chunked_ = false;
+    bool head_only_ = false;
+    std::optional<Poco::Net::HTTPRequest> head_;
+    std::optional<body_decoder> decoder_;
+    std::string body_;
+    steady_time idle_since_;
+    std::function<void()> gone_handler_;
+};
+
+} // namespace siskinusher
--- /dev/null
+++ b/adapters/caller_server.cpp
@@ -0,0 +1,235 @@
+#include "adapters/caller_server.hpp"
+
+#include "adapters/caller_connection_impl.hpp"
+#include "adapters/socket_options.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+constexpr int waiting_connections = 1024;
+// After a failed accept, for lack of descriptors for example, the next one is tried after this time.
+constexpr duration accept_pause = milliseconds{50};
+
+} // namespace
+
+caller_exchange::caller_exchange(std::shared_ptr<caller_connection> connection, Poco::Net::HTTPRequest head,
+                                 std::string body, steady_time arrived)
+    : connection_(std::move(connection)), head_(std::move(head)), body_(std::move(body)), arrived_(arrived)
+{
+}
+
+caller_exchange::~caller_exchange()
+{
+    abort();
+}
+
+std::string caller_exchange::caller_address() const
+{
+    return connection_->caller_address();
+}
+
+void caller_exchange::on_gone(std::function<void()> handler)
+{
+    connection_->on_gone(std::move(handler));
+}
+
+void caller_exchange::answer(int status, std::string_view header_lines, std::string_view body)
+{
+    if (!std::exchange(done_, true))
+    {
+        connection_->send_whole(status, header_lines, body);
+    }
+}
+
+void caller_exchange::begin(int status, std::string_view header_lines)
+{
+    if (!done_)
+    {
+        connection_->begin(status, header_lines);
+    }
+}
+
+void caller_exchange::write(std::string_view part)
+{
+    if (!done_)
+    {
+        connection_->write_part(part);
+    }
+}
+
+void caller_exchange::end()
+{
+    if (!std::exchange(done_, true))
+    {
+        connection_->end();
+    }
+}
+
+void caller_exchange::abort()
+{
+    if (!std::exchange(done_, true))
+    {
+        connection_->on_gone(nullptr);
+        connection_->close();
+    }
+}
+
+class caller_server::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(boost::asio::io_context& loop, caller_server_settings settings_in)
+        : settings(std::move(settings_in)), acceptor(loop), pause(loop)
+    {
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [self = shared_from_this()](boost::system::error_code error, boost::asio::ip::tcp::socket socket)
+            {
+                if (error == boost::asio::error::operation_aborted)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    self->pause.expires_after(accept_pause);
+                    self->pause.async_wait([self](boost::system::error_code) { self->accept(); });
+                    return;
+                }
+                self->add(std::move(socket));
+                self->accept();
+            });
+    }
+
+    void add(boost::asio::ip::tcp::socket socket)
+    {
+        if (connections.size() >= settings.max_connections)
+        {
+            close_longest_idle();
+        }
+        auto connection = std::make_shared<caller_connection>(std::move(socket), state);
+        connections.emplace(connection.get(), connection);
+        connection->start();
+    }
+
+    void close_longest_idle()
+    {
+        std::shared_ptr<caller_connection> oldest;
+        for (auto const& [key, each] : connections)
+        {
+            if (each->idle() && (!oldest || each->idle_since() < oldest->idle_since()))
+            {
+                oldest = each;
+            }
+        }
+        if (oldest)
+        {
+            oldest->close();
+        }
+    }
+
+    caller_server_settings const settings;
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer pause;
+    std::shared_ptr<caller_server_state> const state = std::make_shared<caller_server_state>();
+    std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>> connections;
+};
+
+caller_server::caller_server(boost::asio::io_context& loop, caller_server_settings settings,
+                             handler on_request)
+    : impl_(std::make_shared<implementation>(loop, std::move(settings)))
+{
+    impl_->state->on_request = std::move(on_request);
+    impl_->state->on_closed = [it = impl_.get()](caller_connection* closed) { it->connections.erase(closed); };
+}
+
+caller_server::~caller_server()
+{
+    boost::system::error_code ignored;
+    impl_->acceptor.close(ignored);
+    auto const open = impl_->connections;
+    for (auto const& [key, connection] : open)
+    {
+        connection->on_gone(nullptr);
+        connection->close();
+    }
+}
+
+std::string caller_server::start()
+{
+    auto const endpoint = parse_endpoint(impl_->settings.address);
+    if (!endpoint)
+    {
+        return "address '" + impl_->settings.address + "' is not an IP number and port";
+    }
+    boost::system::error_code error;
+    auto const failed = [&error, this]
+    { return impl_->settings.address + ": " + error.message(); };
+    impl_->acceptor.open(endpoint->protocol(), error);
+    if (error)
+    {
+        return failed();
+    }
+    impl_->acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    impl_->acceptor.bind(*endpoint, error);
+    if (error)
+    {
+        return failed();
+    }
+    impl_->acceptor.listen(waiting_connections, error);
+    if (error)
+    {
+        return failed();
+    }
+    impl_->accept();
+    return {};
+}
+
+void caller_server::set_limits(caller_limits const& limits)
+{
+    impl_->state->limits = limits;
+}
+
+void caller_server::drain()
+{
+    impl_->state->draining = true;
+}
+
+void caller_server::close_idle()
+{
+    std::vector<std::shared_ptr<caller_connection>> idle;
+    for (auto const& [key, each] : impl_->connections)
+    {
+        if (each->idle())
+        {
+            idle.push_back(each);
+        }
+    }
+    for (auto const& each : idle)
+    {
+        each->close();
+    }
+}
+
+std::size_t caller_server::open_requests() const
+{
+    return impl_->state->open_requests;
+}
+
+std::size_t caller_server::connections() const
+{
+    return impl_->connections.size();
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/adapters/edge_settings.cpp
@@ -0,0 +1,112 @@
+#include "adapters/edge_settings.hpp"
+
+#include "adapters/yaml_tree.hpp"
+
+#include <tuple>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+duration milliseconds_of(yaml_map& map, char const* name, std::uint64_t low, std::uint64_t high)
+{
+    return milliseconds{static_cast<std::int64_t>(map.integer(name, low, high))};
+}
+
+yaml_map section(yaml_map& parent, std::string const& name, std::string const& accepted)
+{
+    return {parent.require(name, accepted), name, parent.errors()};
+}
+
+void read_data_centres(yaml_map& root, edge_settings& settings, read_error_list& errors)
+{
+    root.require("data_centres", "a list of maps of name and region");
+    std::size_t index = 0;
+    for (auto const* const item : root.list("data_centres"))
+    {
+        yaml_map map(item, "data_centres[" + std::to_string(index++) + "]", errors);
+        std::string const name = map.name("name");
+        settings.region_of[name] = map.name("region");
+        map.finish();
+    }
+}
+
+edge_settings read_all(yaml_node const& node, read_error_list& errors)
+{
+    edge_settings settings;
+    yaml_map root(&node, "", errors);
+
+    yaml_map instance = section(root, "instance", "a map of name, data_centre and region");
+    settings.name = instance.name("name");
+    settings.data_centre = instance.name("data_centre");
+    settings.region = instance.name("region");
+    instance.finish();
+    read_data_centres(root, settings, errors);
+
+    yaml_map listen = section(root, "listen", "a map of callers, readiness and peers");
+    settings.caller_address = listen.address("callers");
+    settings.readiness_address = listen.address("readiness");
+    settings.peer_address = listen.address("peers");
+    listen.finish();
+
+    yaml_map platform = section(root, "platform", "a map of object_store");
+    settings.store_address = platform.address("object_store");
+    platform.finish();
+
+    yaml_map retries = section(root, "retries", "a map of ratio, window_s and slack");
+    settings.retry_ratio = retries.number("ratio", 0.0, 10.0);
+    settings.retry_window = seconds{static_cast<std::int64_t>(retries.integer("window_s", 1, 3600))};
+    settings.retry_slack = static_cast<unsigned>(retries.integer("slack", 0, 1000000));
+    retries.finish();
+
+    yaml_map orders = section(root, "orders", "a map of holder_gap_ms and load_window_s");
+    settings.holder_gap = milliseconds_of(orders, "holder_gap_ms", 0, 600000);
+    settings.load_window_s = orders.number("load_window_s", 0.1, 3600.0);
+    orders.finish();
+
+    yaml_map limits = section(root, "limits", "a map of stop_s and descriptors");
+    settings.stop_time = seconds{static_cast<std::int64_t>(limits.integer("stop_s", 1, 3600))};
+    settings.descriptors = limits.integer("descriptors", 64, 10000000);
+    limits.finish();
+
+    yaml_map log(root.find("log"), "log", errors);
+    settings.log_level = log.one_of("level", {"debug", "info", "warning", "error"}, "info");
+    log.finish();
+
+    root.finish();
+    return settings;
+}
+
+} // namespace
+
+bool operator==(edge_settings const& a, edge_settings const& b)
+{
+    auto const fields = [](edge_settings const& s)
+    {
+        return std::tie(s.name, s.data_centre, s.region, s.region_of, s.caller_address, s.readiness_address,
+                        s.peer_address, s.store_address, s.retry_ratio, s.retry_window, s.retry_slack,
+                        s.holder_gap, s.load_window_s, s.stop_time, s.descriptors, s.log_level);
+    };
+    return fields(a) == fields(b);
+}
+
+read_result<edge_settings> read_edge_settings(std::string const& text, std::string const& file)
+{
+    auto const parsed = parse_yaml(text, file);
+    if (!parsed)
+    {
+        return parsed.error();
+    }
+    read_error_list errors(file);
+    edge_settings settings = read_all(*parsed.value(), errors);
+    if (!errors.empty())
+    {
+        return errors.take();
+    }
+    return settings;
+}
+
+} // namespace siskinusher
--- a/adapters/http_message.cpp
+++ b/adapters/http_message.cpp
@@ -13,9 +13,6 @@
 namespace
 {
 
-// A chunk size line holds 16 hexadecimal digits and a short extension.
-constexpr std::size_t chunk_line_limit = 256;
-constexpr std::size_t trailer_limit = 4096;
 constexpr std::size_t header_line_limit = 100;
 
 bool is_token_char(char c)
@@ -196,30 +193,30 @@
     return framing;
 }
 
-body_reader::body_reader(wire_connection& from, body_framing framing)
-    : from_(from), framing_(framing), left_(framing.length)
-{
-}
+body_reader::body_reader(wire_connection& from, body_framing framing) : from_(from), decoder_(framing) {}
 
 body_status body_reader::read(std::string& out, steady_time until, int watched)
 {
-    if (complete_)
-    {
-        return body_status::complete;
-    }
     for (;;)
     {
-        if (auto const status = decode(out))
+        std::size_t const old_size = out.size();
+        std::size_t used = 0;
+        decode_status const status = decoder_.decode(from_.buffered(), used, out);
+        from_.consume(used);
+        if (status != decode_status::more)
         {
-            complete_ = *status == body_status::complete;
-            return *status;
+            return status == decode_status::complete ? body_status::complete : body_status::malformed;
+        }
+        if (out.size() > old_size)
+        {
+            return body_status::more;
         }
         switch (from_.fill(until, watched))
         {
         case io_status::ok:
             break;
         case io_status::closed:
-            return framing_.kind == body_kind::until_close ? body_status::complete : body_status::truncated;
+            return decoder_.kind() == body_kind::until_close ? body_status::complete : body_status::truncated;
         case io_status::timed_out:
             return body_status::timed_out;
         case io_status::watched_gone:
@@ -228,98 +225,6 @@
     }
 }
 
-std::optional<body_status> body_reader::decode(std::string& out)
-{
-    std::size_t const old_size = out.size();
-    switch (framing_.kind)
-    {
-    case body_kind::none:
-        return body_status::complete;
-    case body_kind::length:
-        move_bytes(out);
-        if (left_ == 0)
-        {
-            return body_status::complete;
-        }
-        break;
-    case body_kind::until_close:
-        out.append(from_.buffered());
-        from_.consume(from_.buffered().size());
-        break;
-    case body_kind::chunked:
-        return decode_chunks(out);
-    }
-    return out.size() > old_size ? std::optional(body_status::more) : std::nullopt;
-}
-
-void body_reader::move_bytes(std::string& out)
-{
-    std::string_view const bytes = from_.buffered();
-    auto const count = static_cast<std::size_t>(std::min<std::uint64_t>(left_, bytes.size()));
-    out.append(bytes.substr(0, count));
-    from_.consume(count);
-    left_ -= count;
-}
-
-std::optional<body_status> body_reader::decode_chunks(std::string& out)
-{
-    std::size_t const old_size = out.size();
-    auto const need_more = [&]() -> std::optional<body_status>
-    { return out.size() > old_size ? std::optional(body_status::more) : std::nullopt; };
-    for (;;)
-    {
-        if (phase_ == chunk_phase::data)
-        {
-            move_bytes(out);
-            if (left_ > 0)
-            {
-                return need_more();
-            }
-            phase_ = chunk_phase::data_end;
-        }
-        std::string_view const bytes = from_.buffered();
-        std::size_t const end = bytes.find("\r\n");
-        if (end == std::string_view::npos)
-        {
-            return bytes.size() > chunk_line_limit ? std::optional(body_status::malformed) : need_more();
-        }
-        std::string_view line = bytes.substr(0, end);
-        if (phase_ == chunk_phase::data_end)
-        {
-            if (!line.empty())
-            {
-                return body_status::malformed;
-            }
-            from_.consume(2);
-            phase_ = chunk_phase::size_line;
-            continue;
-        }
-        if (phase_ == chunk_phase::trailer)
-        {
-            bool const last = line.empty();
-            trailer_bytes_ += end + 2;
-            from_.consume(end + 2);
-            if (last)
-            {
-                return body_status::complete;
-            }
-            if (trailer_bytes_ > trailer_limit)
-            {
-                return body_status::malformed;
-            }
-            continue;
-        }
-        line = line.substr(0, line.find_first_of("; \t"));
-        auto const parsed = std::from_chars(line.data(), line.data() + line.size(), left_, 16);
-        if (parsed.ec != std::errc{} || parsed.ptr != line.data() + line.size())
-        {
-            return body_status::malformed;
-        }
-        from_.consume(end + 2);
-        phase_ = left_ == 0 ? chunk_phase::trailer : chunk_phase::data;
-    }
-}
-
 std::string const& header_value(Poco::Net::MessageHeader const& headers, std::string const& name)
 {
     static std::string const none;
--- a/adapters/http_message.hpp
+++ b/adapters/http_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/body_decoder.hpp"
 #include "adapters/wire_connection.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -34,21 +35,6 @@
 bool parse_request_head(std::string const& head, Poco::Net::HTTPRequest& request);
 bool parse_response_head(std::string const& head, Poco::Net::HTTPResponse& response);
 
-/// How the end of a message body is found.
-enum class body_kind
-{
-    none,
-    length,
-    chunked,
-    until_close, ///< The end cannot be told from a broken connection.
-};
-
-struct body_framing
-{
-    body_kind kind{body_kind::none};
-    std::uint64_t length = 0;
-};
-
 /// Framing of a request body; empty when the headers contradict each other, which would let two servers see
 /// different message ends.
 std::optional<body_framing> request_framing(Poco::Net::HTTPRequest const& request);
@@ -76,25 +62,8 @@
     body_status read(std::string& out, steady_time until, int watched = -1);
 
 private:
-    enum class chunk_phase
-    {
-        size_line,
-        data,
-        data_end,
-        trailer,
-    };
-
-    // Decodes what is buffered; empty when more bytes are needed and nothing was appended.
-    std::optional<body_status> decode(std::string& out);
-    std::optional<body_status> decode_chunks(std::string& out);
-    void move_bytes(std::string& out);
-
     wire_connection& from_;
-    body_framing framing_;
-    std::uint64_t left_;
-    std::size_t trailer_bytes_ = 0;
-    bool complete_ = false;
-    chunk_phase phase_{chunk_phase::size_line};
+    body_decoder decoder_;
 };
 
 /// Value of a header, or an empty string.
--- /dev/null
+++ b/adapters/outbound_pool.cpp
@@ -0,0 +1,465 @@
+#include "adapters/outbound_pool.hpp"
+
+#include "adapters/body_decoder.hpp"
+#include "adapters/boot_clock.hpp"
+#include "adapters/http_message.hpp"
+#include "adapters/socket_options.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::size_t answer_head_limit = 65536;
+// A server that names no keep-alive time keeps a connection at least this long.
+constexpr duration default_keep_alive = seconds{4};
+constexpr std::size_t idle_connections_per_address = 64;
+
+struct idle_connection
+{
+    tcp::socket socket;
+    steady_time usable_until;
+};
+
+// True when nothing, not even the end, has arrived on the connection.
+bool quiet(tcp::socket& socket)
+{
+    char byte = 0;
+    ssize_t const got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+// Half of the time that the server keeps an idle connection, so that its close does not cross a request.
+duration keep_alive_time(Poco::Net::HTTPResponse const& head)
+{
+    std::string const& text = header_value(head, "Keep-Alive");
+    std::size_t const at = text.find("timeout=");
+    if (at == std::string::npos)
+    {
+        return default_keep_alive / 2;
+    }
+    std::string const digits = text.substr(at + 8, text.find_first_not_of("0123456789", at + 8) - at - 8);
+    auto const value = parse_number(digits);
+    return value ? duration(seconds{static_cast<std::int64_t>(std::min<std::uint64_t>(*value, 3600))}) / 2
+                 : default_keep_alive / 2;
+}
+
+} // namespace
+
+char const* to_string(exchange_end end)
+{
+    switch (end)
+    {
+    case exchange_end::complete:
+        return "complete";
+    case exchange_end::refused:
+        return "refused";
+    case exchange_end::not_sent:
+        return "not_sent";
+    case exchange_end::lost:
+        return "lost";
+    case exchange_end::malformed:
+        return "malformed";
+    case exchange_end::timed_out:
+        return "timed_out";
+    }
+    return "unknown";
+}
+
+class outbound_pool::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    explicit implementation(boost::asio::io_context& loop_in) : loop(loop_in) {}
+
+    std::optional<tcp::socket> take(std::string const& address)
+    {
+        auto& list = idle[address];
+        steady_time const now = boot_now();
+        while (!list.empty())
+        {
+            idle_connection candidate = std::move(list.back());
+            list.pop_back();
+            if (now < candidate.usable_until && quiet(candidate.socket))
+            {
+                return std::move(candidate.socket);
+            }
+        }
+        return std::nullopt;
+    }
+
+    void keep(std::string const& address, tcp::socket socket, duration usable_for)
+    {
+        auto& list = idle[address];
+        steady_time const now = boot_now();
+        while (!list.empty() && now >= list.front().usable_until)
+        {
+            list.pop_front();
+        }
+        if (list.size() < idle_connections_per_address)
+        {
+            list.push_back({std::move(socket), now + usable_for});
+        }
+    }
+
+    boost::asio::io_context& loop;
+    std::unordered_map<std::string, std::deque<idle_connection>> idle;
+    std::size_t opened = 0;
+};
+
+namespace
+{
+
+class exchange_run final : public outbound_exchange, public std::enable_shared_from_this<exchange_run>
+{
+public:
+    // The pool takes the connection back through `give_back` when it can be used again.
+    exchange_run(boost::asio::io_context& loop, outbound_request request, exchange_handlers handlers,
+                 std::function<void(tcp::socket, duration)> give_back)
+        : request_(std::move(request)), handlers_(std::move(handlers)), give_back_(std::move(give_back)),
+          socket_(loop), timer_(loop), connect_timer_(loop)
+    {
+    }
+
+    void use(tcp::socket socket)
+    {
+        socket_ = std::move(socket);
+        arm(timer_, request_.time_limit);
+        // The handlers must not run before start() has returned the exchange to its user.
+        boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->write(); });
+    }
+
+    void connect(tcp::endpoint const& endpoint)
+    {
+        arm(timer_, request_.time_limit);
+        arm(connect_timer_, std::min(request_.connect_limit, request_.time_limit));
+        socket_.async_connect(endpoint,
+                              [self = shared_from_this()](boost::system::error_code error)
+                              {
+                                  if (self->over_)
+                                  {
+                                      return;
+                                  }
+                                  boost::system::error_code ignored;
+                                  self->connect_timer_.cancel(ignored);
+                                  if (error)
+                                  {
+                                      bool const refused = error == boost::asio::error::connection_refused;
+                                      self->finish(refused ? exchange_end::refused : exchange_end::not_sent);
+                                      return;
+                                  }
+                                  set_liveness_options(self->socket_);
+                                  self->write();
+                              });
+    }
+
+    void fail_later()
+    {
+        boost::asio::post(socket_.get_executor(),
+                          [self = shared_from_this()] { self->finish(exchange_end::not_sent); });
+    }
+
+    void cancel() override
+    {
+        handlers_ = {};
+        stop();
+    }
+
+    bool sent() const override { return sent_; }
+
+private:
+    void arm(boost::asio::steady_timer& timer, duration span)
+    {
+        timer.expires_after(span);
+        timer.async_wait(
+            [self = shared_from_this()](boost::system::error_code error)
+            {
+                if (!error && !self->over_)
+                {
+                    self->finish(self->sent_ ? exchange_end::timed_out : exchange_end::not_sent);
+                }
+            });
+    }
+
+    void write()
+    {
+        if (over_)
+        {
+            return;
+        }
+        if (handlers_.may_send && !handlers_.may_send())
+        {
+            finish(exchange_end::not_sent);
+            return;
+        }
+        sent_ = true;
+        boost::asio::async_write(socket_, boost::asio::buffer(request_.bytes),
+                                 [self = shared_from_this()](boost::system::error_code error, std::size_t)
+                                 {
+                                     // An answer may already be there when writing fails; reading tells.
+                                     self->written_ = !error;
+                                 });
+        read();
+    }
+
+    void read()
+    {
+        socket_.async_read_some(boost::asio::buffer(chunk_),
+                                [self = shared_from_this()](boost::system::error_code error, std::size_t count)
+                                {
+                                    if (self->over_)
+                                    {
+                                        return;
+                                    }
+                                    self->in_.append(self->chunk_.data(), count);
+                                    if (error)
+                                    {
+                                        self->on_read_end(error);
+                                        return;
+                                    }
+                                    if (self->process())
+                                    {
+                                        self->read();
+                                    }
+                                });
+    }
+
+    void on_read_end(boost::system::error_code error)
+    {
+        bool const clean = error == boost::asio::error::eof;
+        bool const whole = clean && decoder_ && decoder_->kind() == body_kind::until_close;
+        finish(whole ? exchange_end::complete : exchange_end::lost);
+    }
+
+    // True when more bytes are needed.
+    bool process()
+    {
+        while (!head_)
+        {
+            std::size_t const end = in_.find("\r\n\r\n");
+            if (end == std::string::npos)
+            {
+                if (in_.size() <= answer_head_limit)
+                {
+                    return true;
+                }
+                finish(exchange_end::malformed);
+                return false;
+            }
+            if (!take_head(end + 4))
+            {
+                return false;
+            }
+        }
+        std::size_t used = 0;
+        std::string content;
+        decode_status const status = decoder_->decode(in_, used, content);
+        in_.erase(0, used);
+        if (!content.empty() && handlers_.on_body)
+        {
+            handlers_.on_body(content);
+        }
+        if (over_)
+        {
+            return false;
+        }
+        if (status == decode_status::more)
+        {
+            return true;
+        }
+        finish(status == decode_status::complete ? exchange_end::complete : exchange_end::malformed);
+        return false;
+    }
+
+    // False when the exchange is over.
+    bool take_head(std::size_t size)
+    {
+        Poco::Net::HTTPResponse head;
+        bool const valid = parse_response_head(in_.substr(0, size), head);
+        in_.erase(0, size);
+        auto const framing = valid ? response_framing(head, request_.method) : std::nullopt;
+        if (!framing)
+        {
+            finish(exchange_end::malformed);
+            return false;
+        }
+        if (head.getStatus() >= 100 && head.getStatus() < 200)
+        {
+            return true; // An interim answer; the final one follows.
+        }
+        head_.emplace();
+        decoder_.emplace(*framing);
+        keep_ = framing->kind != body_kind::until_close && head.getVersion() == "HTTP/1.1" &&
+                !equal_ignoring_case(header_value(head, "Connection"), "close");
+        keep_for_ = keep_alive_time(head);
+        if (handlers_.on_head && !handlers_.on_head(head))
+        {
+            cancel();
+            return false;
+        }
+        return !over_;
+    }
+
+    void finish(exchange_end end)
+    {
+        if (over_)
+        {
+            return;
+        }
+        // Bytes after a complete answer belong to no request.
+        bool const reusable = end == exchange_end::complete && keep_ && written_ && in_.empty();
+        tcp::socket socket = std::move(socket_);
+        exchange_handlers const handlers = std::exchange(handlers_, {});
+        stop();
+        if (reusable)
+        {
+            give_back_(std::move(socket), keep_for_);
+        }
+        else
+        {
+            boost::system::error_code ignored;
+            socket.close(ignored);
+        }
+        if (handlers.on_end)
+        {
+            handlers.on_end(end);
+        }
+    }
+
+    void stop()
+    {
+        over_ = true;
+        boost::system::error_code ignored;
+        timer_.cancel(ignored);
+        connect_timer_.cancel(ignored);
+        if (socket_.is_open())
+        {
+            socket_.close(ignored);
+        }
+    }
+
+    outbound_request const request_;
+    exchange_handlers handlers_;
+    std::function<void(tcp::socket, duration)> const give_back_;
+    tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer connect_timer_;
+    std::array<char, 16384> chunk_{};
+    std::string in_;
+    std::optional<char> head_; ///< Set once the final head was taken.
+    std::optional<body_decoder> decoder_;
+    duration keep_for_{0};
+    bool keep_ = false;
+    bool sent_ = false;
+    bool written_ = false;
+    bool over_ = false;
+};
+
+std::string write_call(http_call const& call, std::string const& address)
+{
+    std::string text = call.method + " " + call.path + " HTTP/1.1\r\nHost: " + address + "\r\n";
+    for (auto const& [name, value] : call.headers)
+    {
+        text.append(name).append(": ").append(value).append("\r\n");
+    }
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT")
+    {
+        text.append("Content-Length: ").append(std::to_string(call.body.size())).append("\r\n");
+    }
+    return text.append("\r\n").append(call.body);
+}
+
+} // namespace
+
+outbound_pool::outbound_pool(boost::asio::io_context& loop) : impl_(std::make_shared<implementation>(loop)) {}
+
+outbound_pool::~outbound_pool() = default;
+
+std::shared_ptr<outbound_exchange> outbound_pool::start(outbound_request request, exchange_handlers handlers)
+{
+    std::string const address = request.address;
+    bool const fresh = request.fresh_connection;
+    auto const give_back = [weak = std::weak_ptr<implementation>(impl_), address](tcp::socket socket,
+                                                                                  duration usable_for)
+    {
+        if (auto const pool = weak.lock())
+        {
+            pool->keep(address, std::move(socket), usable_for);
+        }
+    };
+    auto run = std::make_shared<exchange_run>(impl_->loop, std::move(request), std::move(handlers), give_back);
+    if (auto socket = fresh ? std::nullopt : impl_->take(address))
+    {
+        run->use(std::move(*socket));
+        return run;
+    }
+    auto const endpoint = parse_endpoint(address);
+    if (!endpoint)
+    {
+        run->fail_later();
+        return run;
+    }
+    ++impl_->opened;
+    run->connect(*endpoint);
+    return run;
+}
+
+void outbound_pool::call(std::string const& address, http_call const& what, duration time_limit,
+                         std::function<void(http_outcome)> done, std::function<bool()> may_send)
+{
+    struct collected
+    {
+        http_outcome outcome;
+        std::shared_ptr<outbound_exchange> exchange;
+    };
+    auto const state = std::make_shared<collected>();
+    exchange_handlers handlers;
+    handlers.may_send = std::move(may_send);
+    handlers.on_head = [state](Poco::Net::HTTPResponse const& head)
+    {
+        state->outcome.status = head.getStatus();
+        return true;
+    };
+    handlers.on_body = [state](std::string const& part) { state->outcome.body.append(part); };
+    handlers.on_end = [state, done = std::move(done)](exchange_end end)
+    {
+        state->outcome.sent = state->exchange && state->exchange->sent();
+        state->outcome.refused = end == exchange_end::refused;
+        if (end != exchange_end::complete)
+        {
+            state->outcome.status = 0;
+            state->outcome.why = to_string(end);
+        }
+        state->exchange.reset();
+        done(std::move(state->outcome));
+    };
+    outbound_request request;
+    request.address = address;
+    request.method = what.method;
+    request.bytes = write_call(what, address);
+    request.time_limit = time_limit;
+    state->exchange = start(std::move(request), std::move(handlers));
+}
+
+std::size_t outbound_pool::opened() const
+{
+    return impl_->opened;
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/adapters/outbound_pool.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "adapters/http_connection.hpp"
+#include "core/steady_time.hpp"
+
+#include <Poco/Net/HTTPResponse.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace siskinusher
+{
+
+/// How an outbound exchange ended.
+enum class exchange_end
+{
+    complete,  ///< The whole answer was received.
+    refused,   ///< Nothing listens at the address; nothing was sent.
+    not_sent,  ///< No connection in time; nothing was sent.
+    lost,      ///< The connection ended after the first byte may have been written.
+    malformed, ///< The answer is not valid HTTP.
+    timed_out, ///< The deadline passed after the first byte may have been written.
+};
+
+/// Name for logs and metrics, for example "timed_out".
+char const* to_string(exchange_end end);
+
+/// What the user of an exchange is told; called on the loop's thread, never after cancel().
+struct exchange_handlers
+{
+    /// Asked immediately before the first byte is written; false ends the exchange as not_sent. May be empty.
+    std::function<bool()> may_send;
+    /// The head of the answer. Returning false ends the exchange at once, without a call of on_end.
+    std::function<bool(Poco::Net::HTTPResponse const&)> on_head;
+    /// Decoded bytes of the body, as they arrive.
+    std::function<void(std::string const&)> on_body;
+    std::function<void(exchange_end)> on_end;
+};
+
+/// A request as it is written.
+struct outbound_request
+{
+    std::string address;
+    std::string method;
+    std::string bytes; ///< Head and body.
+    duration connect_limit = milliseconds{700}; ///< 8 ms between regions, a lost opening packet included.
+    duration time_limit{0};                     ///< From now to the end of the answer.
+    bool fresh_connection = false; ///< Do not use a connection that has carried other requests.
+};
+
+/// A request under way.
+class outbound_exchange
+{
+public:
+    virtual ~outbound_exchange() = default;
+    /// Closes the connection, which ends the server's work; no handler is called any more.
+    virtual void cancel() = 0;
+    /// True when the first byte may have been written.
+    virtual bool sent() const = 0;
+};
+
+/// Makes HTTP/1.1 requests from the event loop over connections that are kept by address.
+///
+/// A kept connection is used again only if its last answer was complete, nothing has arrived on it since,
+/// and less than half of the server's keep-alive time has passed.
+class outbound_pool
+{
+public:
+    explicit outbound_pool(boost::asio::io_context& loop);
+    ~outbound_pool();
+    outbound_pool(outbound_pool const&) = delete;
+    outbound_pool& operator=(outbound_pool const&) = delete;
+
+    std::shared_ptr<outbound_exchange> start(outbound_request request, exchange_handlers handlers);
+
+    /// Makes a call whose whole answer is collected. `done` is called exactly once, from the loop.
+    void call(std::string const& address, http_call const& what, duration time_limit,
+              std::function<void(http_outcome)> done, std::function<bool()> may_send = {});
+
+    /// Connections opened so far.
+    std::size_t opened() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> impl_;
+};
+
+} // namespace siskinusher
--- /dev/null
+++ b/apps/edge_process.cpp
@@ -0,0 +1,385 @@
+#include "apps/edge_process.hpp"
+
+#include "adapters/boot_clock.hpp"
+#include "adapters/caller_server.hpp"
+#include "adapters/metrics_registry.hpp"
+#include "adapters/outbound_pool.hpp"
+#include "adapters/ports.hpp"
+#include "apps/placement_service.hpp"
+#include "apps/request_service.hpp"
+#include "platform/backend_entry_codec.hpp"
+#include "platform/metadata_store.hpp"
+#include "platform/object_watch.hpp"
+#include "platform/request_codec.hpp"
+#include "platform/serving_config_codec.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+constexpr char const* config_kind = "config";
+constexpr char const* config_name = "main";
+constexpr char const* backend_kind = "servers";
+// Entries of servers that lapsed in an outage of the store are back within this time of its return.
+constexpr duration backend_return_grace = seconds{2};
+// The balancer asks for readiness once a second and takes an instance out after two misses.
+constexpr duration readiness_noticed = milliseconds{2500};
+// Kept of the stop time for ending in order.
+constexpr duration stop_margin = milliseconds{700};
+constexpr duration stop_poll = milliseconds{100};
+// Descriptors for files and for connections to servers, the store and peers.
+constexpr std::size_t reserved_descriptors = 1000;
+// Without a count from the holder, the retry slack is divided as among so many instances.
+constexpr unsigned unknown_instances = 64;
+// Instances that start or that the holder has not heard of are allowed for.
+constexpr unsigned spare_instances = 3;
+
+std::uint64_t random_number()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string random_key()
+{
+    std::array<char, 40> text{};
+    std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(random_number()),
+                  static_cast<unsigned long long>(random_number()));
+    return text.data();
+}
+
+retry_limits limits_of(edge_settings const& settings, unsigned instances)
+{
+    retry_limits limits;
+    limits.ratio = settings.retry_ratio;
+    limits.window = settings.retry_window;
+    limits.slack = settings.retry_slack;
+    limits.instances = instances;
+    return limits;
+}
+
+placement_service_settings placement_settings(edge_settings const& settings)
+{
+    placement_service_settings result;
+    result.name = settings.name + "@" + settings.peer_address;
+    result.peer_address = settings.peer_address;
+    result.fresh_key = random_key();
+    result.lease.turn_gap = settings.holder_gap;
+    result.rotation.window_s = settings.load_window_s;
+    return result;
+}
+
+caller_server_settings server_settings(std::string const& address, std::size_t connections)
+{
+    caller_server_settings result;
+    result.address = address;
+    result.max_connections = connections;
+    return result;
+}
+
+} // namespace
+
+class edge_process::implementation
+{
+public:
+    implementation(edge_settings settings_in, settings_source reload_in, log_port& log_in,
+                   metrics_registry& metrics_in)
+        : settings(std::move(settings_in)), reload(std::move(reload_in)), log(log_in), metrics(metrics_in),
+          signals(loop), stop_timer(loop), pool(loop), store(settings.store_address, pool, metrics),
+          requests({settings.data_centre, settings.region_of}),
+          retries(limits_of(settings, unknown_instances)),
+          service(loop, pool, requests, retries, log, metrics, random_number()),
+          placement(
+              loop, pool, store, log, metrics, placement_settings(settings),
+              [this] { return demand_report{settings.name, requests.take_demand()}; },
+              [this](placement_news const& news) { on_news(news); }),
+          callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
+                  [this](std::shared_ptr<caller_exchange> exchange) { service.on_request(std::move(exchange)); }),
+          readiness(loop, server_settings(settings.readiness_address, 64),
+                    [this](std::shared_ptr<caller_exchange> const& exchange) { on_readiness(exchange); }),
+          peers(loop, server_settings(settings.peer_address, 512),
+                [this](std::shared_ptr<caller_exchange> const& exchange) { on_peer(exchange); }),
+          config_watch(loop, store, log, watch_settings(config_kind, duration{0}), config_handlers()),
+          backend_watch(loop, store, log, watch_settings(backend_kind, backend_return_grace),
+                        backend_handlers())
+    {
+    }
+
+    static platform::object_watch_settings watch_settings(char const* kind, duration grace)
+    {
+        platform::object_watch_settings result;
+        result.kind = kind;
+        result.return_grace = grace;
+        return result;
+    }
+
+    platform::object_watch_handlers config_handlers()
+    {
+        platform::object_watch_handlers handlers;
+        handlers.on_object = [this](platform::store_object const& object) { on_config(object); };
+        handlers.on_deleted = [this](std::string const& name)
+        { log.write({"config_deleted", {{"name", name}, {"outcome", "kept"}}}); };
+        return handlers;
+    }
+
+    platform::object_watch_handlers backend_handlers()
+    {
+        platform::object_watch_handlers handlers;
+        handlers.on_object = [this](platform::store_object const& object) { on_backend(object); };
+        handlers.on_deleted = [this](std::string const& name) { on_backend_gone(name); };
+        handlers.on_listed = [this] { backends_listed = true; };
+        return handlers;
+    }
+
+    std::string run()
+    {
+        service.on_new_wish([this] { placement.on_new_wish(); });
+        for (caller_server* const server : {&callers, &readiness, &peers})
+        {
+            std::string const error = server->start();
+            if (!error.empty())
+            {
+                return error;
+            }
+        }
+        signals.add(SIGTERM);
+        signals.add(SIGINT);
+        signals.add(SIGHUP);
+        wait_for_signal();
+        config_watch.start();
+        backend_watch.start();
+        placement.start();
+        log.write({"start",
+                   {{"instance", settings.name},
+                    {"data_centre", settings.data_centre},
+                    {"callers", settings.caller_address},
+                    {"store", settings.store_address}}});
+        loop.run();
+        log.write({"stop", {{"open_requests", std::to_string(service.open_requests())}}});
+        return {};
+    }
+
+    void wait_for_signal()
+    {
+        signals.async_wait(
+            [this](boost::system::error_code error, int signal)
+            {
+                if (error)
+                {
+                    return;
+                }
+                if (signal == SIGHUP)
+                {
+                    reload_settings();
+                }
+                else
+                {
+                    begin_stop();
+                }
+                wait_for_signal();
+            });
+    }
+
+    void reload_settings()
+    {
+        auto const fresh = reload();
+        if (!fresh)
+        {
+            log.write({"reload", {{"outcome", "kept"}, {"reason", "settings are not valid"}}});
+            return;
+        }
+        bool const restart_needed = fresh->caller_address != settings.caller_address ||
+                                    fresh->readiness_address != settings.readiness_address ||
+                                    fresh->peer_address != settings.peer_address ||
+                                    fresh->store_address != settings.store_address;
+        settings.retry_ratio = fresh->retry_ratio;
+        settings.retry_window = fresh->retry_window;
+        settings.retry_slack = fresh->retry_slack;
+        settings.stop_time = fresh->stop_time;
+        retries.on_limits(limits_of(settings, instances));
+        log.write({"reload",
+                   {{"outcome", "applied"}, {"addresses_need_restart", restart_needed ? "true" : "false"}}});
+    }
+
+    void begin_stop()
+    {
+        if (stopping)
+        {
+            return;
+        }
+        stopping = true;
+        stop_at = boot_now();
+        callers.drain();
+        placement.retire();
+        log.write({"stopping", {{"open_requests", std::to_string(service.open_requests())}}});
+        poll_stop();
+    }
+
+    void poll_stop()
+    {
+        duration const passed = boot_now() - stop_at;
+        bool const unnoticed = passed < readiness_noticed;
+        bool const busy = callers.open_requests() > 0 || !placement.retired();
+        if (passed >= settings.stop_time - stop_margin || (!unnoticed && !busy))
+        {
+            loop.stop();
+            return;
+        }
+        stop_timer.expires_after(stop_poll);
+        stop_timer.async_wait([this](boost::system::error_code) { poll_stop(); });
+    }
+
+    bool ready() const { return !stopping && service.has_config() && backends_listed; }
+
+    void on_readiness(std::shared_ptr<caller_exchange> const& exchange)
+    {
+        std::string const& target = exchange->head().getURI();
+        if (target == platform::readiness_path)
+        {
+            exchange->answer(ready() ? 200 : 503, "", "");
+            return;
+        }
+        exchange->answer(404, "", "");
+    }
+
+    void on_peer(std::shared_ptr<caller_exchange> const& exchange)
+    {
+        if (exchange->head().getURI() == "/metrics")
+        {
+            exchange->answer(200, "Content-Type: text/plain\r\n", metrics.text());
+            return;
+        }
+        placement.on_peer_call(exchange);
+    }
+
+    void on_config(platform::store_object const& object)
+    {
+        if (object.name != config_name)
+        {
+            return;
+        }
+        std::string why;
+        auto decoded = platform::decode_serving_config(object.spec, why);
+        if (!decoded || (config && decoded->version < config->version))
+        {
+            why = decoded ? "an older version" : why;
+            log.write({"config_ignored", {{"revision", std::to_string(object.revision)}, {"reason", why}}});
+            return;
+        }
+        if (config && decoded->version == config->version)
+        {
+            return;
+        }
+        config = std::make_shared<serving_config const>(std::move(*decoded));
+        callers.set_limits(config->limits);
+        service.on_config(config);
+        requests.on_config(config);
+        placement.on_config(config);
+        log.write({"config_in_force",
+                   {{"version", std::to_string(config->version)},
+                    {"routes", std::to_string(config->routes.size())},
+                    {"revision", std::to_string(object.revision)}}});
+        service.pump();
+    }
+
+    void on_backend(platform::store_object const& object)
+    {
+        auto const entry = platform::decode_backend_entry(object.name, object.spec);
+        if (!entry)
+        {
+            log.write({"backend_ignored",
+                       {{"backend", object.name}, {"revision", std::to_string(object.revision)}}});
+            return;
+        }
+        backend_entry const* const known = requests.find_backend(entry->name);
+        if (known == nullptr || known->leaving != entry->leaving || !(known->models == entry->models))
+        {
+            std::string models;
+            for (resident_model const& model : entry->models)
+            {
+                models.append(models.empty() ? "" : ",").append(model.name);
+            }
+            log.write({"backend",
+                       {{"backend", entry->name},
+                        {"service", entry->service},
+                        {"state", entry->leaving ? "leaving" : "ready"},
+                        {"models", models},
+                        {"on_disk", std::to_string(entry->copies_on_disk.size())},
+                        {"sequence", std::to_string(entry->order_sequence)},
+                        {"revision", std::to_string(object.revision)}}});
+        }
+        requests.on_backend(boot_now(), *entry);
+        placement.on_backend(*entry);
+        service.pump();
+    }
+
+    void on_backend_gone(std::string const& name)
+    {
+        log.write({"backend_gone", {{"backend", name}}});
+        requests.on_backend_gone(name);
+        placement.on_backend_gone(name);
+    }
+
+    void on_news(placement_news const& news)
+    {
+        if (news.instances > 0 && news.instances + spare_instances != instances)
+        {
+            instances = news.instances + spare_instances;
+            retries.on_limits(limits_of(settings, instances));
+        }
+        requests.on_placements(boot_now(), news);
+        service.pump();
+    }
+
+    edge_settings settings;
+    settings_source const reload;
+    log_port& log;
+    metrics_registry& metrics;
+    boost::asio::io_context loop{1};
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer stop_timer;
+    outbound_pool pool;
+    platform::metadata_store store;
+    dispatcher requests;
+    retry_allowance retries;
+    request_service service;
+    placement_service placement;
+    caller_server callers;
+    caller_server readiness;
+    caller_server peers;
+    platform::object_watch config_watch;
+    platform::object_watch backend_watch;
+    std::shared_ptr<serving_config const> config;
+    unsigned instances = unknown_instances;
+    bool backends_listed = false;
+    bool stopping = false;
+    steady_time stop_at;
+};
+
+edge_process::edge_process(edge_settings settings, settings_source reload, log_port& log,
+                           metrics_registry& metrics)
+    : impl_(std::make_unique<implementation>(std::move(settings), std::move(reload), log, metrics))
+{
+}
+
+edge_process::~edge_process() = default;
+
+std::string edge_process::run()
+{
+    return impl_->run();
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/apps/edge_process.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "adapters/edge_settings.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace siskinusher
+{
+
+struct log_port;
+class metrics_registry;
+
+/// One siskin-edge process: the event loop with the servers, watches and services on it.
+class edge_process
+{
+public:
+    /// Reads the settings again; an empty result keeps those in force.
+    using settings_source = std::function<std::unique_ptr<edge_settings>()>;
+
+    /// The references must outlive the process object.
+    edge_process(edge_settings settings, settings_source reload, log_port& log, metrics_registry& metrics);
+    ~edge_process();
+    edge_process(edge_process const&) = delete;
+    edge_process& operator=(edge_process const&) = delete;
+
+    /// Serves until SIGTERM or SIGINT and until the accepted requests are answered. Returns an empty text, or
+    /// why the process cannot start.
+    std::string run();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+} // namespace siskinusher
--- /dev/null
+++ b/apps/placement_service.cpp
@@ -0,0 +1,389 @@
+#include "apps/placement_service.hpp"
+
+#include "adapters/boot_clock.hpp"
+#include "adapters/outbound_pool.hpp"
+#include "adapters/placement_codec.hpp"
+#include "adapters/ports.hpp"
+#include "platform/backend_entry_codec.hpp"
+#include "platform/lease_record_codec.hpp"
+#include "platform/metadata_store.hpp"
+#include "platform/order_codec.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <openssl/crypto.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// How often the lease and the plan are looked at; well under a load from memory, 0.28 s.
+constexpr duration tick_interval = milliseconds{50};
+// Reports of demand: often while requests wait for a model, otherwise as often as rates need.
+constexpr duration report_interval = milliseconds{500};
+constexpr duration waiting_report_interval = milliseconds{60};
+// An order is answered after a round trip between regions; more is an engine that does not answer.
+constexpr duration order_limit = milliseconds{700};
+constexpr duration report_limit = milliseconds{400};
+constexpr char const* key_scheme = "Bearer ";
+
+bool same_secret(std::string const& a, std::string const& b)
+{
+    return a.size() == b.size() && !a.empty() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+char const* to_string(rotation_result result)
+{
+    switch (result)
+    {
+    case rotation_result::accepted:
+        return "accepted";
+    case rotation_result::already_holds:
+        return "already_holds";
+    case rotation_result::conflict:
+        return "conflict";
+    case rotation_result::refused:
+        return "refused";
+    case rotation_result::not_sent:
+        return "not_sent";
+    case rotation_result::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+class placement_service::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(boost::asio::io_context& loop, outbound_pool& pool_in, platform::metadata_store& store_in,
+                   log_port& log_in, metric_port& metrics_in, placement_service_settings settings_in,
+                   demand_source demand_in, news_handler on_news_in)
+        : pool(pool_in), store(store_in), log(log_in), metrics(metrics_in), settings(std::move(settings_in)),
+          demand(std::move(demand_in)), on_news(std::move(on_news_in)), timer(loop),
+          lease(settings.name, settings.peer_address, settings.fresh_key, settings.lease),
+          planner(settings.rotation)
+    {
+    }
+
+    void tick()
+    {
+        steady_time const now = boot_now();
+        step_lease(now);
+        note_holder(now);
+        if (now >= next_report && !reporting)
+        {
+            report(now);
+        }
+        plan(now);
+        timer.expires_after(tick_interval);
+        timer.async_wait(
+            [weak = weak_from_this()](boost::system::error_code error)
+            {
+                auto const self = weak.lock();
+                if (!error && self)
+                {
+                    self->tick();
+                }
+            });
+    }
+
+    void step_lease(steady_time now)
+    {
+        auto const step = lease.step(now);
+        if (!step)
+        {
+            return;
+        }
+        if (std::holds_alternative<lease_read>(*step))
+        {
+            read_lease();
+            return;
+        }
+        write_lease(std::get<lease_write>(*step));
+    }
+
+    void read_lease()
+    {
+        // A stale read can only delay a claim; see order_lease.
+        store.get(platform::lease_kind, platform::lease_name, lease.record() != nullptr,
+                  [self = shared_from_this()](platform::store_answer<platform::store_object> answer)
+                  {
+                      steady_time const now = boot_now();
+                      if (auto const* const object = std::get_if<platform::store_object>(&answer))
+                      {
+                          self->lease.on_read(now, platform::decode_lease_record(object->spec),
+                                              object->revision);
+                      }
+                      else if (std::get<platform::store_failure>(answer) == platform::store_failure::absent)
+                      {
+                          self->lease.on_read(now, std::nullopt, 0);
+                      }
+                      else
+                      {
+                          self->lease.on_call_lost(now);
+                      }
+                  });
+    }
+
+    void write_lease(lease_write const& write)
+    {
+        store.put(platform::lease_kind, platform::lease_name, write.revision,
+                  platform::encode_lease_record(write.record),
+                  [self = shared_from_this()](platform::store_answer<platform::store_object> answer)
+                  {
+                      steady_time const now = boot_now();
+                      if (auto const* const object = std::get_if<platform::store_object>(&answer))
+                      {
+                          self->lease.on_written(now, object->revision);
+                          return;
+                      }
+                      auto const failure = std::get<platform::store_failure>(answer);
+                      if (failure == platform::store_failure::unclear)
+                      {
+                          self->lease.on_call_lost(now);
+                      }
+                      else
+                      {
+                          self->lease.on_write_refused(now);
+                      }
+                  });
+    }
+
+    void note_holder(steady_time now)
+    {
+        bool const holds = lease.may_order(now);
+        if (holds != held)
+        {
+            held = holds;
+            log.write({holds ? "lease_gained" : "lease_lost", {{"epoch", std::to_string(lease.epoch())}}});
+        }
+    }
+
+    void report(steady_time now)
+    {
+        demand_report const own = demand();
+        bool const waits = std::any_of(own.models.begin(), own.models.end(),
+                                       [](model_demand const& each) { return each.waiting > 0; });
+        next_report = now + (waits ? waiting_report_interval : report_interval);
+        if (lease.may_order(now))
+        {
+            planner.on_demand(now, own);
+            on_news(planner.news());
+            return;
+        }
+        order_lease_record const* const record = lease.record();
+        if (record == nullptr || record->peer_address.empty() || record->holder == settings.name)
+        {
+            return;
+        }
+        http_call call;
+        call.method = "POST";
+        call.path = demand_path;
+        call.headers = {{"Authorization", key_scheme + record->peer_key}, {"Content-Type", "application/cbor"}};
+        call.body = encode_demand(own);
+        reporting = true;
+        pool.call(record->peer_address, call, report_limit,
+                  [self = shared_from_this()](http_outcome outcome) { self->on_report_answer(outcome); });
+    }
+
+    void on_report_answer(http_outcome const& outcome)
+    {
+        reporting = false;
+        auto const news = outcome.status == 200 ? decode_news(outcome.body) : std::nullopt;
+        if (holder_reached != news.has_value())
+        {
+            holder_reached = news.has_value();
+            log.write({holder_reached ? "holder_reached" : "holder_lost",
+                       {{"status", std::to_string(outcome.status)}, {"why", outcome.why}}});
+        }
+        if (news)
+        {
+            on_news(*news);
+        }
+    }
+
+    void plan(steady_time now)
+    {
+        if (!lease.may_order(now))
+        {
+            return;
+        }
+        for (rotation_step const& step : planner.plan(now))
+        {
+            if (auto const* const order = std::get_if<rotation_order>(&step))
+            {
+                send(*order);
+            }
+            else
+            {
+                inquire(std::get<engine_inquiry>(step));
+            }
+        }
+    }
+
+    void send(rotation_order const& order)
+    {
+        auto const epoch = lease.epoch();
+        // The lease is checked once more when the first byte is about to be written, after connecting.
+        auto const may_send = [self = shared_from_this(), epoch]
+        { return self->lease.may_order(boot_now()) && self->lease.epoch() == epoch; };
+        pool.call(
+            order.address, platform::encode_order(order, settings.name, epoch), order_limit,
+            [self = shared_from_this(), order, epoch, sent_at = boot_now()](http_outcome const& outcome)
+            {
+                steady_time const now = boot_now();
+                rotation_result const result = platform::decode_order_outcome(outcome);
+                self->metrics.add("siskin_orders_total", to_string(result), 1);
+                self->log.write(
+                    {"order",
+                     {{"engine", order.engine},
+                      {"kind", siskinusher::to_string(order.kind)},
+                      {"model", order.model},
+                      {"adapter", order.adapter},
+                      {"reason", order.reason},
+                      {"sequence", std::to_string(order.expected_sequence)},
+                      {"epoch", std::to_string(epoch)},
+                      {"result", to_string(result)},
+                      {"status", std::to_string(outcome.status)},
+                      {"took_ms", std::to_string(
+                                      std::chrono::duration_cast<milliseconds>(now - sent_at).count())}}});
+                self->planner.on_order_result(now, order, result);
+                self->plan(now);
+            },
+            may_send);
+    }
+
+    void inquire(engine_inquiry const& inquiry)
+    {
+        metrics.add("siskin_engine_inquiries_total", "", 1);
+        pool.call(inquiry.address, platform::encode_inquiry(inquiry.engine), order_limit,
+                  [self = shared_from_this(), engine = inquiry.engine](http_outcome const& outcome)
+                  {
+                      steady_time const now = boot_now();
+                      auto const report = outcome.status == 200
+                                              ? platform::decode_engine_report(engine, outcome.body)
+                                              : std::nullopt;
+                      self->log.write({"inquiry",
+                                       {{"engine", engine},
+                                        {"status", std::to_string(outcome.status)},
+                                        {"why", outcome.why},
+                                        {"sequence", report ? std::to_string(report->order_sequence) : ""},
+                                        {"busy", report && report->busy ? "true" : "false"}}});
+                      if (report)
+                      {
+                          self->planner.on_report(now, *report);
+                      }
+                      else
+                      {
+                          self->planner.on_inquiry_failed(now, engine);
+                      }
+                  });
+    }
+
+    void on_peer_call(std::shared_ptr<caller_exchange> const& call)
+    {
+        order_lease_record const* const record = lease.record();
+        std::string const given = call->head().get("Authorization", "");
+        if (record == nullptr || !same_secret(given, key_scheme + record->peer_key))
+        {
+            call->answer(401, "", "");
+            return;
+        }
+        if (call->head().getURI() != demand_path)
+        {
+            call->answer(404, "", "");
+            return;
+        }
+        auto const report = decode_demand(call->body());
+        steady_time const now = boot_now();
+        if (!report || !lease.may_order(now))
+        {
+            call->answer(report ? 409 : 400, "", "");
+            return;
+        }
+        planner.on_demand(now, *report);
+        plan(now);
+        call->answer(200, "Content-Type: application/cbor\r\n", encode_news(planner.news()));
+    }
+
+    outbound_pool& pool;
+    platform::metadata_store& store;
+    log_port& log;
+    metric_port& metrics;
+    placement_service_settings const settings;
+    demand_source const demand;
+    news_handler const on_news;
+    boost::asio::steady_timer timer;
+    order_lease lease;
+    rotation_planner planner;
+    steady_time next_report;
+    bool reporting = false;
+    bool holder_reached = false;
+    bool held = false;
+};
+
+placement_service::placement_service(boost::asio::io_context& loop, outbound_pool& pool,
+                                     platform::metadata_store& store, log_port& log, metric_port& metrics,
+                                     placement_service_settings settings, demand_source demand,
+                                     news_handler on_news)
+    : impl_(std::make_shared<implementation>(loop, pool, store, log, metrics, std::move(settings),
+                                             std::move(demand), std::move(on_news)))
+{
+}
+
+placement_service::~placement_service() = default;
+
+void placement_service::start()
+{
+    impl_->tick();
+}
+
+void placement_service::on_config(std::shared_ptr<serving_config const> config)
+{
+    impl_->planner.on_config(std::move(config));
+}
+
+void placement_service::on_backend(backend_entry const& entry)
+{
+    impl_->planner.on_backend(boot_now(), entry);
+}
+
+void placement_service::on_backend_gone(backend_name const& name)
+{
+    impl_->planner.on_backend_gone(name);
+}
+
+void placement_service::on_new_wish()
+{
+    impl_->next_report = {};
+}
+
+void placement_service::on_peer_call(std::shared_ptr<caller_exchange> const& call)
+{
+    impl_->on_peer_call(call);
+}
+
+void placement_service::retire()
+{
+    impl_->lease.retire();
+}
+
+bool placement_service::retired() const
+{
+    return impl_->lease.released(boot_now());
+}
+
+bool placement_service::holds_lease() const
+{
+    return impl_->lease.may_order(boot_now());
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/apps/placement_service.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "adapters/caller_server.hpp"
+#include "core/steady_time.hpp"
+#include "decision/order_lease.hpp"
+#include "decision/rotation_planner.hpp"
+#include "domain/backend_entry.hpp"
+#include "domain/placement_exchange.hpp"
+#include "domain/serving_config.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace siskinusher
+{
+
+class outbound_pool;
+struct log_port;
+struct metric_port;
+
+namespace platform
+{
+class metadata_store;
+}
+
+struct placement_service_settings
+{
+    std::string name;         ///< Holder name: the machine and its address.
+    std::string peer_address; ///< Where this instance takes demand reports.
+    std::string fresh_key;    ///< Proposed as the peers' key if there is none yet.
+    order_lease_times lease;
+    rotation_settings rotation;
+};
+
+/// Keeps the order lease, sends the orders of the rotation planner while it is held, and carries this
+/// instance's demand to the holder.
+class placement_service
+{
+public:
+    using demand_source = std::function<demand_report()>;
+    using news_handler = std::function<void(placement_news const&)>;
+
+    /// All references must outlive the service.
+    placement_service(boost::asio::io_context& loop, outbound_pool& pool, platform::metadata_store& store,
+                      log_port& log, metric_port& metrics, placement_service_settings settings,
+                      demand_source demand, news_handler on_news);
+    ~placement_service();
+    placement_service(placement_service const&) = delete;
+    placement_service& operator=(placement_service const&) = delete;
+
+    void start();
+    void on_config(std::shared_ptr<serving_config const> config);
+    void on_backend(backend_entry const& entry);
+    void on_backend_gone(backend_name const& name);
+    /// A request waits for a model: tells the holder soon.
+    void on_new_wish();
+    /// Answers a call of another instance.
+    void on_peer_call(std::shared_ptr<caller_exchange> const& call);
+
+    /// Stops ordering and releases the lease.
+    void retire();
+    bool retired() const;
+    bool holds_lease() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> impl_;
+};
+
+} // namespace siskinusher
--- /dev/null
+++ b/apps/request_service.cpp
@@ -0,0 +1,659 @@
+#include "apps/request_service.hpp"
+
+#include "adapters/boot_clock.hpp"
+#include "adapters/outbound_pool.hpp"
+#include "adapters/ports.hpp"
+#include "apps/open_exchange_impl.hpp"
+#include "core/random_source.hpp"
+#include "decision/attempt_policy.hpp"
+#include "decision/route_table.hpp"
+#include "platform/request_codec.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// A caller abandons a stream after such a gap: two seconds, four objectives or eight pauses, whichever is
+// longest. A request that could not start within a part of that is refused while it can still come back.
+constexpr duration least_stream_gap = seconds{2};
+constexpr double patience_share = 0.45;
+// Without an answer within this many objectives a repeatable request is tried elsewhere.
+constexpr double silent_objectives = 2.5;
+constexpr duration least_silence = milliseconds{500};
+// A stream that may be resumed and has stopped for so many of its longest pauses goes on elsewhere.
+constexpr double stalled_pauses = 3.0;
+// The final answer is due at the route's time limit; this is kept for sending it.
+constexpr duration answer_margin = milliseconds{30};
+constexpr duration unconfigured_retry_after = seconds{1};
+constexpr duration failed_retry_after = milliseconds{500};
+
+std::string ms_text(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
+}
+
+std::chrono::microseconds span_until(steady_time when)
+{
+    return std::max<duration>(when - boot_now(), duration{0});
+}
+
+attempt_result result_of(exchange_end end)
+{
+    switch (end)
+    {
+    case exchange_end::complete:
+        return attempt_result::answered;
+    case exchange_end::refused:
+    case exchange_end::not_sent:
+        return attempt_result::not_sent;
+    case exchange_end::lost:
+        return attempt_result::connection_lost;
+    case exchange_end::malformed:
+        return attempt_result::bad_answer;
+    case exchange_end::timed_out:
+        break;
+    }
+    return attempt_result::silent;
+}
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+class request_service::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    using open_pointer = std::shared_ptr<open_exchange>;
+
+    implementation(boost::asio::io_context& loop_in, outbound_pool& pool_in, dispatcher& requests_in,
+                   retry_allowance& retries_in, log_port& log_in, metric_port& metrics_in, std::uint64_t seed)
+        : loop(loop_in), pool(pool_in), requests(requests_in), retries(retries_in), log(log_in),
+          metrics(metrics_in), random(seed), pump_timer(loop_in)
+    {
+    }
+
+    void accept(std::shared_ptr<caller_exchange> caller)
+    {
+        auto const open = std::make_shared<open_exchange>(loop, std::move(caller));
+        open->number = ++last_number;
+        open->request = platform::decode_request(open->caller->head());
+        if (!routes)
+        {
+            refuse_unrouted(*open, 503, "no_configuration");
+            return;
+        }
+        route_rule const* const route = routes->find(open->request.host, open->request.target);
+        if (route == nullptr)
+        {
+            refuse_unrouted(*open, 404, "no_route");
+            return;
+        }
+        if (open->request.request_id.empty())
+        {
+            refuse_unrouted(*open, 400, "no_request_id");
+            return;
+        }
+        open->route = *route;
+        open->service = choose_target(*route, random.next());
+        open->last_event = open->request.resume_after;
+        duration const allowed = std::min(open->request.time_allowed.value_or(route->time_limit),
+                                          route->time_limit);
+        open->deadline = open->caller->arrived() + allowed;
+        exchanges[open->number] = open;
+        retries.on_request(boot_now(), open->service);
+        open->caller->on_gone([self = shared_from_this(), number = open->number] { self->on_gone(number); });
+        arm_deadline(open);
+        submit(*open);
+        pump();
+    }
+
+    void refuse_unrouted(open_exchange& open, int status, char const* reason)
+    {
+        std::string const lines =
+            status == 503 ? platform::encode_retry_after(unconfigured_retry_after) : std::string();
+        open.caller->answer(status, lines, "");
+        metrics.add("siskin_refusals_total", reason, 1);
+        log.write({"refused",
+                   {{"request", open.request.request_id},
+                    {"reason", reason},
+                    {"status", std::to_string(status)},
+                    {"execution", "not_run"},
+                    {"host", open.request.host},
+                    {"path", open.request.target},
+                    {"config", std::to_string(routes ? routes->config().version : 0)}}});
+    }
+
+    duration patience(open_exchange const& open) const
+    {
+        duration const left = open.deadline - boot_now();
+        duration limit = left;
+        if (open.route.streaming)
+        {
+            limit = std::min(limit, std::max({least_stream_gap, open.route.objective * 4,
+                                              open.route.pause_limit * 8}));
+        }
+        return std::chrono::duration_cast<duration>(limit * patience_share);
+    }
+
+    void submit(open_exchange& open)
+    {
+        dispatch_request request;
+        request.number = open.number;
+        request.service = open.service;
+        request.model = open.request.model;
+        request.adapter = open.request.adapter;
+        request.priority = open.route.priority;
+        request.arrived = open.caller->arrived();
+        request.deadline = open.deadline;
+        request.patience = patience(open);
+        request.prompt = open.request.prompt;
+        request.avoid = open.avoid;
+        requests.submit(boot_now(), std::move(request));
+    }
+
+    void pump()
+    {
+        for (dispatch_step const& step : requests.step(boot_now()))
+        {
+            std::visit([this](auto const& each) { carry_out(each); }, step);
+        }
+        if (requests.has_new_wish() && new_wish)
+        {
+            new_wish();
+        }
+        if (auto const due = requests.next_due())
+        {
+            pump_timer.expires_after(span_until(*due));
+            pump_timer.async_wait(
+                [self = shared_from_this()](boost::system::error_code error)
+                {
+                    if (!error)
+                    {
+                        self->pump();
+                    }
+                });
+        }
+    }
+
+    void carry_out(reject_request const& step)
+    {
+        auto const found = exchanges.find(step.number);
+        if (found == exchanges.end())
+        {
+            return;
+        }
+        open_pointer const open = found->second;
+        open->last_failure = std::string(to_string(step.why.reason));
+        if (open->failed_facts && !open->answer_begun)
+        {
+            deliver_failed(*open);
+            return;
+        }
+        if (open->answer_begun || open->may_have_run)
+        {
+            give_up(*open, open->last_failure);
+            return;
+        }
+        refuse(*open, step.why.retry_after, open->last_failure);
+    }
+
+    void carry_out(assign_request const& step)
+    {
+        auto const found = exchanges.find(step.number);
+        if (found == exchanges.end())
+        {
+            requests.on_attempt_end(boot_now(),
+                                    {step.number, step.target.backend, attempt_result::caller_gone, false, false, {}});
+            return;
+        }
+        start_attempt(found->second, step);
+    }
+
+    void start_attempt(open_pointer const& open, assign_request const& step)
+    {
+        steady_time const now = boot_now();
+        open->target = step.target;
+        open->sent_at = now;
+        open->facts.reset();
+        open->body.clear();
+        open->events = event_splitter{};
+        backend_entry const* const entry = requests.find_backend(step.target.backend);
+        platform::attempt_headers headers;
+        headers.time_left = open->deadline - now;
+        headers.backend = step.target.backend;
+        headers.priority = open->route.priority;
+        headers.engine = entry != nullptr && entry->engine;
+        headers.resume_after = open->last_event;
+        outbound_request request;
+        request.address = step.target.address;
+        request.method = open->request.method;
+        request.bytes = platform::encode_attempt(open->request, open->caller->body(), headers);
+        request.time_limit = std::max<duration>(headers.time_left, milliseconds{1});
+        request.connect_limit = std::min(request.connect_limit, request.time_limit / 2);
+        request.fresh_connection = false;
+        log.write({"attempt",
+                   {{"request", open->request.request_id},
+                    {"service", open->service},
+                    {"model", open->request.model},
+                    {"backend", step.target.backend},
+                    {"candidates", std::to_string(step.basis.candidates)},
+                    {"in_use", std::to_string(step.basis.in_use)},
+                    {"load_age_ms", ms_text(step.basis.load_age)},
+                    {"waited_ms", ms_text(step.basis.waited)},
+                    {"send", std::to_string(open->sends + 1)}}});
+        exchange_handlers handlers;
+        auto const self = shared_from_this();
+        handlers.on_head = [self, open](Poco::Net::HTTPResponse const& head)
+        { return self->on_head(open, head); };
+        handlers.on_body = [self, open](std::string const& part) { self->on_body(open, part); };
+        handlers.on_end = [self, open](exchange_end end) { self->on_end(open, end); };
+        open->attempt = pool.start(std::move(request), std::move(handlers));
+        watch_progress(open, first_answer_limit(*open));
+    }
+
+    // How long a server may take for the first sign of an answer before another one is tried; zero for
+    // requests that cannot be tried twice.
+    duration first_answer_limit(open_exchange const& open) const
+    {
+        if (open.route.repeat == repeat_rule::once || open.backends_run + 1 >= open.route.max_backends)
+        {
+            return duration{0};
+        }
+        auto const limit = std::chrono::duration_cast<duration>(open.route.objective * silent_objectives);
+        return std::max(limit, least_silence);
+    }
+
+    void watch_progress(open_pointer const& open, duration limit)
+    {
+        boost::system::error_code ignored;
+        open->progress_timer.cancel(ignored);
+        if (limit == duration{0})
+        {
+            return;
+        }
+        open->progress_timer.expires_after(limit);
+        open->progress_timer.async_wait(
+            [self = shared_from_this(), open](boost::system::error_code error)
+            {
+                if (!error && open->attempt)
+                {
+                    bool const sent = open->attempt->sent();
+                    open->attempt->cancel();
+                    self->end_attempt(open, sent ? attempt_result::silent : attempt_result::not_sent, "silent");
+                }
+            });
+    }
+
+    // False ends the exchange: it is then over for the pool, and the attempt was ended here.
+    bool on_head(open_pointer const& open, Poco::Net::HTTPResponse const& head)
+    {
+        open->facts = platform::decode_answer(head, open->request.request_id, open->target.backend);
+        platform::answer_facts const& facts = *open->facts;
+        if (facts.load)
+        {
+            requests.on_load(boot_now(), open->target.backend, *facts.load);
+        }
+        char const* fault = nullptr;
+        if (facts.other_request)
+        {
+            fault = "answer_of_another_request";
+        }
+        else if (is_success(facts.status) && (!facts.signed_answer || facts.encoded))
+        {
+            fault = "unsigned_answer";
+        }
+        if (fault != nullptr)
+        {
+            boost::asio::post(loop, [self = shared_from_this(), open, fault]
+                              { self->end_attempt(open, attempt_result::bad_answer, fault); });
+            return false;
+        }
+        return true;
+    }
+
+    void on_body(open_pointer const& open, std::string const& part)
+    {
+        if (!open->route.streaming || !is_success(open->facts->status))
+        {
+            open->body.append(part);
+            return;
+        }
+        for (stream_event const& event : open->events.feed(part))
+        {
+            bool const in_order = pass_on(open, event);
+            if (!open->attempt)
+            {
+                return; // The caller went away while the event was written.
+            }
+            if (!in_order)
+            {
+                open->attempt->cancel();
+                end_attempt(open, attempt_result::bad_answer, "event_out_of_order");
+                return;
+            }
+        }
+        bool const resumable = open->route.repeat == repeat_rule::resumable_stream &&
+                               open->backends_run + 1 < open->route.max_backends && !open->events_without_id;
+        auto const stalled = std::chrono::duration_cast<duration>(open->route.pause_limit * stalled_pauses);
+        watch_progress(open, resumable && open->answer_begun ? std::max(stalled, least_silence) : duration{0});
+    }
+
+    // False when the event does not follow the last one.
+    bool pass_on(open_pointer const& open, stream_event const& event)
+    {
+        if (event.id)
+        {
+            if (open->last_event && *event.id != *open->last_event + 1)
+            {
+                return false;
+            }
+            open->last_event = event.id;
+        }
+        else
+        {
+            open->events_without_id = true;
+        }
+        if (!open->answer_begun)
+        {
+            open->answer_begun = true;
+            open->first_event_after = boot_now() - open->caller->arrived();
+            open->caller->begin(open->facts->status, open->facts->header_lines);
+        }
+        open->caller->write(event.bytes);
+        return true;
+    }
+
+    void on_end(open_pointer const& open, exchange_end end)
+    {
+        if (end != exchange_end::complete)
+        {
+            end_attempt(open, result_of(end), to_string(end));
+            return;
+        }
+        platform::answer_facts const& facts = *open->facts;
+        if (facts.not_run)
+        {
+            end_attempt(open, attempt_result::refused_not_run, facts.status == 421 ? "not_there" : "full");
+            return;
+        }
+        if (open->route.streaming && is_success(facts.status))
+        {
+            if (open->events.in_event())
+            {
+                end_attempt(open, attempt_result::bad_answer, "stream_ends_in_event");
+                return;
+            }
+            report_end(open, attempt_result::answered, false);
+            if (!open->answer_begun)
+            {
+                open->caller->begin(facts.status, facts.header_lines);
+            }
+            open->caller->end();
+            close(*open, "served", facts.status);
+            return;
+        }
+        if (facts.status >= 500)
+        {
+            open->failed_facts = facts;
+            open->failed_body = open->body;
+            end_attempt(open, attempt_result::answered, "server_error");
+            return;
+        }
+        report_end(open, attempt_result::answered, false);
+        open->caller->answer(facts.status, facts.header_lines, open->body);
+        close(*open, "served", facts.status);
+    }
+
+    void report_end(open_pointer const& open, attempt_result result, bool server_error)
+    {
+        boost::system::error_code ignored;
+        open->progress_timer.cancel(ignored);
+        open->attempt.reset();
+        bool const absent = open->facts && open->facts->status == 421 && !open->facts->other_server;
+        requests.on_attempt_end(boot_now(), {open->number, open->target.backend, result, server_error, absent,
+                                             boot_now() - open->sent_at});
+    }
+
+    // Decides what follows an attempt that gave no complete answer, or a server's own failure.
+    void end_attempt(open_pointer const& open, attempt_result result, std::string const& why)
+    {
+        if (exchanges.count(open->number) == 0)
+        {
+            return;
+        }
+        bool const server_error = result == attempt_result::answered;
+        report_end(open, result, server_error);
+        open->last_failure = why;
+        open->sends += result == attempt_result::not_sent ? 0 : 1;
+        open->backends_run += may_have_run(result) ? 1 : 0;
+        attempt_facts facts;
+        facts.repeat = open->route.repeat;
+        facts.result = result;
+        facts.may_have_run_before = open->may_have_run;
+        facts.backends_run = open->backends_run;
+        facts.max_backends = open->route.max_backends;
+        facts.sends = open->sends;
+        facts.answer_begun = open->answer_begun;
+        facts.resume_point_known = !open->events_without_id && open->last_event.has_value();
+        facts.time_left = open->deadline - boot_now();
+        open->may_have_run = open->may_have_run || may_have_run(result);
+        open->avoid.push_back(open->target.backend);
+        attempt_step step = step_after(facts);
+        bool const needs_budget = open->sends > 0;
+        if (step == attempt_step::send_again && needs_budget && !retries.try_take(boot_now(), open->service))
+        {
+            metrics.add("siskin_retries_refused_total", "budget", 1);
+            step = open->answer_begun    ? attempt_step::break_off
+                   : open->may_have_run ? attempt_step::fail_may_have_run
+                                        : attempt_step::refuse_not_run;
+        }
+        log.write({"attempt_failed",
+                   {{"request", open->request.request_id},
+                    {"backend", open->target.backend},
+                    {"why", why},
+                    {"after_ms", ms_text(boot_now() - open->sent_at)},
+                    {"next", step == attempt_step::send_again ? "send_again" : "end"}}});
+        if (step == attempt_step::send_again)
+        {
+            metrics.add("siskin_retries_total", why, 1);
+            submit(*open);
+            pump();
+            return;
+        }
+        if (open->failed_facts && !open->answer_begun)
+        {
+            deliver_failed(*open);
+        }
+        else if (step == attempt_step::refuse_not_run)
+        {
+            refuse(*open, failed_retry_after, why);
+        }
+        else
+        {
+            give_up(*open, why);
+        }
+        pump();
+    }
+
+    // Passes on the failure that a server itself answered.
+    void deliver_failed(open_exchange& open)
+    {
+        open.caller->answer(open.failed_facts->status, open.failed_facts->header_lines, open.failed_body);
+        close(open, "server_error", open.failed_facts->status);
+    }
+
+    void refuse(open_exchange& open, duration retry_after, std::string const& reason)
+    {
+        metrics.add("siskin_refusals_total", reason, 1);
+        open.caller->answer(503, platform::encode_retry_after(retry_after), "");
+        close(open, "refused_not_run", 503);
+    }
+
+    void give_up(open_exchange& open, std::string const& reason)
+    {
+        metrics.add("siskin_failures_total", reason, 1);
+        if (open.answer_begun)
+        {
+            open.caller->abort();
+            close(open, "broken_off", 0);
+            return;
+        }
+        bool const late = boot_now() + answer_margin >= open.deadline;
+        open.caller->answer(late ? 504 : 502, "", "");
+        close(open, "may_have_run", late ? 504 : 502);
+    }
+
+    void arm_deadline(open_pointer const& open)
+    {
+        open->deadline_timer.expires_after(span_until(open->deadline));
+        open->deadline_timer.async_wait(
+            [self = shared_from_this(), open](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    self->on_deadline(open);
+                }
+            });
+    }
+
+    void on_deadline(open_pointer const& open)
+    {
+        if (exchanges.count(open->number) == 0)
+        {
+            return;
+        }
+        bool const sent = open->attempt && open->attempt->sent();
+        if (open->attempt)
+        {
+            open->attempt->cancel();
+            report_end(open, sent ? attempt_result::silent : attempt_result::not_sent, false);
+        }
+        else
+        {
+            requests.withdraw(open->number);
+        }
+        open->may_have_run = open->may_have_run || sent;
+        if (open->failed_facts && !open->answer_begun)
+        {
+            deliver_failed(*open);
+        }
+        else if (open->may_have_run || open->answer_begun)
+        {
+            give_up(*open, "deadline");
+        }
+        else
+        {
+            refuse(*open, failed_retry_after, "deadline");
+        }
+        pump();
+    }
+
+    void on_gone(request_number number)
+    {
+        auto const found = exchanges.find(number);
+        if (found == exchanges.end())
+        {
+            return;
+        }
+        open_pointer const open = found->second;
+        if (open->attempt)
+        {
+            open->attempt->cancel();
+            report_end(open, attempt_result::caller_gone, false);
+        }
+        else
+        {
+            requests.withdraw(number);
+        }
+        close(*open, "caller_gone", 0);
+        pump();
+    }
+
+    void close(open_exchange& open, char const* outcome, int status)
+    {
+        boost::system::error_code ignored;
+        open.deadline_timer.cancel(ignored);
+        open.progress_timer.cancel(ignored);
+        metrics.add("siskin_requests_total", outcome, 1);
+        log.write({"request",
+                   {{"request", open.request.request_id},
+                    {"outcome", outcome},
+                    {"status", std::to_string(status)},
+                    {"route", open.route.name},
+                    {"service", open.service},
+                    {"model", open.request.model + (open.request.adapter.empty() ? "" : "/" + open.request.adapter)},
+                    {"backend", open.target.backend},
+                    {"attempts", std::to_string(open.avoid.size() + 1)},
+                    {"last_failure", open.last_failure},
+                    {"first_event_ms", ms_text(open.first_event_after)},
+                    {"total_ms", ms_text(boot_now() - open.caller->arrived())},
+                    {"config", std::to_string(routes ? routes->config().version : 0)}}});
+        exchanges.erase(open.number);
+    }
+
+    boost::asio::io_context& loop;
+    outbound_pool& pool;
+    dispatcher& requests;
+    retry_allowance& retries;
+    log_port& log;
+    metric_port& metrics;
+    random_source random;
+    boost::asio::steady_timer pump_timer;
+    std::optional<route_table> routes;
+    std::unordered_map<request_number, open_pointer> exchanges;
+    std::function<void()> new_wish;
+    request_number last_number = 0;
+};
+
+request_service::request_service(boost::asio::io_context& loop, outbound_pool& pool, dispatcher& requests,
+                                 retry_allowance& retries, log_port& log, metric_port& metrics,
+                                 std::uint64_t seed)
+    : impl_(std::make_shared<implementation>(loop, pool, requests, retries, log, metrics, seed))
+{
+}
+
+request_service::~request_service() = default;
+
+void request_service::on_config(std::shared_ptr<serving_config const> config)
+{
+    impl_->routes.emplace(std::move(config));
+}
+
+void request_service::on_request(std::shared_ptr<caller_exchange> exchange)
+{
+    impl_->accept(std::move(exchange));
+}
+
+void request_service::pump()
+{
+    impl_->pump();
+}
+
+void request_service::on_new_wish(std::function<void()> handler)
+{
+    impl_->new_wish = std::move(handler);
+}
+
+bool request_service::has_config() const
+{
+    return impl_->routes.has_value();
+}
+
+std::size_t request_service::open_requests() const
+{
+    return impl_->exchanges.size();
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/apps/request_service.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "adapters/caller_server.hpp"
+#include "decision/dispatcher.hpp"
+#include "decision/retry_allowance.hpp"
+#include "domain/serving_config.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace siskinusher
+{
+
+class outbound_pool;
+struct log_port;
+struct metric_port;
+
+/// Serves callers' requests from arrival to the one final answer: route, wait for a backend server, attempts,
+/// and the answer. The decisions are those of route_table, dispatcher, attempt_policy and retry_allowance.
+class request_service
+{
+public:
+    /// All references must outlive the service.
+    request_service(boost::asio::io_context& loop, outbound_pool& pool, dispatcher& requests,
+                    retry_allowance& retries, log_port& log, metric_port& metrics, std::uint64_t seed);
+    ~request_service();
+    request_service(request_service const&) = delete;
+    request_service& operator=(request_service const&) = delete;
+
+    void on_config(std::shared_ptr<serving_config const> config);
+    void on_request(std::shared_ptr<caller_exchange> exchange);
+    /// Carries out what the dispatcher has decided; to be called after it was told something new.
+    void pump();
+    /// Called when a request begins to wait for a model that no engine holds.
+    void on_new_wish(std::function<void()> handler);
+
+    bool has_config() const;
+    std::size_t open_requests() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> impl_;
+};
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/attempt_policy.cpp
@@ -0,0 +1,51 @@
+#include "decision/attempt_policy.hpp"
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// Less time is not enough for a connection across regions and an answer.
+constexpr duration least_useful_time = milliseconds{60};
+// Rejections do not count as runs; a request that so many servers rejected is refused.
+constexpr unsigned most_sends = 4;
+
+bool repeatable(attempt_facts const& facts, bool ran)
+{
+    switch (facts.repeat)
+    {
+    case repeat_rule::idempotent:
+        return !facts.answer_begun;
+    case repeat_rule::resumable_stream:
+        return !facts.answer_begun || facts.resume_point_known;
+    case repeat_rule::once:
+        break;
+    }
+    return !ran;
+}
+
+} // namespace
+
+bool may_have_run(attempt_result result)
+{
+    return result != attempt_result::refused_not_run && result != attempt_result::not_sent;
+}
+
+attempt_step step_after(attempt_facts const& facts)
+{
+    bool const ran = facts.may_have_run_before || may_have_run(facts.result);
+    bool const servers_left = facts.backends_run < facts.max_backends;
+    if (facts.result != attempt_result::caller_gone && facts.time_left >= least_useful_time &&
+        facts.sends < most_sends && servers_left && repeatable(facts, ran))
+    {
+        return attempt_step::send_again;
+    }
+    if (facts.answer_begun)
+    {
+        return attempt_step::break_off;
+    }
+    return ran ? attempt_step::fail_may_have_run : attempt_step::refuse_not_run;
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/attempt_policy.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/execution_verdict.hpp"
+#include "core/steady_time.hpp"
+#include "domain/event.hpp"
+#include "domain/serving_config.hpp"
+
+namespace siskinusher
+{
+
+/// What is known of a request when one of its attempts has ended without a complete answer.
+struct attempt_facts
+{
+    repeat_rule repeat{repeat_rule::once};
+    attempt_result result{attempt_result::connection_lost};
+    bool may_have_run_before = false; ///< An earlier attempt may have run.
+    unsigned backends_run = 0;        ///< Backend servers that may have run it, this attempt included.
+    unsigned max_backends = 1;
+    unsigned sends = 1;               ///< Attempts that reached a backend server, this one included.
+    bool answer_begun = false;        ///< Part of an answer has gone to the caller.
+    bool resume_point_known = false;  ///< All events passed on so far carried ids.
+    duration time_left{0};
+};
+
+/// What to do after an attempt.
+enum class attempt_step
+{
+    send_again,       ///< Subject to the retry budget.
+    refuse_not_run,   ///< The request has not run and will not run.
+    fail_may_have_run,
+    break_off,        ///< The answer has begun and cannot be completed.
+};
+
+/// True when the request may have run in an attempt that ended so.
+bool may_have_run(attempt_result result);
+
+/// Answers which requests are sent again after a failure: at most `max_backends` servers run one request,
+/// and only a request that did not run, is idempotent or resumes a stream is sent again.
+attempt_step step_after(attempt_facts const& facts);
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/backend_state_table.cpp
@@ -0,0 +1,183 @@
+#include "decision/backend_state_table.hpp"
+
+#include <algorithm>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// A load report older than this says nothing: most requests have ended since.
+constexpr duration load_report_life = seconds{2};
+// The lease holder repeats a placement with each reply, every 500 ms; entries follow within a heartbeat.
+constexpr duration placement_life = seconds{3};
+constexpr double failure_weight = 0.2;
+constexpr duration first_avoidance = milliseconds{400};
+constexpr duration longest_avoidance = seconds{4};
+
+bool before(std::map<placement_key, steady_time> const& times, placement_key const& key, steady_time now)
+{
+    auto const found = times.find(key);
+    return found != times.end() && now < found->second;
+}
+
+bool listed(backend_entry const& entry, placement_key const& key)
+{
+    resident_model const* const model = find_resident(entry, key.first);
+    return model != nullptr && (key.second.empty() || model->adapters.count(key.second) > 0);
+}
+
+bool holds(steady_time now, known_backend const& backend, placement_key const& key)
+{
+    if (key.first.empty())
+    {
+        return true;
+    }
+    if (before(backend.absent_until, key, now) || before(backend.leaving_until, {key.first, ""}, now))
+    {
+        return false;
+    }
+    return listed(backend.entry, key) || before(backend.placed_until, key, now);
+}
+
+} // namespace
+
+void backend_state_table::on_backend(steady_time now, backend_entry const& entry)
+{
+    auto& slot = backends_[entry.name];
+    if (slot && slot->entry.started_at != entry.started_at)
+    {
+        // The server has started again under its name: what was learned of its earlier run is void.
+        unsigned const own = slot->own;
+        known_backend fresh;
+        fresh.own = own;
+        fresh.entry = slot->entry;
+        *slot = fresh;
+    }
+    if (slot && slot->entry.service != entry.service)
+    {
+        auto& list = by_service_[slot->entry.service];
+        list.erase(std::remove(list.begin(), list.end(), slot.get()), list.end());
+        by_service_[entry.service].push_back(slot.get());
+    }
+    if (!slot)
+    {
+        slot = std::make_unique<known_backend>();
+        by_service_[entry.service].push_back(slot.get());
+    }
+    if (!(slot->entry.models == entry.models))
+    {
+        slot->absent_until.clear();
+    }
+    (void)now;
+    slot->entry = entry;
+}
+
+void backend_state_table::on_backend_gone(backend_name const& name)
+{
+    auto const found = backends_.find(name);
+    if (found == backends_.end())
+    {
+        return;
+    }
+    auto& list = by_service_[found->second->entry.service];
+    list.erase(std::remove(list.begin(), list.end(), found->second.get()), list.end());
+    backends_.erase(found);
+}
+
+void backend_state_table::on_placements(steady_time now, placement_news const& news)
+{
+    for (recent_placement const& each : news.placements)
+    {
+        known_backend* const backend = find(each.engine);
+        if (backend == nullptr)
+        {
+            continue;
+        }
+        placement_key const key{each.model, each.adapter};
+        if (each.leaving)
+        {
+            backend->leaving_until[key] = now + placement_life;
+            backend->placed_until.erase(key);
+        }
+        else
+        {
+            backend->placed_until[key] = now + placement_life;
+            backend->leaving_until.erase({each.model, ""});
+            backend->absent_until.erase(key);
+        }
+    }
+}
+
+void backend_state_table::on_load(steady_time now, backend_name const& name, backend_load const& load)
+{
+    known_backend* const backend = find(name);
+    if (backend == nullptr)
+    {
+        return;
+    }
+    unsigned const total = load.running + load.waiting;
+    backend->others = total > backend->own ? total - backend->own : 0;
+    backend->load_at = now;
+}
+
+void backend_state_table::on_failure(steady_time now, known_backend& backend)
+{
+    backend.failure_rate += failure_weight * (1.0 - backend.failure_rate);
+    duration const span =
+        std::min<duration>(first_avoidance * (1U << std::min(backend.failures_in_row, 4U)), longest_avoidance);
+    ++backend.failures_in_row;
+    backend.avoid_until = now + span;
+}
+
+void backend_state_table::on_success(known_backend& backend)
+{
+    backend.failure_rate -= failure_weight * backend.failure_rate;
+    backend.failures_in_row = 0;
+}
+
+known_backend* backend_state_table::find(backend_name const& name)
+{
+    auto const found = backends_.find(name);
+    return found == backends_.end() ? nullptr : found->second.get();
+}
+
+known_backend const* backend_state_table::find(backend_name const& name) const
+{
+    auto const found = backends_.find(name);
+    return found == backends_.end() ? nullptr : found->second.get();
+}
+
+std::vector<known_backend*> backend_state_table::candidates(steady_time now, std::string const& service,
+                                                            placement_key const& key)
+{
+    std::vector<known_backend*> found;
+    auto const list = by_service_.find(service);
+    if (list == by_service_.end())
+    {
+        return found;
+    }
+    for (known_backend* const backend : list->second)
+    {
+        if (!backend->entry.leaving && holds(now, *backend, key))
+        {
+            found.push_back(backend);
+        }
+    }
+    return found;
+}
+
+bool backend_state_table::any_of_service(std::string const& service) const
+{
+    auto const list = by_service_.find(service);
+    return list != by_service_.end() && !list->second.empty();
+}
+
+unsigned backend_state_table::in_use(steady_time now, known_backend const& backend)
+{
+    bool const recent = backend.load_at != steady_time{} && now - backend.load_at < load_report_life;
+    return backend.own + (recent ? backend.others : 0);
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/backend_state_table.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "domain/backend_entry.hpp"
+#include "domain/dispatch_request.hpp"
+#include "domain/event.hpp"
+#include "domain/placement_exchange.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace siskinusher
+{
+
+/// A model, or an adapter of it.
+using placement_key = std::pair<std::string, std::string>;
+
+/// What this instance knows about one backend server.
+struct known_backend
+{
+    backend_entry entry;
+    unsigned own = 0;           ///< Requests of this instance at the server.
+    unsigned others = 0;        ///< Requests of other instances, at the last load report.
+    steady_time load_at;        ///< When the load was told; the epoch when never.
+    double failure_rate = 0.0;  ///< Moving average over this instance's attempts, 0 to 1.
+    unsigned failures_in_row = 0;
+    steady_time avoid_until;    ///< After failures or a full queue.
+    std::map<placement_key, steady_time> absent_until; ///< The server said that it does not hold it.
+    std::map<placement_key, steady_time> placed_until; ///< The lease holder had it loaded.
+    std::map<placement_key, steady_time> leaving_until;
+    std::map<placement_key, unsigned> running;
+};
+
+/// The backend servers that this instance knows, and what its own attempts tell about them.
+class backend_state_table
+{
+public:
+    void on_backend(steady_time now, backend_entry const& entry);
+    void on_backend_gone(backend_name const& name);
+    void on_placements(steady_time now, placement_news const& news);
+    void on_load(steady_time now, backend_name const& name, backend_load const& load);
+    void on_failure(steady_time now, known_backend& backend);
+    void on_success(known_backend& backend);
+
+    known_backend* find(backend_name const& name);
+    known_backend const* find(backend_name const& name) const;
+    std::size_t size() const { return backends_.size(); }
+
+    /// Servers of the service that hold the model and adapter and are not leaving.
+    std::vector<known_backend*> candidates(steady_time now, std::string const& service,
+                                           placement_key const& key);
+    bool any_of_service(std::string const& service) const;
+
+    /// Requests at the server as far as known; a load report counts for two seconds.
+    static unsigned in_use(steady_time now, known_backend const& backend);
+
+private:
+    std::unordered_map<backend_name, std::unique_ptr<known_backend>> backends_;
+    std::map<std::string, std::vector<known_backend*>> by_service_;
+};
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/demand_table.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "domain/placement_exchange.hpp"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace siskinusher
+{
+
+/// Demand for one model or adapter, summed over all instances.
+struct demand_sum
+{
+    unsigned priority = 9; ///< The most urgent.
+    unsigned waiting = 0;
+    unsigned running = 0;
+    double rate = 0.0;      ///< Requests a second, over about `demand_memory`.
+    steady_time waiting_since; ///< Since when requests have waited without a break.
+};
+
+/// The demand of the whole fleet, from the instances' reports.
+class demand_table
+{
+public:
+    using key = std::pair<std::string, std::string>; ///< Model and adapter.
+
+    void on_report(steady_time now, demand_report const& report);
+    /// Brings rates up to date and forgets reports of instances that are silent.
+    void advance(steady_time now);
+
+    /// Demand for the model without an adapter or for one adapter of it.
+    demand_sum of(key const& which) const;
+    /// Demand for the model with any adapter or none.
+    demand_sum of_model(std::string const& model) const;
+    std::vector<std::pair<key, demand_sum>> all() const;
+    /// Instances whose last report is recent.
+    std::size_t instances() const { return instances_.size(); }
+
+private:
+    struct instance_demand
+    {
+        steady_time at;
+        std::vector<model_demand> models;
+    };
+    struct history
+    {
+        double rate = 0.0;
+        steady_time waiting_since;
+    };
+
+    void rebuild(steady_time now);
+
+    std::map<std::string, instance_demand> instances_;
+    std::map<key, history> histories_;
+    std::map<key, demand_sum> sums_;
+    std::map<std::string, demand_sum> by_model_;
+    steady_time advanced_at_;
+};
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/dispatcher.cpp
@@ -0,0 +1,393 @@
+#include "decision/dispatcher.hpp"
+
+#include "decision/backend_state_table.hpp"
+
+#include <algorithm>
+#include <list>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// Round trips by the platform's figures: 0.5 ms between data centres of a region, 8 ms between regions, one
+// way. They also stand for the price of bytes between regions.
+constexpr double same_region_ms = 1.0;
+constexpr double other_region_ms = 16.0;
+// A running request makes the engine's steps longer for all; by the published step times this is about 8 ms
+// over a whole answer.
+constexpr double running_request_ms = 8.0;
+// A request beyond the server's places waits for one of them to end.
+constexpr double queued_engine_request_ms = 60.0;
+constexpr double queued_call_ms = 25.0;
+// A server that fails all its requests costs a retry and its time.
+constexpr double failing_server_ms = 400.0;
+// Published prefill speed of the engines, in tokens for each millisecond.
+constexpr double prefill_tokens_per_ms = 38.7;
+// Requests beyond the places that this instance adds to a server's queue.
+constexpr unsigned allowed_queue = 4;
+// A server that refused for lack of places gets nothing new for this time.
+constexpr duration full_pause = milliseconds{80};
+// A model that an engine refused is looked for elsewhere until its entry changes or this time has passed.
+constexpr duration absent_pause = milliseconds{400};
+// Parts of prompts remembered with the server that read them last.
+constexpr std::size_t remembered_prompt_parts = 4096;
+// Advice to callers whose request found no server: the time of a load from disk.
+constexpr duration placement_retry_after = milliseconds{1000};
+constexpr duration overload_retry_after = milliseconds{1500};
+
+struct waiting_request
+{
+    dispatch_request request;
+    steady_time since;
+    steady_time give_up;
+};
+
+struct demand_count
+{
+    unsigned priority = 9;
+    unsigned running = 0;
+    unsigned arrivals = 0;
+};
+
+using demand_key = std::tuple<std::string, std::string, std::string>;
+
+demand_key key_of(dispatch_request const& request)
+{
+    return {request.service, request.model, request.adapter};
+}
+
+bool contains(std::vector<backend_name> const& names, backend_name const& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
+class dispatcher::implementation
+{
+public:
+    explicit implementation(dispatcher_settings settings_in) : settings(std::move(settings_in)) {}
+
+    double distance_ms(std::string const& data_centre) const
+    {
+        if (data_centre == settings.data_centre)
+        {
+            return 0.0;
+        }
+        auto const mine = settings.region_of.find(settings.data_centre);
+        auto const theirs = settings.region_of.find(data_centre);
+        bool const same = mine != settings.region_of.end() && theirs != settings.region_of.end() &&
+                          mine->second == theirs->second;
+        return same ? same_region_ms : other_region_ms;
+    }
+
+    double prefill_ms(dispatch_request const& request, backend_name const& backend) const
+    {
+        double unread = 0.0;
+        bool matching = true;
+        for (prompt_part const& part : request.prompt)
+        {
+            auto const reader = last_reader.find(part.id);
+            matching = matching && reader != last_reader.end() && reader->second == backend;
+            unread += matching ? 0.0 : part.tokens;
+        }
+        return unread / prefill_tokens_per_ms;
+    }
+
+    double cost_ms(steady_time now, dispatch_request const& request, known_backend const& backend) const
+    {
+        unsigned const in_use = backend_state_table::in_use(now, backend);
+        unsigned const places = std::max(backend.entry.places, 1U);
+        double const queued = in_use + 1 > places ? in_use + 1 - places : 0.0;
+        double const load = backend.entry.engine
+                                ? in_use * running_request_ms + queued * queued_engine_request_ms
+                                : in_use * 2.0 + queued * queued_call_ms;
+        return distance_ms(backend.entry.data_centre) + load + backend.failure_rate * failing_server_ms +
+               prefill_ms(request, backend.entry.name);
+    }
+
+    bool has_place(steady_time now, known_backend const& backend) const
+    {
+        return backend_state_table::in_use(now, backend) < backend.entry.places + allowed_queue;
+    }
+
+    // The cheapest server; one that failed lately or failed this request only when there is no other.
+    known_backend* choose(steady_time now, dispatch_request const& request, dispatch_basis& basis)
+    {
+        auto const found =
+            table.candidates(now, request.service, placement_key{request.model, request.adapter});
+        basis.candidates = static_cast<unsigned>(found.size());
+        known_backend* best = nullptr;
+        std::pair<bool, double> best_cost{true, 0.0};
+        for (known_backend* const backend : found)
+        {
+            if (!has_place(now, *backend))
+            {
+                continue;
+            }
+            bool const avoided =
+                now < backend->avoid_until || contains(request.avoid, backend->entry.name);
+            std::pair<bool, double> const cost{avoided, cost_ms(now, request, *backend)};
+            if (best == nullptr || cost < best_cost)
+            {
+                best = backend;
+                best_cost = cost;
+            }
+        }
+        return best;
+    }
+
+    void remember_prompt(dispatch_request const& request, backend_name const& backend)
+    {
+        if (last_reader.size() > remembered_prompt_parts)
+        {
+            last_reader.clear();
+        }
+        for (prompt_part const& part : request.prompt)
+        {
+            last_reader[part.id] = backend;
+        }
+    }
+
+    assign_request assign(steady_time now, waiting_request const& waiting, known_backend& backend,
+                          dispatch_basis basis)
+    {
+        basis.in_use = backend_state_table::in_use(now, backend);
+        basis.load_age = backend.load_at == steady_time{} ? duration{0} : now - backend.load_at;
+        basis.waited = now - waiting.since;
+        ++backend.own;
+        ++backend.running[{waiting.request.model, waiting.request.adapter}];
+        ++demand[key_of(waiting.request)].running;
+        assigned[waiting.request.number] = waiting.request;
+        remember_prompt(waiting.request, backend.entry.name);
+        return {waiting.request.number, {backend.entry.name, backend.entry.address}, basis};
+    }
+
+    reject_request reject(steady_time now, waiting_request const& waiting, dispatch_basis basis)
+    {
+        basis.waited = now - waiting.since;
+        refusal why;
+        why.execution = execution_verdict::not_run;
+        why.reason = basis.candidates > 0                                    ? refusal_reason::overloaded
+                     : !table.any_of_service(waiting.request.service)        ? refusal_reason::no_backend
+                                                                             : refusal_reason::model_not_loadable;
+        why.retry_after =
+            why.reason == refusal_reason::overloaded ? overload_retry_after : placement_retry_after;
+        return {waiting.request.number, why, basis};
+    }
+
+    bool unknown_model(dispatch_request const& request) const
+    {
+        if (!config || request.model.empty())
+        {
+            return false;
+        }
+        service_profile const* const service = find_service(*config, request.service);
+        return service != nullptr && service->engine && find_model(*service->engine, request.model) == nullptr;
+    }
+
+    dispatcher_settings const settings;
+    std::shared_ptr<serving_config const> config;
+    backend_state_table table;
+    // Sorted by urgency when a request is added.
+    std::list<waiting_request> waiting;
+    std::map<request_number, dispatch_request> assigned;
+    std::map<std::string, backend_name> last_reader;
+    std::map<demand_key, demand_count> demand;
+    bool new_wish = false;
+};
+
+dispatcher::dispatcher(dispatcher_settings settings)
+    : impl_(std::make_unique<implementation>(std::move(settings)))
+{
+}
+
+dispatcher::~dispatcher() = default;
+
+void dispatcher::on_config(std::shared_ptr<serving_config const> config)
+{
+    impl_->config = std::move(config);
+}
+
+void dispatcher::on_backend(steady_time now, backend_entry const& entry)
+{
+    impl_->table.on_backend(now, entry);
+}
+
+void dispatcher::on_backend_gone(backend_name const& name)
+{
+    impl_->table.on_backend_gone(name);
+}
+
+void dispatcher::on_placements(steady_time now, placement_news const& news)
+{
+    impl_->table.on_placements(now, news);
+}
+
+void dispatcher::submit(steady_time now, dispatch_request request)
+{
+    demand_count& count = impl_->demand[key_of(request)];
+    count.priority = std::min(count.priority, request.priority);
+    ++count.arrivals;
+    waiting_request entry{std::move(request), now, {}};
+    entry.give_up = std::min(now + entry.request.patience, entry.request.deadline);
+    auto const before = [](waiting_request const& a, waiting_request const& b)
+    {
+        return std::tie(a.request.priority, a.request.deadline) <
+               std::tie(b.request.priority, b.request.deadline);
+    };
+    auto const place = std::upper_bound(impl_->waiting.begin(), impl_->waiting.end(), entry, before);
+    impl_->waiting.insert(place, std::move(entry));
+}
+
+void dispatcher::withdraw(request_number number)
+{
+    impl_->waiting.remove_if([number](waiting_request const& each) { return each.request.number == number; });
+}
+
+void dispatcher::on_load(steady_time now, backend_name const& backend, backend_load const& load)
+{
+    impl_->table.on_load(now, backend, load);
+}
+
+void dispatcher::on_attempt_end(steady_time now, attempt_report const& report)
+{
+    auto const found = impl_->assigned.find(report.number);
+    if (found == impl_->assigned.end())
+    {
+        return;
+    }
+    dispatch_request const request = found->second;
+    impl_->assigned.erase(found);
+    demand_count& count = impl_->demand[key_of(request)];
+    count.running -= count.running > 0 ? 1 : 0;
+    known_backend* const backend = impl_->table.find(report.backend);
+    if (backend == nullptr)
+    {
+        return;
+    }
+    backend->own -= backend->own > 0 ? 1 : 0;
+    placement_key const key{request.model, request.adapter};
+    unsigned& running = backend->running[key];
+    running -= running > 0 ? 1 : 0;
+    switch (report.result)
+    {
+    case attempt_result::answered:
+        if (report.server_error)
+        {
+            backend->failure_rate += 0.1 * (1.0 - backend->failure_rate);
+        }
+        else
+        {
+            impl_->table.on_success(*backend);
+        }
+        break;
+    case attempt_result::refused_not_run:
+        if (report.model_absent)
+        {
+            backend->absent_until[key] = now + absent_pause;
+            backend->placed_until.erase(key);
+        }
+        else
+        {
+            backend->avoid_until = std::max(backend->avoid_until, now + full_pause);
+        }
+        break;
+    case attempt_result::caller_gone:
+        break;
+    case attempt_result::not_sent:
+    case attempt_result::connection_lost:
+    case attempt_result::silent:
+    case attempt_result::bad_answer:
+        impl_->table.on_failure(now, *backend);
+        break;
+    }
+}
+
+std::vector<dispatch_step> dispatcher::step(steady_time now)
+{
+    std::vector<dispatch_step> steps;
+    for (auto each = impl_->waiting.begin(); each != impl_->waiting.end();)
+    {
+        dispatch_basis basis;
+        known_backend* const backend = impl_->choose(now, each->request, basis);
+        if (backend != nullptr)
+        {
+            steps.emplace_back(impl_->assign(now, *each, *backend, basis));
+        }
+        else if (now >= each->give_up || impl_->unknown_model(each->request))
+        {
+            steps.emplace_back(impl_->reject(now, *each, basis));
+        }
+        else
+        {
+            impl_->new_wish = impl_->new_wish || (basis.candidates == 0 && each->since == now);
+            ++each;
+            continue;
+        }
+        each = impl_->waiting.erase(each);
+    }
+    return steps;
+}
+
+std::optional<steady_time> dispatcher::next_due() const
+{
+    std::optional<steady_time> due;
+    for (waiting_request const& each : impl_->waiting)
+    {
+        due = due ? std::min(*due, each.give_up) : each.give_up;
+    }
+    return due;
+}
+
+std::vector<model_demand> dispatcher::take_demand()
+{
+    std::map<demand_key, unsigned> waiting;
+    for (waiting_request const& each : impl_->waiting)
+    {
+        ++waiting[key_of(each.request)];
+    }
+    std::vector<model_demand> result;
+    for (auto each = impl_->demand.begin(); each != impl_->demand.end();)
+    {
+        auto const& [service, model, adapter] = each->first;
+        demand_count& count = each->second;
+        unsigned const waits = waiting[each->first];
+        if (!model.empty() && (waits > 0 || count.running > 0 || count.arrivals > 0))
+        {
+            result.push_back({service, model, adapter, count.priority, waits, count.running, count.arrivals});
+        }
+        count.arrivals = 0;
+        each = waits == 0 && count.running == 0 ? impl_->demand.erase(each) : std::next(each);
+    }
+    impl_->new_wish = false;
+    return result;
+}
+
+bool dispatcher::has_new_wish() const
+{
+    return impl_->new_wish;
+}
+
+backend_entry const* dispatcher::find_backend(backend_name const& name) const
+{
+    known_backend const* const backend = impl_->table.find(name);
+    return backend == nullptr ? nullptr : &backend->entry;
+}
+
+std::size_t dispatcher::waiting() const
+{
+    return impl_->waiting.size();
+}
+
+std::size_t dispatcher::backends() const
+{
+    return impl_->table.size();
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/dispatcher.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "core/refusal.hpp"
+#include "domain/backend_entry.hpp"
+#include "domain/dispatch_request.hpp"
+#include "domain/event.hpp"
+#include "domain/placement_exchange.hpp"
+#include "domain/serving_config.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace siskinusher
+{
+
+struct dispatcher_settings
+{
+    std::string data_centre;
+    std::map<std::string, std::string> region_of; ///< Region of each data centre.
+};
+
+struct assign_request
+{
+    request_number number = 0;
+    dispatch_target target;
+    dispatch_basis basis;
+};
+struct reject_request
+{
+    request_number number = 0;
+    refusal why;
+    dispatch_basis basis;
+};
+using dispatch_step = std::variant<assign_request, reject_request>;
+
+/// How an attempt ended, as far as the choice of servers is concerned.
+struct attempt_report
+{
+    request_number number = 0;
+    backend_name backend;
+    attempt_result result{attempt_result::answered};
+    bool server_error = false; ///< The server answered that it failed.
+    bool model_absent = false; ///< The server said that it does not hold the model or adapter.
+    duration took{0};
+};
+
+/// Keeps the requests that wait and chooses a backend server for each: queueing, placing among the servers
+/// that hold the model, and refusing.
+///
+/// It answers these loads: bursts of one kind of request (the more urgent first, then the nearer deadline),
+/// requests for models that no engine holds (they wait within their patience while the lease holder loads),
+/// slow and failing servers (they are avoided for a while), and services without servers (refused at once
+/// after a short start-up time).
+class dispatcher
+{
+public:
+    explicit dispatcher(dispatcher_settings settings);
+    ~dispatcher();
+    dispatcher(dispatcher const&) = delete;
+    dispatcher& operator=(dispatcher const&) = delete;
+
+    void on_config(std::shared_ptr<serving_config const> config);
+    void on_backend(steady_time now, backend_entry const& entry);
+    void on_backend_gone(backend_name const& name);
+    void on_placements(steady_time now, placement_news const& news);
+
+    void submit(steady_time now, dispatch_request request);
+    /// The request needs no server any more. Does nothing for one that does not wait.
+    void withdraw(request_number number);
+    void on_load(steady_time now, backend_name const& backend, backend_load const& load);
+    void on_attempt_end(steady_time now, attempt_report const& report);
+
+    /// The decisions that are due, in the order in which they are to be carried out.
+    std::vector<dispatch_step> step(steady_time now);
+    /// When step is due again without another event; empty when nothing waits.
+    std::optional<steady_time> next_due() const;
+
+    /// Demand of this instance's callers since the last call.
+    std::vector<model_demand> take_demand();
+    /// True when a request began to wait for a model or adapter since the last call of take_demand.
+    bool has_new_wish() const;
+
+    /// The entry known of a server; null when it is unknown.
+    backend_entry const* find_backend(backend_name const& name) const;
+    std::size_t waiting() const;
+    std::size_t backends() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/rotation_planner.cpp
@@ -0,0 +1,771 @@
+#include "decision/rotation_planner.hpp"
+
+#include "decision/demand_table.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// An order that was not answered, or not accepted, is looked into after the lag of the engine's report.
+constexpr duration inquiry_pause = milliseconds{500};
+constexpr duration conflict_pause = milliseconds{120};
+// An unload without runs takes effect at once; the next order is tried when no entry has come by then.
+constexpr duration unload_patience = milliseconds{150};
+// An entry is written within a heartbeat, 1.2 s, of the change it shows.
+constexpr duration entry_lag = seconds{2};
+// Requests of one model at one engine beyond which a further replica is worth its place.
+constexpr double replica_load = 16.0;
+// From these rates on, a model has two and three replicas, so that a lost engine does not stop it.
+constexpr double two_replica_rate = 0.8;
+constexpr double three_replica_rate = 4.0;
+constexpr unsigned most_replicas = 8;
+// A model asked for once a second is kept as if its next load cost this much more.
+constexpr double keep_ms_per_rate = 2500.0;
+// Adapters on their way to one engine at the same time.
+constexpr unsigned adapters_in_transit = 4;
+constexpr duration adapter_transit = milliseconds{60};
+// An adapter that was asked for so recently makes no room for another.
+constexpr duration adapter_stay = milliseconds{1500};
+
+struct open_order
+{
+    rotation_order order;
+    steady_time sent_at;
+};
+
+// An order that the engine has accepted and whose effect its entry does not show yet.
+struct effect
+{
+    order_kind kind{order_kind::load_model};
+    std::string model;
+    steady_time accepted_at;
+    steady_time expected_end;
+    bool from_store = false;
+};
+
+struct engine_state
+{
+    backend_entry entry;
+    std::uint64_t sequence = 0;
+    std::optional<open_order> open;
+    std::optional<effect> pending;
+    std::string next_model; ///< Room is being made for it; empty for none.
+    bool inquiring = false;
+    bool inquiry_due = false;
+    steady_time quiet_until; ///< No order before this time.
+    std::map<demand_table::key, steady_time> adapters; ///< Held or on their way, with their last use.
+    std::map<demand_table::key, steady_time> adapter_sent;
+
+    bool can_take_order(steady_time now) const
+    {
+        return !open && !inquiring && !inquiry_due && !entry.leaving && now >= quiet_until;
+    }
+};
+
+struct wish
+{
+    std::string model;
+    std::string reason;
+    unsigned priority = 9;
+    steady_time since;
+    bool only_if_idle = false; ///< Not asked for yet: makes no busy model leave and waits for free slots.
+};
+
+} // namespace
+
+class rotation_planner::implementation
+{
+public:
+    explicit implementation(rotation_settings settings_in) : settings(settings_in) {}
+
+    engine_profile const* profile_of(engine_state const& engine) const
+    {
+        service_profile const* const service =
+            config ? find_service(*config, engine.entry.service) : nullptr;
+        return service != nullptr && service->engine ? &*service->engine : nullptr;
+    }
+
+    // Models that take memory at the engine or may come to do so.
+    std::set<std::string> occupants(engine_state const& engine) const
+    {
+        std::set<std::string> names;
+        for (resident_model const& model : engine.entry.models)
+        {
+            names.insert(model.name);
+        }
+        if (engine.pending && engine.pending->kind == order_kind::load_model)
+        {
+            names.insert(engine.pending->model);
+        }
+        if (engine.open && engine.open->order.kind == order_kind::load_model)
+        {
+            names.insert(engine.open->order.model);
+        }
+        return names;
+    }
+
+    // Occupants without the one that is being unloaded: those that can serve now or soon.
+    std::set<std::string> serving(engine_state const& engine) const
+    {
+        std::set<std::string> names = occupants(engine);
+        if (engine.pending && engine.pending->kind == order_kind::unload_model)
+        {
+            names.erase(engine.pending->model);
+        }
+        if (engine.open && engine.open->order.kind == order_kind::unload_model)
+        {
+            names.erase(engine.open->order.model);
+        }
+        if (!engine.next_model.empty())
+        {
+            names.insert(engine.next_model);
+        }
+        return names;
+    }
+
+    double free_mb(engine_state const& engine, engine_profile const& profile) const
+    {
+        double largest_adapter = 0.0;
+        double used = 0.0;
+        std::set<std::string> const names = occupants(engine);
+        for (model_profile const& model : profile.models)
+        {
+            largest_adapter = std::max(largest_adapter, model.adapters > 0 ? model.adapter_mb : 0.0);
+            used += names.count(model.name) > 0 ? model.weights_mb : 0.0;
+        }
+        return profile.memory_mb - used - largest_adapter * profile.adapter_places;
+    }
+
+    void count_replicas()
+    {
+        replicas.clear();
+        at_hand.clear();
+        for (auto const& [name, engine] : engines)
+        {
+            if (engine.entry.leaving)
+            {
+                continue;
+            }
+            for (std::string const& model : serving(engine))
+            {
+                ++replicas[model];
+                at_hand.insert(model);
+            }
+            at_hand.insert(engine.entry.copies_on_disk.begin(), engine.entry.copies_on_disk.end());
+            at_hand.insert(engine.entry.copies_in_memory.begin(), engine.entry.copies_in_memory.end());
+        }
+    }
+
+    unsigned replicas_of(std::string const& model) const
+    {
+        auto const found = replicas.find(model);
+        return found == replicas.end() ? 0 : found->second;
+    }
+
+    unsigned desired(demand_sum const& sum) const
+    {
+        unsigned count = sum.running + sum.waiting > 0 ? 1 : 0;
+        count = sum.rate >= two_replica_rate ? 2 : count;
+        count = sum.rate >= three_replica_rate ? 3 : count;
+        auto const by_load = static_cast<unsigned>((sum.running + sum.waiting) / replica_load) + 1;
+        return std::min(std::max(count, sum.running > 0 ? by_load : 0), most_replicas);
+    }
+
+    // What the model's leaving would cost, in milliseconds of load time.
+    double keep_ms(std::string const& model) const
+    {
+        demand_sum const sum = demand.of_model(model);
+        unsigned const held = std::max(replicas_of(model), 1U);
+        if (held > std::max(desired(sum), 1U))
+        {
+            return sum.rate / held;
+        }
+        double const urgency = sum.priority == 0 ? 4.0 : 1.0;
+        return sum.rate * urgency * keep_ms_per_rate / held + (held == 1 ? 20.0 : 0.0);
+    }
+
+    bool may_leave(std::string const& model, bool only_if_idle) const
+    {
+        demand_sum const sum = demand.of_model(model);
+        unsigned const held = replicas_of(model);
+        if (only_if_idle)
+        {
+            return sum.waiting == 0 && sum.running == 0 && (sum.rate < 0.3 || held > desired(sum)) &&
+                   (held <= 1 || held > 3);
+        }
+        return held > std::max(desired(sum), 1U) || (sum.running == 0 && sum.waiting == 0);
+    }
+
+    unsigned store_loads_running() const
+    {
+        unsigned count = 0;
+        for (auto const& [name, engine] : engines)
+        {
+            bool const open_load = engine.open && engine.open->order.kind == order_kind::load_model &&
+                                   tier_of(engine, engine.open->order.model) == tier::store;
+            bool const running = engine.pending && engine.pending->from_store;
+            count += open_load || running ? 1 : 0;
+        }
+        return count;
+    }
+
+    bool store_load_allowed(steady_time now, engine_profile const& profile)
+    {
+        auto const window = std::chrono::duration_cast<duration>(std::chrono::duration<double>(settings.window_s));
+        while (!store_loads.empty() && store_loads.front() <= now - window)
+        {
+            store_loads.pop_front();
+        }
+        double const most = profile.store_loads_per_s * settings.window_s * settings.window_factor;
+        return store_loads_running() < settings.full_speed_loads &&
+               static_cast<double>(store_loads.size()) + 1.0 <= most;
+    }
+
+    enum class tier
+    {
+        memory,
+        disk,
+        store,
+    };
+
+    static tier tier_of(engine_state const& engine, std::string const& model)
+    {
+        if (engine.entry.copies_in_memory.count(model) > 0)
+        {
+            return tier::memory;
+        }
+        return engine.entry.copies_on_disk.count(model) > 0 ? tier::disk : tier::store;
+    }
+
+    static duration load_time(tier from, model_profile const& model)
+    {
+        switch (from)
+        {
+        case tier::memory:
+            return model.load_from_memory;
+        case tier::disk:
+            return model.load_from_disk;
+        case tier::store:
+            break;
+        }
+        return model.load_from_store;
+    }
+
+    // The models that have to leave so that `needed_mb` fit, the least kept first; empty result when they
+    // cannot.
+    std::optional<std::vector<std::string>> victims(engine_state const& engine, engine_profile const& profile,
+                                                    double needed_mb, bool only_if_idle, double& cost) const
+    {
+        double room = free_mb(engine, profile);
+        std::vector<std::pair<double, std::string>> order;
+        for (resident_model const& model : engine.entry.models)
+        {
+            if (may_leave(model.name, only_if_idle))
+            {
+                order.emplace_back(keep_ms(model.name), model.name);
+            }
+        }
+        std::sort(order.begin(), order.end());
+        std::vector<std::string> chosen;
+        for (auto const& [keep, name] : order)
+        {
+            if (room >= needed_mb)
+            {
+                break;
+            }
+            model_profile const* const model = find_model(profile, name);
+            room += model == nullptr ? 0.0 : model->weights_mb;
+            cost += keep;
+            chosen.push_back(name);
+        }
+        return room >= needed_mb ? std::optional(chosen) : std::nullopt;
+    }
+
+    // The next order that brings the model to the engine where it is up soonest at the least loss.
+    bool place(steady_time now, wish const& want, std::vector<rotation_step>& steps)
+    {
+        engine_state* best = nullptr;
+        double best_cost = 0.0;
+        std::vector<std::string> best_victims;
+        for (auto& [name, engine] : engines)
+        {
+            engine_profile const* const profile = profile_of(engine);
+            if (profile == nullptr || !engine.can_take_order(now) || engine.pending ||
+                !engine.next_model.empty())
+            {
+                continue;
+            }
+            model_profile const* const model = find_model(*profile, want.model);
+            if (model == nullptr || occupants(engine).count(want.model) > 0)
+            {
+                continue;
+            }
+            tier const from = tier_of(engine, want.model);
+            if (from == tier::store && !store_load_allowed(now, *profile))
+            {
+                continue;
+            }
+            double cost = std::chrono::duration<double, std::milli>(load_time(from, *model)).count();
+            auto const leaving = victims(engine, *profile, model->weights_mb, want.only_if_idle, cost);
+            if (leaving && (best == nullptr || cost < best_cost))
+            {
+                best = &engine;
+                best_cost = cost;
+                best_victims = *leaving;
+            }
+        }
+        if (best == nullptr)
+        {
+            return false;
+        }
+        if (!best_victims.empty())
+        {
+            best->next_model = want.model;
+            send(now, *best, order_kind::unload_model, best_victims.front(), "", "room for " + want.model,
+                 steps);
+            return true;
+        }
+        send(now, *best, order_kind::load_model, want.model, "", want.reason, steps);
+        return true;
+    }
+
+    void send(steady_time now, engine_state& engine, order_kind kind, std::string const& model,
+              std::string const& adapter, std::string const& reason, std::vector<rotation_step>& steps)
+    {
+        rotation_order order{engine.entry.name, engine.entry.address, kind,  model,
+                             adapter,           engine.sequence,      reason};
+        if (kind == order_kind::load_model && tier_of(engine, model) == tier::store)
+        {
+            store_loads.push_back(now);
+        }
+        engine.open = open_order{order, now};
+        steps.emplace_back(std::move(order));
+    }
+
+    // Goes on with an engine that makes room for a model.
+    void continue_rotation(steady_time now, engine_state& engine, std::vector<rotation_step>& steps)
+    {
+        engine_profile const* const profile = profile_of(engine);
+        model_profile const* const model =
+            profile == nullptr ? nullptr : find_model(*profile, engine.next_model);
+        if (model == nullptr || occupants(engine).count(engine.next_model) > 0)
+        {
+            engine.next_model.clear();
+            return;
+        }
+        if (free_mb(engine, *profile) >= model->weights_mb)
+        {
+            std::string const name = std::exchange(engine.next_model, "");
+            send(now, engine, order_kind::load_model, name, "", "room was made", steps);
+            return;
+        }
+        double cost = 0.0;
+        auto const leaving = victims(engine, *profile, model->weights_mb, false, cost);
+        if (!leaving || leaving->empty())
+        {
+            engine.next_model.clear();
+            return;
+        }
+        send(now, engine, order_kind::unload_model, leaving->front(), "", "room for " + engine.next_model,
+             steps);
+    }
+
+    // Ends what an engine has had time to finish and asks the engine itself when that does not show.
+    void settle(steady_time now, engine_state& engine, std::vector<rotation_step>& steps)
+    {
+        if (engine.pending && engine.pending->kind == order_kind::unload_model &&
+            now >= engine.pending->expected_end)
+        {
+            // The next order tells: an engine that still waits for runs answers with a conflict.
+            drop_model(engine, engine.pending->model);
+            engine.pending.reset();
+        }
+        if (engine.pending && now >= engine.pending->expected_end + entry_lag)
+        {
+            engine.pending.reset();
+            engine.inquiry_due = true;
+        }
+        if (engine.inquiry_due && !engine.open && !engine.inquiring && now >= engine.quiet_until)
+        {
+            engine.inquiry_due = false;
+            engine.inquiring = true;
+            steps.emplace_back(engine_inquiry{engine.entry.name, engine.entry.address});
+        }
+    }
+
+    static void drop_model(engine_state& engine, std::string const& model)
+    {
+        auto& models = engine.entry.models;
+        models.erase(std::remove_if(models.begin(), models.end(),
+                                    [&model](resident_model const& each) { return each.name == model; }),
+                     models.end());
+        for (auto each = engine.adapters.begin(); each != engine.adapters.end();)
+        {
+            each = each->first.first == model ? engine.adapters.erase(each) : std::next(each);
+        }
+    }
+
+    std::vector<wish> wishes(steady_time now) const
+    {
+        std::vector<wish> list;
+        std::set<std::string> seen;
+        for (auto const& [which, sum] : demand.all())
+        {
+            if (!seen.insert(which.first).second)
+            {
+                continue;
+            }
+            demand_sum const total = demand.of_model(which.first);
+            unsigned const held = replicas_of(which.first);
+            if (held == 0 && total.waiting > 0)
+            {
+                list.push_back({which.first, "requests wait", total.priority, total.waiting_since, false});
+            }
+            else if (held > 0 && held < desired(total))
+            {
+                list.push_back({which.first, "demand rises", total.priority + 1, now, false});
+            }
+        }
+        std::stable_sort(list.begin(), list.end(),
+                         [](wish const& a, wish const& b)
+                         { return std::tie(a.priority, a.since) < std::tie(b.priority, b.since); });
+        return list;
+    }
+
+    // Fetches one model that no engine has a copy of, when the weight store has nothing better to do.
+    void prefetch(steady_time now, std::vector<rotation_step>& steps)
+    {
+        for (service_profile const& service : config->services)
+        {
+            if (!service.engine || !store_load_allowed(now, *service.engine))
+            {
+                continue;
+            }
+            for (model_profile const& model : service.engine->models)
+            {
+                if (at_hand.count(model.name) == 0 &&
+                    place(now, {model.name, "no copy at any engine", 9, now, true}, steps))
+                {
+                    at_hand.insert(model.name);
+                    return;
+                }
+            }
+        }
+    }
+
+    void plan_adapters(steady_time now, std::vector<rotation_step>& steps)
+    {
+        for (auto const& [which, sum] : demand.all())
+        {
+            if (!which.second.empty() && sum.waiting > 0)
+            {
+                place_adapter(now, which, steps);
+            }
+            else if (!which.second.empty() && sum.running > 0)
+            {
+                touch_adapter(now, which);
+            }
+        }
+    }
+
+    void touch_adapter(steady_time now, demand_table::key const& which)
+    {
+        for (auto& [name, engine] : engines)
+        {
+            if (auto const held = engine.adapters.find(which); held != engine.adapters.end())
+            {
+                held->second = now;
+            }
+        }
+    }
+
+    void place_adapter(steady_time now, demand_table::key const& which, std::vector<rotation_step>& steps)
+    {
+        engine_state* best = nullptr;
+        std::size_t best_count = 0;
+        for (auto& [name, engine] : engines)
+        {
+            bool const usable = find_resident(engine.entry, which.first) != nullptr &&
+                                serving(engine).count(which.first) > 0 && !engine.entry.leaving;
+            if (!usable)
+            {
+                continue;
+            }
+            auto const sent = engine.adapter_sent.find(which);
+            if (sent != engine.adapter_sent.end() && now - sent->second < adapter_stay)
+            {
+                return; // It is on its way, or instances will learn of it with the next reply.
+            }
+            if (engine.can_take_order(now) && !engine.pending && in_transit(now, engine) < adapters_in_transit &&
+                (best == nullptr || engine.adapters.size() < best_count))
+            {
+                best = &engine;
+                best_count = engine.adapters.size();
+            }
+        }
+        if (best == nullptr)
+        {
+            return;
+        }
+        engine_profile const* const profile = profile_of(*best);
+        if (profile != nullptr && best->adapters.count(which) == 0 &&
+            best->adapters.size() >= profile->adapter_places)
+        {
+            auto const oldest = std::min_element(best->adapters.begin(), best->adapters.end(),
+                                                 [](auto const& a, auto const& b) { return a.second < b.second; });
+            if (oldest != best->adapters.end() && now - oldest->second >= adapter_stay)
+            {
+                send(now, *best, order_kind::unload_adapter, oldest->first.first, oldest->first.second,
+                     "room for adapter " + which.second, steps);
+            }
+            return;
+        }
+        send(now, *best, order_kind::load_adapter, which.first, which.second, "requests wait", steps);
+    }
+
+    static unsigned in_transit(steady_time now, engine_state const& engine)
+    {
+        return static_cast<unsigned>(std::count_if(engine.adapter_sent.begin(), engine.adapter_sent.end(),
+                                                   [now](auto const& each)
+                                                   { return now - each.second < adapter_transit; }));
+    }
+
+    void on_accepted(steady_time now, engine_state& engine, rotation_order const& order)
+    {
+        demand_table::key const adapter{order.model, order.adapter};
+        switch (order.kind)
+        {
+        case order_kind::load_model:
+        {
+            tier const from = tier_of(engine, order.model);
+            engine_profile const* const profile = profile_of(engine);
+            model_profile const* const model = profile ? find_model(*profile, order.model) : nullptr;
+            duration const span = model == nullptr ? seconds{6} : load_time(from, *model);
+            engine.pending = effect{order.kind, order.model, now, now + span, from == tier::store};
+            break;
+        }
+        case order_kind::unload_model:
+            engine.pending = effect{order.kind, order.model, now, now + unload_patience, false};
+            break;
+        case order_kind::load_adapter:
+            engine.adapters[adapter] = now;
+            engine.adapter_sent[adapter] = now;
+            break;
+        case order_kind::unload_adapter:
+            engine.adapters.erase(adapter);
+            engine.adapter_sent.erase(adapter);
+            break;
+        }
+    }
+
+    rotation_settings const settings;
+    std::shared_ptr<serving_config const> config;
+    std::map<backend_name, engine_state> engines;
+    demand_table demand;
+    std::map<std::string, unsigned> replicas;
+    std::set<std::string> at_hand; ///< Models of which some engine has a copy.
+    std::deque<steady_time> store_loads;
+};
+
+rotation_planner::rotation_planner(rotation_settings settings)
+    : impl_(std::make_unique<implementation>(settings))
+{
+}
+
+rotation_planner::~rotation_planner() = default;
+
+void rotation_planner::on_config(std::shared_ptr<serving_config const> config)
+{
+    impl_->config = std::move(config);
+}
+
+void rotation_planner::on_backend(steady_time now, backend_entry const& entry)
+{
+    if (!entry.engine)
+    {
+        return;
+    }
+    auto const [found, inserted] = impl_->engines.try_emplace(entry.name);
+    engine_state& engine = found->second;
+    if (!inserted && engine.entry.started_at != entry.started_at)
+    {
+        engine = engine_state{}; // It has started again and holds nothing of before.
+    }
+    engine.entry = entry;
+    engine.sequence = std::max(engine.sequence, entry.order_sequence);
+    for (resident_model const& model : entry.models)
+    {
+        for (std::string const& adapter : model.adapters)
+        {
+            engine.adapters.try_emplace({model.name, adapter}, now);
+        }
+    }
+    if (engine.pending)
+    {
+        bool const shown = find_resident(entry, engine.pending->model) != nullptr;
+        if (shown == (engine.pending->kind == order_kind::load_model))
+        {
+            std::string const model = engine.pending->model;
+            engine.pending.reset();
+            if (!shown)
+            {
+                implementation::drop_model(engine, model);
+            }
+        }
+    }
+}
+
+void rotation_planner::on_backend_gone(backend_name const& name)
+{
+    impl_->engines.erase(name);
+}
+
+void rotation_planner::on_demand(steady_time now, demand_report const& report)
+{
+    impl_->demand.on_report(now, report);
+}
+
+std::vector<rotation_step> rotation_planner::plan(steady_time now)
+{
+    std::vector<rotation_step> steps;
+    if (!impl_->config)
+    {
+        return steps;
+    }
+    impl_->demand.advance(now);
+    for (auto& [name, engine] : impl_->engines)
+    {
+        impl_->settle(now, engine, steps);
+        if (!engine.next_model.empty() && engine.can_take_order(now) && !engine.pending)
+        {
+            impl_->continue_rotation(now, engine, steps);
+        }
+    }
+    impl_->count_replicas();
+    for (wish const& each : impl_->wishes(now))
+    {
+        impl_->place(now, each, steps);
+        impl_->count_replicas();
+    }
+    impl_->plan_adapters(now, steps);
+    impl_->prefetch(now, steps);
+    return steps;
+}
+
+void rotation_planner::on_order_result(steady_time now, rotation_order const& order, rotation_result result)
+{
+    auto const found = impl_->engines.find(order.engine);
+    if (found == impl_->engines.end())
+    {
+        return;
+    }
+    engine_state& engine = found->second;
+    engine.open.reset();
+    switch (result)
+    {
+    case rotation_result::accepted:
+        engine.sequence = std::max(engine.sequence, order.expected_sequence + 1);
+        impl_->on_accepted(now, engine, order);
+        break;
+    case rotation_result::already_holds:
+        // An engine unloads an idle adapter at once and counts that order; one that changes nothing it may
+        // not count, which the next order's conflict shows.
+        engine.sequence += order.kind == order_kind::unload_adapter ? 1 : 0;
+        if (order.kind != order_kind::load_model)
+        {
+            impl_->on_accepted(now, engine, order);
+        }
+        break;
+    case rotation_result::conflict:
+        engine.quiet_until = now + conflict_pause;
+        engine.inquiry_due = true;
+        break;
+    case rotation_result::refused:
+        engine.quiet_until = now + entry_lag;
+        engine.next_model.clear();
+        break;
+    case rotation_result::not_sent:
+        engine.quiet_until = now + conflict_pause;
+        break;
+    case rotation_result::unknown:
+        engine.quiet_until = now + inquiry_pause;
+        engine.inquiry_due = true;
+        break;
+    }
+}
+
+void rotation_planner::on_report(steady_time now, engine_state_report const& report)
+{
+    auto const found = impl_->engines.find(report.engine);
+    if (found == impl_->engines.end())
+    {
+        return;
+    }
+    engine_state& engine = found->second;
+    engine.inquiring = false;
+    engine.sequence = report.order_sequence;
+    engine.entry.models = report.models;
+    for (resident_model const& model : report.models)
+    {
+        for (std::string const& adapter : model.adapters)
+        {
+            engine.adapters.try_emplace({model.name, adapter}, now);
+        }
+    }
+    if (report.busy)
+    {
+        engine.inquiry_due = !engine.pending;
+        engine.quiet_until = now + inquiry_pause;
+    }
+}
+
+void rotation_planner::on_inquiry_failed(steady_time now, backend_name const& engine)
+{
+    auto const found = impl_->engines.find(engine);
+    if (found != impl_->engines.end())
+    {
+        found->second.inquiring = false;
+        found->second.inquiry_due = true;
+        found->second.quiet_until = now + entry_lag;
+    }
+}
+
+placement_news rotation_planner::news() const
+{
+    placement_news result;
+    result.instances = static_cast<unsigned>(impl_->demand.instances());
+    for (auto const& [name, engine] : impl_->engines)
+    {
+        for (auto const& [which, used] : engine.adapters)
+        {
+            result.placements.push_back({name, which.first, which.second, false});
+        }
+        bool const unloading = (engine.pending && engine.pending->kind == order_kind::unload_model) ||
+                               (engine.open && engine.open->order.kind == order_kind::unload_model);
+        if (unloading)
+        {
+            std::string const& model = engine.pending ? engine.pending->model : engine.open->order.model;
+            result.placements.push_back({name, model, "", true});
+        }
+    }
+    return result;
+}
+
+std::size_t rotation_planner::open_orders() const
+{
+    return static_cast<std::size_t>(std::count_if(impl_->engines.begin(), impl_->engines.end(),
+                                                  [](auto const& each)
+                                                  { return each.second.open || each.second.inquiring; }));
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/domain/backend_entry.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/steady_time.hpp"
+#include "domain/identifiers.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace siskinusher
+{
+
+/// A model in an engine's memory with the adapters beside it.
+struct resident_model
+{
+    std::string name;
+    std::set<std::string> adapters;
+};
+
+/// What a backend server says about itself in the platform's store.
+struct backend_entry
+{
+    backend_name name; ///< Identity of one start of the server, for Expect-Instance style checks.
+    std::string service;
+    std::string address;
+    std::string data_centre;
+    unsigned places = 1; ///< Requests that run at the same time.
+    bool leaving = false;
+    bool engine = false; ///< Runs models.
+    std::vector<resident_model> models;
+    std::set<std::string> copies_in_memory; ///< Weights kept in host memory.
+    std::set<std::string> copies_on_disk;
+    std::uint64_t order_sequence = 0; ///< Orders accepted since the start.
+    std::int64_t started_at = 0;      ///< Compared for equality only: clocks differ between machines.
+};
+
+/// Requests that run and wait at a backend server, as it told with an answer.
+struct backend_load
+{
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned places = 0;
+};
+
+bool operator==(resident_model const& a, resident_model const& b);
+bool operator==(backend_entry const& a, backend_entry const& b);
+bool operator==(backend_load const& a, backend_load const& b);
+
+/// The resident model of that name; null when the engine does not hold it.
+resident_model const* find_resident(backend_entry const& entry, std::string const& model);
+
+} // namespace siskinusher
--- /dev/null
+++ b/domain/placement_exchange.cpp
@@ -0,0 +1,31 @@
+#include "domain/placement_exchange.hpp"
+
+#include <tuple>
+
+namespace siskinusher
+{
+
+bool operator==(model_demand const& a, model_demand const& b)
+{
+    auto const fields = [](model_demand const& d)
+    { return std::tie(d.service, d.model, d.adapter, d.priority, d.waiting, d.running, d.arrivals); };
+    return fields(a) == fields(b);
+}
+
+bool operator==(demand_report const& a, demand_report const& b)
+{
+    return std::tie(a.instance, a.models) == std::tie(b.instance, b.models);
+}
+
+bool operator==(recent_placement const& a, recent_placement const& b)
+{
+    return std::tie(a.engine, a.model, a.adapter, a.leaving) ==
+           std::tie(b.engine, b.model, b.adapter, b.leaving);
+}
+
+bool operator==(placement_news const& a, placement_news const& b)
+{
+    return a.placements == b.placements && a.instances == b.instances;
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/domain/placement_exchange.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/steady_time.hpp"
+#include "domain/identifiers.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace siskinusher
+{
+
+/// What one instance's callers ask of a model, or of one of its adapters.
+struct model_demand
+{
+    std::string service;
+    std::string model;
+    std::string adapter;    ///< Empty for the model without an adapter.
+    unsigned priority = 0;  ///< The most urgent among those who ask.
+    unsigned waiting = 0;   ///< Requests that no engine can take yet.
+    unsigned running = 0;   ///< Requests at engines.
+    unsigned arrivals = 0;  ///< Requests since the previous report.
+};
+
+/// Sent by every instance to the lease holder.
+struct demand_report
+{
+    std::string instance;
+    std::vector<model_demand> models;
+};
+
+/// An adapter or a model that the lease holder had loaded lately and that entries may not show yet.
+struct recent_placement
+{
+    backend_name engine;
+    std::string model;
+    std::string adapter; ///< Empty for the model itself.
+    bool leaving = false; ///< The holder ordered its unload: send no new request for it there.
+};
+
+/// The lease holder's reply to a demand report.
+struct placement_news
+{
+    std::vector<recent_placement> placements;
+    unsigned instances = 0; ///< That the holder has heard of lately; zero when unknown.
+};
+
+bool operator==(model_demand const& a, model_demand const& b);
+bool operator==(demand_report const& a, demand_report const& b);
+bool operator==(recent_placement const& a, recent_placement const& b);
+bool operator==(placement_news const& a, placement_news const& b);
+
+} // namespace siskinusher
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -2,7 +2,7 @@
 # Fails when a file of a lower layer includes a header of an upper one.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-layers=(core domain decision adapters apps tests)
+layers=(core domain decision adapters platform apps tests)
 status=0
 for i in "${!layers[@]}"; do
     for upper in "${layers[@]:$((i + 1))}"; do
