--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -318,7 +318,6 @@
                         {"state", entry->leaving ? "leaving" : "ready"},
                         {"models", models},
                         {"on_disk", std::to_string(entry->copies_on_disk.size())},
-                        {"sequence", std::to_string(entry->order_sequence)},
                         {"revision", std::to_string(object.revision)}}});
         }
         requests.on_backend(boot_now(), *entry);
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -163,6 +163,10 @@
         if (holds != held)
         {
             held = holds;
+            if (holds && lease.epoch() > 1)
+            {
+                planner.forget_sequences();
+            }
             log.write({holds ? "lease_gained" : "lease_lost", {{"epoch", std::to_string(lease.epoch())}}});
         }
     }
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -602,7 +602,6 @@
         engine = engine_state{}; // It has started again and holds nothing of before.
     }
     engine.entry = entry;
-    engine.sequence = std::max(engine.sequence, entry.order_sequence);
     for (resident_model const& model : entry.models)
     {
         for (std::string const& adapter : model.adapters)
@@ -635,6 +634,16 @@
     impl_->demand.on_report(now, report);
 }
 
+void rotation_planner::forget_sequences()
+{
+    for (auto& [name, engine] : impl_->engines)
+    {
+        engine.open.reset();
+        engine.inquiring = false;
+        engine.inquiry_due = true;
+    }
+}
+
 std::vector<rotation_step> rotation_planner::plan(steady_time now)
 {
     std::vector<rotation_step> steps;
--- a/decision/rotation_planner.hpp
+++ b/decision/rotation_planner.hpp
@@ -80,6 +80,9 @@
     void on_backend_gone(backend_name const& name);
     void on_demand(steady_time now, demand_report const& report);
 
+    /// Another holder may have sent orders: each engine is asked how many it has accepted before its next one.
+    void forget_sequences();
+
     /// Orders and inquiries that are due; at most one for each engine is open at a time.
     std::vector<rotation_step> plan(steady_time now);
     void on_order_result(steady_time now, rotation_order const& order, rotation_result result);
--- a/domain/backend_entry.hpp
+++ b/domain/backend_entry.hpp
@@ -32,7 +32,6 @@
     std::vector<resident_model> models;
     std::set<std::string> copies_in_memory; ///< Weights kept in host memory.
     std::set<std::string> copies_on_disk;
-    std::uint64_t order_sequence = 0; ///< Orders accepted since the start.
     std::int64_t started_at = 0;      ///< Compared for equality only: clocks differ between machines.
 };
 
