--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -38,7 +38,7 @@
 // The balancer asks for readiness once a second and takes an instance out after two misses.
 constexpr duration readiness_noticed = milliseconds{2500};
 // Kept of the stop time for ending in order.
-constexpr duration stop_margin = milliseconds{700};
+constexpr duration stop_margin = milliseconds{400};
 constexpr duration stop_poll = milliseconds{100};
 // Descriptors for files and for connections to servers, the store and peers.
 constexpr std::size_t reserved_descriptors = 1000;
@@ -223,6 +223,7 @@
         stopping = true;
         stop_at = boot_now();
         callers.drain();
+        service.begin_stop(stop_at + settings.stop_time - stop_margin);
         placement.retire();
         log.write({"stopping", {{"open_requests", std::to_string(service.open_requests())}}});
         poll_stop();
@@ -238,6 +239,10 @@
             loop.stop();
             return;
         }
+        if (!unnoticed)
+        {
+            callers.close_idle();
+        }
         stop_timer.expires_after(stop_poll);
         stop_timer.async_wait([this](boost::system::error_code) { poll_stop(); });
     }
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -35,6 +35,13 @@
 constexpr duration answer_margin = milliseconds{30};
 constexpr duration unconfigured_retry_after = seconds{1};
 constexpr duration failed_retry_after = milliseconds{500};
+// Another instance can take the request at once.
+constexpr duration stopping_retry_after = milliseconds{50};
+// Requests that wait when the process is told to stop may still find a server within this time.
+constexpr duration stopping_patience = seconds{1};
+// Streams are taken for this long after the signal: until then new callers still come, and most streams end
+// within the rest of the time.
+constexpr duration stopping_stream_time = milliseconds{2800};
 
 std::string ms_text(duration value)
 {
@@ -105,6 +112,11 @@
             refuse_unrouted(*open, 400, "no_request_id");
             return;
         }
+        if (must_turn_away(*route))
+        {
+            refuse_unrouted(*open, 503, "draining");
+            return;
+        }
         open->route = *route;
         open->service = choose_target(*route, random.next());
         open->last_event = open->request.resume_after;
@@ -122,7 +134,8 @@
     void refuse_unrouted(open_exchange& open, int status, char const* reason)
     {
         std::string const lines =
-            status == 503 ? platform::encode_retry_after(unconfigured_retry_after) : std::string();
+            status == 503 ? platform::encode_retry_after(stop_end ? stopping_retry_after : unconfigured_retry_after)
+                          : std::string();
         open.caller->answer(status, lines, "");
         metrics.add("siskin_refusals_total", reason, 1);
         log.write({"refused",
@@ -135,6 +148,16 @@
                     {"config", std::to_string(routes ? routes->config().version : 0)}}});
     }
 
+    bool must_turn_away(route_rule const& route) const
+    {
+        if (!stop_end)
+        {
+            return false;
+        }
+        steady_time const now = boot_now();
+        return route.streaming ? now > stop_begun + stopping_stream_time : now + route.time_limit > *stop_end;
+    }
+
     duration patience(open_exchange const& open) const
     {
         duration const left = open.deadline - boot_now();
@@ -622,6 +645,8 @@
     std::unordered_map<request_number, open_pointer> exchanges;
     std::function<void()> new_wish;
     request_number last_number = 0;
+    steady_time stop_begun;
+    std::optional<steady_time> stop_end;
 };
 
 request_service::request_service(boost::asio::io_context& loop, outbound_pool& pool, dispatcher& requests,
@@ -648,6 +673,14 @@
     impl_->pump();
 }
 
+void request_service::begin_stop(steady_time end)
+{
+    impl_->stop_begun = boot_now();
+    impl_->stop_end = end;
+    impl_->requests.limit_waiting(impl_->stop_begun + stopping_patience);
+    impl_->pump();
+}
+
 void request_service::on_new_wish(std::function<void()> handler)
 {
     impl_->new_wish = std::move(handler);
--- a/apps/request_service.hpp
+++ b/apps/request_service.hpp
@@ -37,6 +37,9 @@
     void on_request(std::shared_ptr<caller_exchange> exchange);
     /// Carries out what the dispatcher has decided; to be called after it was told something new.
     void pump();
+    /// The process ends at `end`: waiting requests are refused soon, and new ones that might not be finished
+    /// by then at once, so that callers turn to another instance.
+    void begin_stop(steady_time end);
     /// Called when a request begins to wait for a model that no engine holds.
     void on_new_wish(std::function<void()> handler);
 
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -200,6 +200,7 @@
     std::map<std::string, backend_name> last_reader;
     std::map<demand_key, demand_count> demand;
     bool new_wish = false;
+    std::optional<steady_time> waiting_limit;
 };
 
 dispatcher::dispatcher(dispatcher_settings settings)
@@ -236,6 +237,10 @@
     ++count.arrivals;
     waiting_request entry{std::move(request), now, {}};
     entry.give_up = std::min(now + entry.request.patience, entry.request.deadline);
+    if (impl_->waiting_limit)
+    {
+        entry.give_up = std::min(entry.give_up, std::max(*impl_->waiting_limit, now));
+    }
     auto const before = [](waiting_request const& a, waiting_request const& b)
     {
         return std::tie(a.request.priority, a.request.deadline) <
@@ -250,6 +255,15 @@
     impl_->waiting.remove_if([number](waiting_request const& each) { return each.request.number == number; });
 }
 
+void dispatcher::limit_waiting(steady_time limit)
+{
+    impl_->waiting_limit = limit;
+    for (waiting_request& each : impl_->waiting)
+    {
+        each.give_up = std::min(each.give_up, limit);
+    }
+}
+
 void dispatcher::on_load(steady_time now, backend_name const& backend, backend_load const& load)
 {
     impl_->table.on_load(now, backend, load);
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -72,6 +72,8 @@
     void submit(steady_time now, dispatch_request request);
     /// The request needs no server any more. Does nothing for one that does not wait.
     void withdraw(request_number number);
+    /// The instance stops: requests that wait are refused at `limit` at the latest, later ones sooner.
+    void limit_waiting(steady_time limit);
     void on_load(steady_time now, backend_name const& backend, backend_load const& load);
     void on_attempt_end(steady_time now, attempt_report const& report);
 
