--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -153,7 +153,8 @@
     {
         put("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    keep_alive_ = head_->getVersion() == "HTTP/1.1" && !equal_ignoring_case(header_value(*head_, "Connection"), "close");
+    keep_alive_ = head_->getVersion() == "HTTP/1.1" &&
+                  !equal_ignoring_case(header_value(*head_, "Connection"), "close");
     head_only_ = head_->getMethod() == "HEAD";
     decoder_.emplace(*framing);
     body_.clear();
--- a/adapters/caller_server.cpp
+++ b/adapters/caller_server.cpp
@@ -151,7 +151,8 @@
     : impl_(std::make_shared<implementation>(loop, std::move(settings)))
 {
     impl_->state->on_request = std::move(on_request);
-    impl_->state->on_closed = [it = impl_.get()](caller_connection* closed) { it->connections.erase(closed); };
+    impl_->state->on_closed = [it = impl_.get()](caller_connection* closed)
+    { it->connections.erase(closed); };
 }
 
 caller_server::~caller_server()
@@ -174,8 +175,7 @@
         return "address '" + impl_->settings.address + "' is not an IP number and port";
     }
     boost::system::error_code error;
-    auto const failed = [&error, this]
-    { return impl_->settings.address + ": " + error.message(); };
+    auto const failed = [&error, this] { return impl_->settings.address + ": " + error.message(); };
     impl_->acceptor.open(endpoint->protocol(), error);
     if (error)
     {
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -220,24 +220,25 @@
 
     void read()
     {
-        socket_.async_read_some(boost::asio::buffer(chunk_),
-                                [self = shared_from_this()](boost::system::error_code error, std::size_t count)
-                                {
-                                    if (self->over_)
-                                    {
-                                        return;
-                                    }
-                                    self->in_.append(self->chunk_.data(), count);
-                                    if (error)
-                                    {
-                                        self->on_read_end(error);
-                                        return;
-                                    }
-                                    if (self->process())
-                                    {
-                                        self->read();
-                                    }
-                                });
+        socket_.async_read_some(
+            boost::asio::buffer(chunk_),
+            [self = shared_from_this()](boost::system::error_code error, std::size_t count)
+            {
+                if (self->over_)
+                {
+                    return;
+                }
+                self->in_.append(self->chunk_.data(), count);
+                if (error)
+                {
+                    self->on_read_end(error);
+                    return;
+                }
+                if (self->process())
+                {
+                    self->read();
+                }
+            });
     }
 
     void on_read_end(boost::system::error_code error)
@@ -395,15 +396,16 @@
 {
     std::string const address = request.address;
     bool const fresh = request.fresh_connection;
-    auto const give_back = [weak = std::weak_ptr<implementation>(impl_), address](tcp::socket socket,
-                                                                                  duration usable_for)
+    auto const give_back =
+        [weak = std::weak_ptr<implementation>(impl_), address](tcp::socket socket, duration usable_for)
     {
         if (auto const pool = weak.lock())
         {
             pool->keep(address, std::move(socket), usable_for);
         }
     };
-    auto run = std::make_shared<exchange_run>(impl_->loop, std::move(request), std::move(handlers), give_back);
+    auto run =
+        std::make_shared<exchange_run>(impl_->loop, std::move(request), std::move(handlers), give_back);
     if (auto socket = fresh ? std::nullopt : impl_->take(address))
     {
         run->use(std::move(*socket));
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -49,10 +49,10 @@
 {
     std::string address;
     std::string method;
-    std::string bytes; ///< Head and body.
+    std::string bytes;                          ///< Head and body.
     duration connect_limit = milliseconds{700}; ///< 8 ms between regions, a lost opening packet included.
     duration time_limit{0};                     ///< From now to the end of the answer.
-    bool fresh_connection = false; ///< Do not use a connection that has carried other requests.
+    bool fresh_connection = false;              ///< Do not use a connection that has carried other requests.
 };
 
 /// A request under way.
--- a/apps/edge_main.cpp
+++ b/apps/edge_main.cpp
@@ -39,8 +39,8 @@
 std::unique_ptr<edge_settings> load(std::string const& file)
 {
     auto const text = read_text_file(file);
-    auto const settings =
-        text ? read_edge_settings(text.assume_value(), file) : read_result<edge_settings>(text.assume_error());
+    auto const settings = text ? read_edge_settings(text.assume_value(), file)
+                               : read_result<edge_settings>(text.assume_error());
     if (!settings)
     {
         for (read_error const& error : settings.assume_error())
@@ -57,7 +57,8 @@
     (void)std::signal(SIGPIPE, SIG_IGN);
     event_log log(std::make_shared<spdlog::sinks::stdout_sink_mt>(), settings.log_level, {});
     metrics_registry metrics;
-    edge_process process(settings, [file] { return load(file); }, log, metrics);
+    edge_process process(
+        settings, [file] { return load(file); }, log, metrics);
     std::string const error = process.run();
     if (!error.empty())
     {
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -56,7 +56,8 @@
 std::string random_key()
 {
     std::array<char, 40> text{};
-    std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(random_number()),
+    std::snprintf(text.data(), text.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(random_number()),
                   static_cast<unsigned long long>(random_number()));
     return text.data();
 }
@@ -104,10 +105,13 @@
           service(loop, pool, requests, retries, log, metrics, random_number()),
           placement(
               loop, pool, store, log, metrics, placement_settings(settings),
-              [this] { return demand_report{settings.name, requests.take_demand()}; },
+              [this] {
+                  return demand_report{settings.name, requests.take_demand()};
+              },
               [this](placement_news const& news) { on_news(news); }),
           callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
-                  [this](std::shared_ptr<caller_exchange> exchange) { service.on_request(std::move(exchange)); }),
+                  [this](std::shared_ptr<caller_exchange> exchange)
+                  { service.on_request(std::move(exchange)); }),
           readiness(loop, server_settings(settings.readiness_address, 64),
                     [this](std::shared_ptr<caller_exchange> const& exchange) { on_readiness(exchange); }),
           peers(loop, server_settings(settings.peer_address, 512),
@@ -130,8 +134,9 @@
     {
         platform::object_watch_handlers handlers;
         handlers.on_object = [this](platform::store_object const& object) { on_config(object); };
-        handlers.on_deleted = [this](std::string const& name)
-        { log.write({"config_deleted", {{"name", name}, {"outcome", "kept"}}}); };
+        handlers.on_deleted = [this](std::string const& name) {
+            log.write({"config_deleted", {{"name", name}, {"outcome", "kept"}}});
+        };
         return handlers;
     }
 
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -191,7 +191,8 @@
         http_call call;
         call.method = "POST";
         call.path = demand_path;
-        call.headers = {{"Authorization", key_scheme + record->peer_key}, {"Content-Type", "application/cbor"}};
+        call.headers = {{"Authorization", key_scheme + record->peer_key},
+                        {"Content-Type", "application/cbor"}};
         call.body = encode_demand(own);
         reporting = true;
         pool.call(record->peer_address, call, report_limit,
@@ -257,8 +258,8 @@
                       {"epoch", std::to_string(epoch)},
                       {"result", to_string(result)},
                       {"status", std::to_string(outcome.status)},
-                      {"took_ms", std::to_string(
-                                      std::chrono::duration_cast<milliseconds>(now - sent_at).count())}}});
+                      {"took_ms",
+                       std::to_string(std::chrono::duration_cast<milliseconds>(now - sent_at).count())}}});
                 self->planner.on_order_result(now, order, result);
                 self->plan(now);
             },
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -120,8 +120,8 @@
         open->route = *route;
         open->service = choose_target(*route, random.next());
         open->last_event = open->request.resume_after;
-        duration const allowed = std::min(open->request.time_allowed.value_or(route->time_limit),
-                                          route->time_limit);
+        duration const allowed =
+            std::min(open->request.time_allowed.value_or(route->time_limit), route->time_limit);
         open->deadline = open->caller->arrived() + allowed;
         exchanges[open->number] = open;
         retries.on_request(boot_now(), open->service);
@@ -134,8 +134,9 @@
     void refuse_unrouted(open_exchange& open, int status, char const* reason)
     {
         std::string const lines =
-            status == 503 ? platform::encode_retry_after(stop_end ? stopping_retry_after : unconfigured_retry_after)
-                          : std::string();
+            status == 503
+                ? platform::encode_retry_after(stop_end ? stopping_retry_after : unconfigured_retry_after)
+                : std::string();
         open.caller->answer(status, lines, "");
         metrics.add("siskin_refusals_total", reason, 1);
         log.write({"refused",
@@ -164,8 +165,8 @@
         duration limit = left;
         if (open.route.streaming)
         {
-            limit = std::min(limit, std::max({least_stream_gap, open.route.objective * 4,
-                                              open.route.pause_limit * 8}));
+            limit = std::min(
+                limit, std::max({least_stream_gap, open.route.objective * 4, open.route.pause_limit * 8}));
         }
         return std::chrono::duration_cast<duration>(limit * patience_share);
     }
@@ -237,8 +238,9 @@
         auto const found = exchanges.find(step.number);
         if (found == exchanges.end())
         {
-            requests.on_attempt_end(boot_now(),
-                                    {step.number, step.target.backend, attempt_result::caller_gone, false, false, {}});
+            requests.on_attempt_end(
+                boot_now(),
+                {step.number, step.target.backend, attempt_result::caller_gone, false, false, {}});
             return;
         }
         start_attempt(found->second, step);
@@ -314,7 +316,8 @@
                 {
                     bool const sent = open->attempt->sent();
                     open->attempt->cancel();
-                    self->end_attempt(open, sent ? attempt_result::silent : attempt_result::not_sent, "silent");
+                    self->end_attempt(open, sent ? attempt_result::silent : attempt_result::not_sent,
+                                      "silent");
                 }
             });
     }
@@ -370,7 +373,8 @@
         bool const resumable = open->route.repeat == repeat_rule::resumable_stream &&
                                open->backends_run + 1 < open->route.max_backends && !open->events_without_id;
         auto const stalled = std::chrono::duration_cast<duration>(open->route.pause_limit * stalled_pauses);
-        watch_progress(open, resumable && open->answer_begun ? std::max(stalled, least_silence) : duration{0});
+        watch_progress(open,
+                       resumable && open->answer_begun ? std::max(stalled, least_silence) : duration{0});
     }
 
     // False when the event does not follow the last one.
@@ -484,7 +488,7 @@
         if (step == attempt_step::send_again && needs_budget && !retries.try_take(boot_now(), open->service))
         {
             metrics.add("siskin_retries_refused_total", "budget", 1);
-            step = open->answer_begun    ? attempt_step::break_off
+            step = open->answer_begun   ? attempt_step::break_off
                    : open->may_have_run ? attempt_step::fail_may_have_run
                                         : attempt_step::refuse_not_run;
         }
@@ -622,7 +626,8 @@
                     {"status", std::to_string(status)},
                     {"route", open.route.name},
                     {"service", open.service},
-                    {"model", open.request.model + (open.request.adapter.empty() ? "" : "/" + open.request.adapter)},
+                    {"model",
+                     open.request.model + (open.request.adapter.empty() ? "" : "/" + open.request.adapter)},
                     {"backend", open.target.backend},
                     {"attempts", std::to_string(open.avoid.size() + 1)},
                     {"last_failure", open.last_failure},
--- a/decision/attempt_policy.hpp
+++ b/decision/attempt_policy.hpp
@@ -16,19 +16,19 @@
     bool may_have_run_before = false; ///< An earlier attempt may have run.
     unsigned backends_run = 0;        ///< Backend servers that may have run it, this attempt included.
     unsigned max_backends = 1;
-    unsigned sends = 1;               ///< Attempts that reached a backend server, this one included.
-    bool answer_begun = false;        ///< Part of an answer has gone to the caller.
-    bool resume_point_known = false;  ///< All events passed on so far carried ids.
+    unsigned sends = 1;              ///< Attempts that reached a backend server, this one included.
+    bool answer_begun = false;       ///< Part of an answer has gone to the caller.
+    bool resume_point_known = false; ///< All events passed on so far carried ids.
     duration time_left{0};
 };
 
 /// What to do after an attempt.
 enum class attempt_step
 {
-    send_again,       ///< Subject to the retry budget.
-    refuse_not_run,   ///< The request has not run and will not run.
+    send_again,     ///< Subject to the retry budget.
+    refuse_not_run, ///< The request has not run and will not run.
     fail_may_have_run,
-    break_off,        ///< The answer has begun and cannot be completed.
+    break_off, ///< The answer has begun and cannot be completed.
 };
 
 /// True when the request may have run in an attempt that ended so.
--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -125,8 +125,8 @@
 void backend_state_table::on_failure(steady_time now, known_backend& backend)
 {
     backend.failure_rate += failure_weight * (1.0 - backend.failure_rate);
-    duration const span =
-        std::min<duration>(first_avoidance * (1U << std::min(backend.failures_in_row, 4U)), longest_avoidance);
+    duration const span = std::min<duration>(first_avoidance * (1U << std::min(backend.failures_in_row, 4U)),
+                                             longest_avoidance);
     ++backend.failures_in_row;
     backend.avoid_until = now + span;
 }
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -23,12 +23,12 @@
 struct known_backend
 {
     backend_entry entry;
-    unsigned own = 0;           ///< Requests of this instance at the server.
-    unsigned others = 0;        ///< Requests of other instances, at the last load report.
-    steady_time load_at;        ///< When the load was told; the epoch when never.
-    double failure_rate = 0.0;  ///< Moving average over this instance's attempts, 0 to 1.
+    unsigned own = 0;          ///< Requests of this instance at the server.
+    unsigned others = 0;       ///< Requests of other instances, at the last load report.
+    steady_time load_at;       ///< When the load was told; the epoch when never.
+    double failure_rate = 0.0; ///< Moving average over this instance's attempts, 0 to 1.
     unsigned failures_in_row = 0;
-    steady_time avoid_until;    ///< After failures or a full queue.
+    steady_time avoid_until;                           ///< After failures or a full queue.
     std::map<placement_key, steady_time> absent_until; ///< The server said that it does not hold it.
     std::map<placement_key, steady_time> placed_until; ///< The lease holder had it loaded.
     std::map<placement_key, steady_time> leaving_until;
--- a/decision/demand_table.hpp
+++ b/decision/demand_table.hpp
@@ -16,7 +16,7 @@
     unsigned priority = 9; ///< The most urgent.
     unsigned waiting = 0;
     unsigned running = 0;
-    double rate = 0.0;      ///< Requests a second, over about `demand_memory`.
+    double rate = 0.0;         ///< Requests a second, over about `demand_memory`.
     steady_time waiting_since; ///< Since when requests have waited without a break.
 };
 
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -130,8 +130,7 @@
             {
                 continue;
             }
-            bool const avoided =
-                now < backend->avoid_until || contains(request.avoid, backend->entry.name);
+            bool const avoided = now < backend->avoid_until || contains(request.avoid, backend->entry.name);
             std::pair<bool, double> const cost{avoided, cost_ms(now, request, *backend)};
             if (best == nullptr || cost < best_cost)
             {
@@ -173,9 +172,9 @@
         basis.waited = now - waiting.since;
         refusal why;
         why.execution = execution_verdict::not_run;
-        why.reason = basis.candidates > 0                                    ? refusal_reason::overloaded
-                     : !table.any_of_service(waiting.request.service)        ? refusal_reason::no_backend
-                                                                             : refusal_reason::model_not_loadable;
+        why.reason = basis.candidates > 0                             ? refusal_reason::overloaded
+                     : !table.any_of_service(waiting.request.service) ? refusal_reason::no_backend
+                                                                      : refusal_reason::model_not_loadable;
         why.retry_after =
             why.reason == refusal_reason::overloaded ? overload_retry_after : placement_retry_after;
         return {waiting.request.number, why, basis};
@@ -188,7 +187,8 @@
             return false;
         }
         service_profile const* const service = find_service(*config, request.service);
-        return service != nullptr && service->engine && find_model(*service->engine, request.model) == nullptr;
+        return service != nullptr && service->engine &&
+               find_model(*service->engine, request.model) == nullptr;
     }
 
     dispatcher_settings const settings;
--- a/decision/order_lease.cpp
+++ b/decision/order_lease.cpp
@@ -193,7 +193,8 @@
 
 bool order_lease::released(steady_time now) const
 {
-    return impl_->retired && !impl_->busy && (!impl_->claimed || !impl_->is_holder() || now >= impl_->valid_until);
+    return impl_->retired && !impl_->busy &&
+           (!impl_->claimed || !impl_->is_holder() || now >= impl_->valid_until);
 }
 
 } // namespace siskinusher
--- a/decision/order_lease.hpp
+++ b/decision/order_lease.hpp
@@ -14,11 +14,11 @@
 /// Value of the store's object that names the one instance that may order engines.
 struct order_lease_record
 {
-    std::string holder;         ///< Name and address of the machine; empty after a release.
-    std::string peer_address;   ///< Where the holder takes demand reports.
-    std::uint64_t epoch = 0;    ///< Rises with each claim; sent with orders as the fencing token.
-    std::uint64_t renewal = 0;  ///< Rises with each write, so that a renewal changes the object.
-    std::string peer_key;       ///< Proves an instance to its peers; drawn by the first holder.
+    std::string holder;        ///< Name and address of the machine; empty after a release.
+    std::string peer_address;  ///< Where the holder takes demand reports.
+    std::uint64_t epoch = 0;   ///< Rises with each claim; sent with orders as the fencing token.
+    std::uint64_t renewal = 0; ///< Rises with each write, so that a renewal changes the object.
+    std::string peer_key;      ///< Proves an instance to its peers; drawn by the first holder.
 
     friend bool operator==(order_lease_record const& a, order_lease_record const& b)
     {
@@ -29,11 +29,11 @@
 
 struct order_lease_times
 {
-    duration valid = seconds{2};          ///< From the sending of a renewal.
+    duration valid = seconds{2}; ///< From the sending of a renewal.
     duration renew_every = milliseconds{600};
-    duration read_every = seconds{1};     ///< By instances that do not hold the lease.
-    duration turn_gap = seconds{3};       ///< Between the last order of one holder and the first of the next.
-    duration drift = milliseconds{300};   ///< For orders on their way and clocks that differ.
+    duration read_every = seconds{1};   ///< By instances that do not hold the lease.
+    duration turn_gap = seconds{3};     ///< Between the last order of one holder and the first of the next.
+    duration drift = milliseconds{300}; ///< For orders on their way and clocks that differ.
 };
 
 struct lease_read
--- a/decision/retry_allowance.hpp
+++ b/decision/retry_allowance.hpp
@@ -11,10 +11,10 @@
 /// Limits of repeated sends for all instances together.
 struct retry_limits
 {
-    double ratio = 0.2;          ///< Repeated sends for each request of a service.
+    double ratio = 0.2; ///< Repeated sends for each request of a service.
     duration window = seconds{10};
-    unsigned slack = 0;          ///< Repeated sends of a service in a window beside the ratio.
-    unsigned instances = 1;      ///< Among which the slack is divided.
+    unsigned slack = 0;     ///< Repeated sends of a service in a window beside the ratio.
+    unsigned instances = 1; ///< Among which the slack is divided.
 };
 
 /// This instance's share of the fleet's retry budget, by service. The ratio follows the instance's own
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -28,8 +28,9 @@
 constexpr double replica_load = 16.0;
 // From these rates on, a model has two and three replicas, so that a lost engine does not stop it.
 constexpr double two_replica_rate = 0.8;
-// Requests a second of one model at one engine. Each request's prompt is read between the tokens of the others:
-// at this rate and 900 tokens a prompt that takes a tenth of the engine's time, so that pauses stay short.
+// Requests a second of one model at one engine. Each request's prompt is read between the tokens of the
+// others: at this rate and 900 tokens a prompt that takes a tenth of the engine's time, so that pauses stay
+// short.
 constexpr double rate_per_replica = 4.0;
 constexpr unsigned most_replicas = 8;
 // A model asked for once a second is kept as if its next load cost this much more.
@@ -65,7 +66,7 @@
     std::string next_model; ///< Room is being made for it; empty for none.
     bool inquiring = false;
     bool inquiry_due = false;
-    steady_time quiet_until; ///< No order before this time.
+    steady_time quiet_until;                           ///< No order before this time.
     std::map<demand_table::key, steady_time> adapters; ///< Held or on their way, with their last use.
     std::map<demand_table::key, steady_time> adapter_sent;
 
@@ -93,8 +94,7 @@
 
     engine_profile const* profile_of(engine_state const& engine) const
     {
-        service_profile const* const service =
-            config ? find_service(*config, engine.entry.service) : nullptr;
+        service_profile const* const service = config ? find_service(*config, engine.entry.service) : nullptr;
         return service != nullptr && service->engine ? &*service->engine : nullptr;
     }
 
@@ -225,7 +225,8 @@
 
     bool store_load_allowed(steady_time now, engine_profile const& profile)
     {
-        auto const window = std::chrono::duration_cast<duration>(std::chrono::duration<double>(settings.window_s));
+        auto const window =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(settings.window_s));
         while (!store_loads.empty() && store_loads.front() <= now - window)
         {
             store_loads.pop_front();
@@ -510,7 +511,8 @@
             {
                 return; // It is on its way, or instances will learn of it with the next reply.
             }
-            if (engine.can_take_order(now) && !engine.pending && in_transit(now, engine) < adapters_in_transit &&
+            if (engine.can_take_order(now) && !engine.pending &&
+                in_transit(now, engine) < adapters_in_transit &&
                 (best == nullptr || engine.adapters.size() < best_count))
             {
                 best = &engine;
@@ -525,8 +527,9 @@
         if (profile != nullptr && best->adapters.count(which) == 0 &&
             best->adapters.size() >= profile->adapter_places)
         {
-            auto const oldest = std::min_element(best->adapters.begin(), best->adapters.end(),
-                                                 [](auto const& a, auto const& b) { return a.second < b.second; });
+            auto const oldest =
+                std::min_element(best->adapters.begin(), best->adapters.end(),
+                                 [](auto const& a, auto const& b) { return a.second < b.second; });
             if (oldest != best->adapters.end() && now - oldest->second >= adapter_stay)
             {
                 send(now, *best, order_kind::unload_adapter, oldest->first.first, oldest->first.second,
@@ -566,8 +569,10 @@
             engine.adapter_sent[adapter] = now;
             break;
         case order_kind::unload_adapter:
-            engine.adapters.erase(adapter);
-            engine.adapter_sent.erase(adapter);
+            // It leaves when its last request has ended, which only the engine's report shows.
+            engine.adapters[adapter] = now;
+            engine.quiet_until = now + inquiry_pause;
+            engine.inquiry_due = true;
             break;
         }
     }
@@ -694,7 +699,12 @@
         // An engine unloads an idle adapter at once and counts that order; one that changes nothing it may
         // not count, which the next order's conflict shows.
         engine.sequence += order.kind == order_kind::unload_adapter ? 1 : 0;
-        if (order.kind != order_kind::load_model)
+        if (order.kind == order_kind::unload_adapter)
+        {
+            engine.adapters.erase({order.model, order.adapter});
+            engine.adapter_sent.erase({order.model, order.adapter});
+        }
+        else if (order.kind != order_kind::load_model)
         {
             impl_->on_accepted(now, engine, order);
         }
@@ -728,13 +738,18 @@
     engine.inquiring = false;
     engine.sequence = report.order_sequence;
     engine.entry.models = report.models;
+    // The report is a state at its sequence: if it is outdated, the next order's sequence does not fit and
+    // the engine refuses it.
+    std::map<demand_table::key, steady_time> held;
     for (resident_model const& model : report.models)
     {
         for (std::string const& adapter : model.adapters)
         {
-            engine.adapters.try_emplace({model.name, adapter}, now);
+            auto const known = engine.adapters.find({model.name, adapter});
+            held[{model.name, adapter}] = known == engine.adapters.end() ? now : known->second;
         }
     }
+    engine.adapters = std::move(held);
     if (report.busy)
     {
         engine.inquiry_due = !engine.pending;
--- a/decision/rotation_planner.hpp
+++ b/decision/rotation_planner.hpp
@@ -21,9 +21,9 @@
     std::string address;
     order_kind kind{order_kind::load_model};
     std::string model;
-    std::string adapter;              ///< For orders that concern an adapter.
+    std::string adapter;                 ///< For orders that concern an adapter.
     std::uint64_t expected_sequence = 0; ///< The engine refuses the order when it has accepted others since.
-    std::string reason;               ///< Why it is due, for the log.
+    std::string reason;                  ///< Why it is due, for the log.
 };
 /// The engine's own report is needed: an order's outcome is not clear.
 struct engine_inquiry
@@ -41,7 +41,7 @@
     conflict, ///< Another order is in progress, or the engine has accepted orders that we do not know.
     refused,  ///< For good: the order is not possible, or another server has the address.
     not_sent,
-    unknown,  ///< No answer: the order may be carried out later, if the sequence still fits then.
+    unknown, ///< No answer: the order may be carried out later, if the sequence still fits then.
 };
 
 /// What an engine's own report shows; it lags some hundred milliseconds.
@@ -55,8 +55,8 @@
 
 struct rotation_settings
 {
-    double window_s = 5.0;      ///< In which the loads from the weight store are bounded.
-    double window_factor = 1.0; ///< Of the configured rate; the bench-side slack is left unused.
+    double window_s = 5.0;         ///< In which the loads from the weight store are bounded.
+    double window_factor = 1.0;    ///< Of the configured rate; the bench-side slack is left unused.
     unsigned full_speed_loads = 4; ///< Loads from the weight store beyond this number slow each other down.
 };
 
@@ -80,7 +80,8 @@
     void on_backend_gone(backend_name const& name);
     void on_demand(steady_time now, demand_report const& report);
 
-    /// Another holder may have sent orders: each engine is asked how many it has accepted before its next one.
+    /// Another holder may have sent orders: each engine is asked how many it has accepted before its next
+    /// one.
     void forget_sequences();
 
     /// Orders and inquiries that are due; at most one for each engine is open at a time.
--- a/domain/backend_entry.hpp
+++ b/domain/backend_entry.hpp
@@ -32,7 +32,7 @@
     std::vector<resident_model> models;
     std::set<std::string> copies_in_memory; ///< Weights kept in host memory.
     std::set<std::string> copies_on_disk;
-    std::int64_t started_at = 0;      ///< Compared for equality only: clocks differ between machines.
+    std::int64_t started_at = 0; ///< Compared for equality only: clocks differ between machines.
 };
 
 /// Requests that run and wait at a backend server, as it told with an answer.
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -16,11 +16,11 @@
 {
     std::string service;
     std::string model;
-    std::string adapter;    ///< Empty for the model without an adapter.
-    unsigned priority = 0;  ///< The most urgent among those who ask.
-    unsigned waiting = 0;   ///< Requests that no engine can take yet.
-    unsigned running = 0;   ///< Requests at engines.
-    unsigned arrivals = 0;  ///< Requests since the previous report.
+    std::string adapter;   ///< Empty for the model without an adapter.
+    unsigned priority = 0; ///< The most urgent among those who ask.
+    unsigned waiting = 0;  ///< Requests that no engine can take yet.
+    unsigned running = 0;  ///< Requests at engines.
+    unsigned arrivals = 0; ///< Requests since the previous report.
 };
 
 /// Sent by every instance to the lease holder.
@@ -35,7 +35,7 @@
 {
     backend_name engine;
     std::string model;
-    std::string adapter; ///< Empty for the model itself.
+    std::string adapter;  ///< Empty for the model itself.
     bool leaving = false; ///< The holder ordered its unload: send no new request for it there.
 };
 
--- a/domain/serving_config.cpp
+++ b/domain/serving_config.cpp
@@ -34,9 +34,7 @@
 bool operator==(engine_profile const& a, engine_profile const& b)
 {
     auto const fields = [](engine_profile const& e)
-    {
-        return std::tie(e.places, e.memory_mb, e.adapter_places, e.store_loads_per_s, e.disk_mb, e.models);
-    };
+    { return std::tie(e.places, e.memory_mb, e.adapter_places, e.store_loads_per_s, e.disk_mb, e.models); };
     return fields(a) == fields(b);
 }
 
--- a/domain/serving_config.hpp
+++ b/domain/serving_config.hpp
@@ -57,11 +57,11 @@
 /// What the engines of a service have in common.
 struct engine_profile
 {
-    unsigned places = 1;           ///< Requests in one batch.
-    double memory_mb = 0.0;        ///< For weights and adapters.
-    unsigned adapter_places = 0;   ///< Adapters that fit beside the models.
+    unsigned places = 1;            ///< Requests in one batch.
+    double memory_mb = 0.0;         ///< For weights and adapters.
+    unsigned adapter_places = 0;    ///< Adapters that fit beside the models.
     double store_loads_per_s = 0.0; ///< Loads from the weight store that may begin, over all engines.
-    double disk_mb = 0.0;          ///< For copies of weights.
+    double disk_mb = 0.0;           ///< For copies of weights.
     std::vector<model_profile> models;
 };
 
@@ -69,7 +69,7 @@
 struct service_profile
 {
     std::string name;
-    unsigned max_connections = 0; ///< That a backend server accepts from all instances together.
+    unsigned max_connections = 0;         ///< That a backend server accepts from all instances together.
     std::optional<engine_profile> engine; ///< Empty for plain services.
 };
 
