--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -35,6 +35,9 @@
 constexpr char const* backend_kind = "servers";
 // Entries of servers that lapsed in an outage of the store are back within this time of its return.
 constexpr duration backend_return_grace = seconds{2};
+// The lease holder follows each change of an engine at once; the others learn of new placements from it and
+// gather the changes for a sixth of the time after which a leaving server gets no new work, 2.5 s.
+constexpr duration backend_gather_time = milliseconds{400};
 // The balancer asks for readiness once a second and takes an instance out after two misses.
 constexpr duration readiness_noticed = milliseconds{2500};
 // Kept of the stop time for ending in order.
@@ -164,6 +167,9 @@
         signals.add(SIGINT);
         signals.add(SIGHUP);
         wait_for_signal();
+        backend_watch.set_gather_time(backend_gather_time);
+        placement.on_lease([this](bool holds)
+                           { backend_watch.set_gather_time(holds ? duration{0} : backend_gather_time); });
         config_watch.start();
         backend_watch.start();
         placement.start();
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -167,6 +167,10 @@
             {
                 planner.forget_sequences();
             }
+            if (on_lease)
+            {
+                on_lease(holds);
+            }
             log.write({holds ? "lease_gained" : "lease_lost", {{"epoch", std::to_string(lease.epoch())}}});
         }
     }
@@ -180,7 +184,7 @@
         if (lease.may_order(now))
         {
             planner.on_demand(now, own);
-            on_news(planner.news());
+            on_news(planner.news(now));
             return;
         }
         order_lease_record const* const record = lease.record();
@@ -316,7 +320,7 @@
         }
         planner.on_demand(now, *report);
         plan(now);
-        call->answer(200, "Content-Type: application/cbor\r\n", encode_news(planner.news()));
+        call->answer(200, "Content-Type: application/cbor\r\n", encode_news(planner.news(now)));
     }
 
     outbound_pool& pool;
@@ -333,6 +337,7 @@
     bool reporting = false;
     bool holder_reached = false;
     bool held = false;
+    lease_handler on_lease;
 };
 
 placement_service::placement_service(boost::asio::io_context& loop, outbound_pool& pool,
@@ -371,6 +376,11 @@
     impl_->next_report = {};
 }
 
+void placement_service::on_lease(lease_handler handler)
+{
+    impl_->on_lease = std::move(handler);
+}
+
 void placement_service::on_peer_call(std::shared_ptr<caller_exchange> const& call)
 {
     impl_->on_peer_call(call);
--- a/apps/placement_service.hpp
+++ b/apps/placement_service.hpp
@@ -45,6 +45,7 @@
 public:
     using demand_source = std::function<demand_report()>;
     using news_handler = std::function<void(placement_news const&)>;
+    using lease_handler = std::function<void(bool holds)>;
 
     /// All references must outlive the service.
     placement_service(boost::asio::io_context& loop, outbound_pool& pool, platform::metadata_store& store,
@@ -60,6 +61,8 @@
     void on_backend_gone(backend_name const& name);
     /// A request waits for a model: tells the holder soon.
     void on_new_wish();
+    /// Called when the lease is gained or lost.
+    void on_lease(lease_handler handler);
     /// Answers a call of another instance.
     void on_peer_call(std::shared_ptr<caller_exchange> const& call);
 
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -38,6 +38,8 @@
 // Adapters on their way to one engine at the same time.
 constexpr unsigned adapters_in_transit = 4;
 constexpr duration adapter_transit = milliseconds{60};
+// Entries reach all instances within this time.
+constexpr duration news_life = seconds{1};
 // An adapter that was asked for so recently makes no room for another.
 constexpr duration adapter_stay = milliseconds{1500};
 
@@ -66,6 +68,7 @@
     std::string next_model; ///< Room is being made for it; empty for none.
     bool inquiring = false;
     bool inquiry_due = false;
+    std::map<std::string, steady_time> loaded_at; ///< Models whose load has ended lately.
     steady_time quiet_until;                           ///< No order before this time.
     std::map<demand_table::key, steady_time> adapters; ///< Held or on their way, with their last use.
     std::map<demand_table::key, steady_time> adapter_sent;
@@ -625,7 +628,11 @@
         {
             std::string const model = engine.pending->model;
             engine.pending.reset();
-            if (!shown)
+            if (shown)
+            {
+                engine.loaded_at[model] = now;
+            }
+            else
             {
                 implementation::drop_model(engine, model);
             }
@@ -768,7 +775,7 @@
     }
 }
 
-placement_news rotation_planner::news() const
+placement_news rotation_planner::news(steady_time now) const
 {
     placement_news result;
     result.instances = static_cast<unsigned>(impl_->demand.instances());
@@ -778,6 +785,13 @@
         {
             result.placements.push_back({name, which.first, which.second, false});
         }
+        for (auto const& [model, at] : engine.loaded_at)
+        {
+            if (now - at < news_life && find_resident(engine.entry, model) != nullptr)
+            {
+                result.placements.push_back({name, model, "", false});
+            }
+        }
         bool const unloading = (engine.pending && engine.pending->kind == order_kind::unload_model) ||
                                (engine.open && engine.open->order.kind == order_kind::unload_model);
         if (unloading)
--- a/decision/rotation_planner.hpp
+++ b/decision/rotation_planner.hpp
@@ -91,7 +91,7 @@
     void on_inquiry_failed(steady_time now, backend_name const& engine);
 
     /// What instances should know before the entries show it.
-    placement_news news() const;
+    placement_news news(steady_time now) const;
     /// Orders and inquiries without an answer yet.
     std::size_t open_orders() const;
 
