--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -55,18 +55,19 @@
         rows.push_back({each.service, each.model, each.adapter, each.priority, each.waiting, each.running,
                         each.arrivals});
     }
-    return to_bytes(json::array({report.instance, rows}));
+    return to_bytes(json::array({json::array({report.instance, report.peer_address}), rows}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
 {
     auto const value = rows_of(bytes);
-    if (!value || !(*value)[0].is_string())
+    if (!value || !is_row((*value)[0], 2, 0))
     {
         return std::nullopt;
     }
     demand_report report;
-    report.instance = (*value)[0].get<std::string>();
+    report.instance = (*value)[0][0].get<std::string>();
+    report.peer_address = (*value)[0][1].get<std::string>();
     for (json const& row : (*value)[1])
     {
         if (!is_row(row, 3, 4))
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -102,14 +102,14 @@
     implementation(edge_settings settings_in, settings_source reload_in, log_port& log_in,
                    metrics_registry& metrics_in)
         : settings(std::move(settings_in)), reload(std::move(reload_in)), log(log_in), metrics(metrics_in),
-          signals(loop), stop_timer(loop), pool(loop), store(settings.store_address, pool, metrics),
+          signals(loop), stop_timer(loop), pool(loop), store(settings.store_address, pool, metrics, log),
           requests({settings.data_centre, settings.region_of}),
           retries(limits_of(settings, unknown_instances)),
           service(loop, pool, requests, retries, log, metrics, random_number()),
           placement(
               loop, pool, store, log, metrics, placement_settings(settings),
               [this] {
-                  return demand_report{settings.name, requests.take_demand()};
+                  return demand_report{settings.name, settings.peer_address, requests.take_demand()};
               },
               [this](placement_news const& news) { on_news(news); }),
           callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
@@ -167,6 +167,7 @@
         signals.add(SIGINT);
         signals.add(SIGHUP);
         wait_for_signal();
+        store.set_relay_source([this] { return placement.relay(); });
         backend_watch.set_gather_time(backend_gather_time);
         placement.on_lease([this](bool holds)
                            { backend_watch.set_gather_time(holds ? duration{0} : backend_gather_time); });
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -1,6 +1,7 @@
 #include "apps/placement_service.hpp"
 
 #include "adapters/boot_clock.hpp"
+#include "adapters/http_message.hpp"
 #include "adapters/outbound_pool.hpp"
 #include "adapters/placement_codec.hpp"
 #include "adapters/ports.hpp"
@@ -15,6 +16,7 @@
 #include <openssl/crypto.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace siskinusher
@@ -31,6 +33,8 @@
 // An order is answered after a round trip between regions; more is an engine that does not answer.
 constexpr duration order_limit = milliseconds{700};
 constexpr duration report_limit = milliseconds{400};
+// A watch waits longest; a peer never holds a call longer than that.
+constexpr duration longest_relay = seconds{4};
 constexpr char const* key_scheme = "Bearer ";
 
 bool same_secret(std::string const& a, std::string const& b)
@@ -306,6 +310,11 @@
             call->answer(401, "", "");
             return;
         }
+        if (call->head().getURI().rfind(platform::relay_path, 0) == 0)
+        {
+            pass_on(call);
+            return;
+        }
         if (call->head().getURI() != demand_path)
         {
             call->answer(404, "", "");
@@ -318,11 +327,56 @@
             call->answer(report ? 409 : 400, "", "");
             return;
         }
+        peers[report->peer_address] = now;
         planner.on_demand(now, *report);
         plan(now);
         call->answer(200, "Content-Type: application/cbor\r\n", encode_news(planner.news(now)));
     }
 
+    // Makes a store call for a peer that does not reach the store.
+    void pass_on(std::shared_ptr<caller_exchange> const& call)
+    {
+        http_call passed;
+        passed.method = call->head().getMethod();
+        passed.path = call->head().getURI().substr(std::string(platform::relay_path).size());
+        passed.body = call->body();
+        if (!passed.body.empty())
+        {
+            passed.headers.emplace_back("Content-Type", call->head().getContentType());
+        }
+        auto const limit = parse_number(call->head().get(platform::relay_limit_header, ""));
+        duration const span =
+            std::min<duration>(milliseconds{static_cast<std::int64_t>(limit.value_or(1000))}, longest_relay);
+        store.pass_on(passed, span,
+                      [call](http_outcome const& outcome)
+                      {
+                          // 502: the store gave no answer, so that a write may be done.
+                          int const none = outcome.sent ? 502 : 503;
+                          call->answer(outcome.status == 0 ? none : outcome.status,
+                                       "Content-Type: application/json\r\n", outcome.body);
+                      });
+    }
+
+    // The holder turns to the peer that it heard of last, the others to the holder.
+    std::optional<platform::store_relay> relay() const
+    {
+        order_lease_record const* const record = lease.record();
+        if (record == nullptr)
+        {
+            return std::nullopt;
+        }
+        if (record->holder != settings.name)
+        {
+            return record->peer_address.empty()
+                       ? std::nullopt
+                       : std::optional(platform::store_relay{record->peer_address, record->peer_key});
+        }
+        auto const latest = std::max_element(
+            peers.begin(), peers.end(), [](auto const& a, auto const& b) { return a.second < b.second; });
+        return latest == peers.end() ? std::nullopt
+                                     : std::optional(platform::store_relay{latest->first, record->peer_key});
+    }
+
     outbound_pool& pool;
     platform::metadata_store& store;
     log_port& log;
@@ -337,6 +391,7 @@
     bool reporting = false;
     bool holder_reached = false;
     bool held = false;
+    std::map<std::string, steady_time> peers; ///< Addresses of instances, with their last report.
     lease_handler on_lease;
 };
 
@@ -381,6 +436,11 @@
     impl_->on_lease = std::move(handler);
 }
 
+std::optional<platform::store_relay> placement_service::relay() const
+{
+    return impl_->relay();
+}
+
 void placement_service::on_peer_call(std::shared_ptr<caller_exchange> const& call)
 {
     impl_->on_peer_call(call);
--- a/apps/placement_service.hpp
+++ b/apps/placement_service.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace boost::asio
@@ -27,7 +28,8 @@
 namespace platform
 {
 class metadata_store;
-}
+struct store_relay;
+} // namespace platform
 
 struct placement_service_settings
 {
@@ -63,6 +65,8 @@
     void on_new_wish();
     /// Called when the lease is gained or lost.
     void on_lease(lease_handler handler);
+    /// A peer that may reach the store when this instance does not; empty when none is known.
+    std::optional<platform::store_relay> relay() const;
     /// Answers a call of another instance.
     void on_peer_call(std::shared_ptr<caller_exchange> const& call);
 
--- a/decision/order_lease.hpp
+++ b/decision/order_lease.hpp
@@ -29,8 +29,8 @@
 
 struct order_lease_times
 {
-    duration valid = seconds{2}; ///< From the sending of a renewal.
-    duration renew_every = milliseconds{600};
+    duration valid = milliseconds{1500}; ///< From the sending of a renewal.
+    duration renew_every = milliseconds{450};
     duration read_every = seconds{1};   ///< By instances that do not hold the lease.
     duration turn_gap = seconds{3};     ///< Between the last order of one holder and the first of the next.
     duration drift = milliseconds{300}; ///< For orders on their way and clocks that differ.
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -27,6 +27,7 @@
 struct demand_report
 {
     std::string instance;
+    std::string peer_address; ///< Where the instance takes calls of its peers.
     std::vector<model_demand> models;
 };
 
