--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -38,6 +38,10 @@
 // Adapters on their way to one engine at the same time.
 constexpr unsigned adapters_in_transit = 4;
 constexpr duration adapter_transit = milliseconds{60};
+// A model with fewer requests a second leaves without being announced: hardly one would be refused.
+constexpr double announced_rate = 0.5;
+// Instances report, and learn what leaves, every 500 ms.
+constexpr duration announcement = milliseconds{600};
 // Entries reach all instances within this time.
 constexpr duration news_life = seconds{1};
 // An adapter that was asked for so recently makes no room for another.
@@ -65,10 +69,12 @@
     std::uint64_t sequence = 0;
     std::optional<open_order> open;
     std::optional<effect> pending;
+    std::string leaving_model; ///< To be unloaded once all instances send it no new requests; empty for none.
+    steady_time leave_at;
     std::string next_model; ///< Room is being made for it; empty for none.
     bool inquiring = false;
     bool inquiry_due = false;
-    std::map<std::string, steady_time> loaded_at; ///< Models whose load has ended lately.
+    std::map<std::string, steady_time> loaded_at;      ///< Models whose load has ended lately.
     steady_time quiet_until;                           ///< No order before this time.
     std::map<demand_table::key, steady_time> adapters; ///< Held or on their way, with their last use.
     std::map<demand_table::key, steady_time> adapter_sent;
@@ -132,6 +138,7 @@
         {
             names.erase(engine.open->order.model);
         }
+        names.erase(engine.leaving_model);
         if (!engine.next_model.empty())
         {
             names.insert(engine.next_model);
@@ -339,8 +346,7 @@
         if (!best_victims.empty())
         {
             best->next_model = want.model;
-            send(now, *best, order_kind::unload_model, best_victims.front(), "", "room for " + want.model,
-                 steps);
+            make_leave(now, *best, best_victims.front(), steps);
             return true;
         }
         send(now, *best, order_kind::load_model, want.model, "", want.reason, steps);
@@ -368,6 +374,7 @@
             profile == nullptr ? nullptr : find_model(*profile, engine.next_model);
         if (model == nullptr || occupants(engine).count(engine.next_model) > 0)
         {
+            engine.leaving_model.clear();
             engine.next_model.clear();
             return;
         }
@@ -377,6 +384,14 @@
             send(now, engine, order_kind::load_model, name, "", "room was made", steps);
             return;
         }
+        if (!engine.leaving_model.empty())
+        {
+            if (now >= engine.leave_at)
+            {
+                make_leave(now, engine, engine.leaving_model, steps);
+            }
+            return;
+        }
         double cost = 0.0;
         auto const leaving = victims(engine, *profile, model->weights_mb, false, cost);
         if (!leaving || leaving->empty())
@@ -384,8 +399,22 @@
             engine.next_model.clear();
             return;
         }
-        send(now, engine, order_kind::unload_model, leaving->front(), "", "room for " + engine.next_model,
-             steps);
+        make_leave(now, engine, leaving->front(), steps);
+    }
+
+    // Unloads a model to make room. One that requests go to is announced first: an engine refuses requests
+    // for a model that is about to leave.
+    void make_leave(steady_time now, engine_state& engine, std::string model,
+                    std::vector<rotation_step>& steps)
+    {
+        if (engine.leaving_model != model && demand.of_model(model).rate >= announced_rate)
+        {
+            engine.leaving_model = std::move(model);
+            engine.leave_at = now + announcement;
+            return;
+        }
+        engine.leaving_model.clear();
+        send(now, engine, order_kind::unload_model, model, "", "room for " + engine.next_model, steps);
     }
 
     // Ends what an engine has had time to finish and asks the engine itself when that does not show.
@@ -799,6 +828,10 @@
             std::string const& model = engine.pending ? engine.pending->model : engine.open->order.model;
             result.placements.push_back({name, model, "", true});
         }
+        if (!engine.leaving_model.empty())
+        {
+            result.placements.push_back({name, engine.leaving_model, "", true});
+        }
     }
     return result;
 }
