--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -35,6 +35,11 @@
 constexpr unsigned most_replicas = 8;
 // A model asked for once a second is kept as if its next load cost this much more.
 constexpr double keep_ms_per_rate = 2500.0;
+// From the end of a load until the engine's entry shows it to the holder.
+constexpr duration entry_delay = milliseconds{50};
+// An unload and a load from disk.
+constexpr duration rotation_time = milliseconds{1000};
+constexpr duration order_round_trip = milliseconds{40};
 // Adapters on their way to one engine at the same time.
 constexpr unsigned adapters_in_transit = 4;
 constexpr duration adapter_transit = milliseconds{60};
@@ -306,17 +311,42 @@
         return room >= needed_mb ? std::optional(chosen) : std::nullopt;
     }
 
-    // The next order that brings the model to the engine where it is up soonest at the least loss.
-    bool place(steady_time now, wish const& want, std::vector<rotation_step>& steps)
+    // How long the engine is occupied with the orders that it has, in milliseconds.
+    static double occupied_ms(steady_time now, engine_state const& engine)
     {
-        engine_state* best = nullptr;
-        double best_cost = 0.0;
-        std::vector<std::string> best_victims;
+        duration span = std::max<duration>(engine.quiet_until - now, duration{0});
+        if (engine.pending)
+        {
+            span = std::max<duration>(span, engine.pending->expected_end - now + entry_delay);
+        }
+        if (!engine.next_model.empty())
+        {
+            span += rotation_time;
+        }
+        if (engine.open || engine.inquiring || engine.inquiry_due)
+        {
+            span += order_round_trip;
+        }
+        return std::chrono::duration<double, std::milli>(span).count();
+    }
+
+    // An engine where a model can be placed, with what that costs in milliseconds of load time.
+    struct placement
+    {
+        engine_state* engine = nullptr;
+        double cost = 0.0;
+        std::vector<std::string> victims;
+    };
+
+    // The engine where the model is up soonest at the least loss. That may be one that is occupied now: a
+    // load from the weight store elsewhere takes longer than waiting for an engine with a copy.
+    placement best_placement(steady_time now, wish const& want)
+    {
+        placement best;
         for (auto& [name, engine] : engines)
         {
             engine_profile const* const profile = profile_of(engine);
-            if (profile == nullptr || !engine.can_take_order(now) || engine.pending ||
-                !engine.next_model.empty())
+            if (profile == nullptr || engine.entry.leaving)
             {
                 continue;
             }
@@ -330,26 +360,33 @@
             {
                 continue;
             }
-            double cost = std::chrono::duration<double, std::milli>(load_time(from, *model)).count();
-            auto const leaving = victims(engine, *profile, model->weights_mb, want.only_if_idle, cost);
-            if (leaving && (best == nullptr || cost < best_cost))
+            double cost = std::chrono::duration<double, std::milli>(load_time(from, *model)).count() +
+                          occupied_ms(now, engine);
+            auto leaving = victims(engine, *profile, model->weights_mb, want.only_if_idle, cost);
+            if (leaving && (best.engine == nullptr || cost < best.cost))
             {
-                best = &engine;
-                best_cost = cost;
-                best_victims = *leaving;
+                best = {&engine, cost, std::move(*leaving)};
             }
         }
-        if (best == nullptr)
+        return best;
+    }
+
+    // Sends the next order that brings the model up; false when none is due now.
+    bool place(steady_time now, wish const& want, std::vector<rotation_step>& steps)
+    {
+        placement best = best_placement(now, want);
+        if (best.engine == nullptr || !best.engine->can_take_order(now) || best.engine->pending ||
+            !best.engine->next_model.empty())
         {
             return false;
         }
-        if (!best_victims.empty())
+        if (!best.victims.empty())
         {
-            best->next_model = want.model;
-            make_leave(now, *best, best_victims.front(), steps);
+            best.engine->next_model = want.model;
+            make_leave(now, *best.engine, best.victims.front(), steps);
             return true;
         }
-        send(now, *best, order_kind::load_model, want.model, "", want.reason, steps);
+        send(now, *best.engine, order_kind::load_model, want.model, "", want.reason, steps);
         return true;
     }
 
