--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -55,17 +55,26 @@
         rows.push_back({each.service, each.model, each.adapter, each.priority, each.waiting, each.running,
                         each.arrivals});
     }
-    return to_bytes(json::array({json::array({report.instance, report.peer_address}), rows}));
+    json who = json::array({report.instance, report.peer_address});
+    for (backend_name const& name : report.unreachable)
+    {
+        who.push_back(name);
+    }
+    return to_bytes(json::array({who, rows}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
 {
     auto const value = rows_of(bytes);
-    if (!value || !is_row((*value)[0], 2, 0))
+    if (!value || (*value)[0].size() < 2 || !is_row((*value)[0], (*value)[0].size(), 0))
     {
         return std::nullopt;
     }
     demand_report report;
+    for (std::size_t i = 2; i < (*value)[0].size(); ++i)
+    {
+        report.unreachable.push_back((*value)[0][i].get<std::string>());
+    }
     report.instance = (*value)[0][0].get<std::string>();
     report.peer_address = (*value)[0][1].get<std::string>();
     for (json const& row : (*value)[1])
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -108,8 +108,10 @@
           service(loop, pool, requests, retries, log, metrics, random_number()),
           placement(
               loop, pool, store, log, metrics, placement_settings(settings),
-              [this] {
-                  return demand_report{settings.name, settings.peer_address, requests.take_demand()};
+              [this]
+              {
+                  return demand_report{settings.name, settings.peer_address, requests.take_demand(),
+                                       requests.unreachable(boot_now())};
               },
               [this](placement_news const& news) { on_news(news); }),
           callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -190,6 +190,19 @@
     return found;
 }
 
+std::vector<backend_name> backend_state_table::unreachable(steady_time now) const
+{
+    std::vector<backend_name> names;
+    for (auto const& [name, backend] : backends_)
+    {
+        if (now < backend->unreachable_until)
+        {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 bool backend_state_table::any_of_service(std::string const& service) const
 {
     auto const list = by_service_.find(service);
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -29,6 +29,7 @@
     double failure_rate = 0.0; ///< Moving average over this instance's attempts, 0 to 1.
     steady_time failed_at;     ///< Of the last failure.
     unsigned failures_in_row = 0;
+    steady_time unreachable_until;                     ///< No connection could be opened.
     steady_time avoid_until;                           ///< After failures or a full queue.
     std::map<placement_key, steady_time> absent_until; ///< The server said that it does not hold it.
     std::map<placement_key, steady_time> placed_until; ///< The lease holder had it loaded.
@@ -56,6 +57,7 @@
     /// Servers of the service that hold the model and adapter and are not leaving.
     std::vector<known_backend*> candidates(steady_time now, std::string const& service,
                                            placement_key const& key);
+    std::vector<backend_name> unreachable(steady_time now) const;
     bool any_of_service(std::string const& service) const;
 
     /// The failure rate, which fades so that a server that failed is tried again.
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -34,6 +34,9 @@
 constexpr duration full_pause = milliseconds{80};
 // A model that an engine refused is looked for elsewhere until its entry changes or this time has passed.
 constexpr duration absent_pause = milliseconds{400};
+// A server without a connection is told to the lease holder for this time, longer than its next trial takes.
+constexpr duration unreachable_life = milliseconds{1000};
+constexpr duration look_again = milliseconds{50};
 // Parts of prompts remembered with the server that read them last.
 constexpr std::size_t remembered_prompt_parts = 4096;
 // Advice to callers whose request found no server: the time of a load from disk.
@@ -117,7 +120,8 @@
         return backend_state_table::in_use(now, backend) < backend.entry.places + allowed_queue;
     }
 
-    // The cheapest server; one that failed lately or failed this request only when there is no other.
+    // The cheapest server; one that failed this request only when there is no other. A server that has just
+    // failed is left alone for a while, also if it is the only one: it would only fail again.
     known_backend* choose(steady_time now, dispatch_request const& request, dispatch_basis& basis)
     {
         auto const found =
@@ -127,11 +131,11 @@
         std::pair<bool, double> best_cost{true, 0.0};
         for (known_backend* const backend : found)
         {
-            if (!has_place(now, *backend))
+            if (now < backend->avoid_until || !has_place(now, *backend))
             {
                 continue;
             }
-            bool const avoided = now < backend->avoid_until || contains(request.avoid, backend->entry.name);
+            bool const avoided = contains(request.avoid, backend->entry.name);
             std::pair<bool, double> const cost{avoided, cost_ms(now, request, *backend)};
             if (best == nullptr || cost < best_cost)
             {
@@ -201,6 +205,7 @@
     std::map<std::string, backend_name> last_reader;
     std::map<demand_key, demand_count> demand;
     bool new_wish = false;
+    steady_time stepped_at;
     std::optional<steady_time> waiting_limit;
 };
 
@@ -316,6 +321,9 @@
     case attempt_result::caller_gone:
         break;
     case attempt_result::not_sent:
+        backend->unreachable_until = now + unreachable_life;
+        impl_->table.on_failure(now, *backend);
+        break;
     case attempt_result::connection_lost:
     case attempt_result::silent:
     case attempt_result::bad_answer:
@@ -327,6 +335,7 @@
 std::vector<dispatch_step> dispatcher::step(steady_time now)
 {
     std::vector<dispatch_step> steps;
+    impl_->stepped_at = now;
     for (auto each = impl_->waiting.begin(); each != impl_->waiting.end();)
     {
         dispatch_basis basis;
@@ -357,7 +366,8 @@
     {
         due = due ? std::min(*due, each.give_up) : each.give_up;
     }
-    return due;
+    // A server that is left alone, or a model that was absent, may become usable without an event.
+    return due ? std::optional(std::min(*due, impl_->stepped_at + look_again)) : due;
 }
 
 std::vector<model_demand> dispatcher::take_demand()
@@ -389,6 +399,11 @@
     return impl_->new_wish;
 }
 
+std::vector<backend_name> dispatcher::unreachable(steady_time now) const
+{
+    return impl_->table.unreachable(now);
+}
+
 backend_entry const* dispatcher::find_backend(backend_name const& name) const
 {
     known_backend const* const backend = impl_->table.find(name);
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -87,6 +87,9 @@
     /// True when a request began to wait for a model or adapter since the last call of take_demand.
     bool has_new_wish() const;
 
+    /// Servers at whose address nothing listened a moment ago.
+    std::vector<backend_name> unreachable(steady_time now) const;
+
     /// The entry known of a server; null when it is unknown.
     backend_entry const* find_backend(backend_name const& name) const;
     std::size_t waiting() const;
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -20,8 +20,6 @@
 // An order that was not answered, or not accepted, is looked into after the lag of the engine's report.
 constexpr duration inquiry_pause = milliseconds{500};
 constexpr duration conflict_pause = milliseconds{120};
-// An unload without runs takes effect at once; the next order is tried when no entry has come by then.
-constexpr duration unload_patience = milliseconds{150};
 // An entry is written within a heartbeat, 1.2 s, of the change it shows.
 constexpr duration entry_lag = seconds{2};
 // Requests of one model at one engine beyond which a further replica is worth its place.
@@ -40,6 +38,8 @@
 // An unload and a load from disk.
 constexpr duration rotation_time = milliseconds{1000};
 constexpr duration order_round_trip = milliseconds{40};
+// A model with requests leaves only when they have ended; meanwhile the engine takes no other order.
+constexpr double unload_wait_ms = 1500.0;
 // Adapters on their way to one engine at the same time.
 constexpr unsigned adapters_in_transit = 4;
 constexpr duration adapter_transit = milliseconds{60};
@@ -47,6 +47,8 @@
 constexpr double announced_rate = 0.5;
 // Instances report, and learn what leaves, every 500 ms.
 constexpr duration announcement = milliseconds{600};
+// Instances report an unreachable engine again while they find it so; a crashed one is back in seconds.
+constexpr duration down_time = milliseconds{1200};
 // Entries reach all instances within this time.
 constexpr duration news_life = seconds{1};
 // An adapter that was asked for so recently makes no room for another.
@@ -80,14 +82,16 @@
     bool inquiring = false;
     bool inquiry_due = false;
     bool confirmed = false; ///< The contents come from the engine itself, under this lease.
-    std::map<std::string, steady_time> loaded_at;      ///< Models whose load has ended lately.
-    steady_time quiet_until;                           ///< No order before this time.
+    std::map<std::string, steady_time> loaded_at; ///< Models whose load has ended lately.
+    steady_time quiet_until;                      ///< No order before this time.
+    steady_time down_until;                       ///< An instance found that nothing listens at its address.
     std::map<demand_table::key, steady_time> adapters; ///< Held or on their way, with their last use.
     std::map<demand_table::key, steady_time> adapter_sent;
 
     bool can_take_order(steady_time now) const
     {
-        return confirmed && !open && !inquiring && !inquiry_due && !entry.leaving && now >= quiet_until;
+        return now >= down_until && confirmed && !open && !inquiring && !inquiry_due && !entry.leaving &&
+               now >= quiet_until;
     }
 };
 
@@ -165,13 +169,13 @@
         return profile.memory_mb - used - largest_adapter * profile.adapter_places;
     }
 
-    void count_replicas()
+    void count_replicas(steady_time now)
     {
         replicas.clear();
         at_hand.clear();
         for (auto const& [name, engine] : engines)
         {
-            if (engine.entry.leaving)
+            if (engine.entry.leaving || now < engine.down_until)
             {
                 continue;
             }
@@ -293,7 +297,8 @@
         {
             if (may_leave(model.name, only_if_idle))
             {
-                order.emplace_back(keep_ms(model.name), model.name);
+                bool const runs = demand.of_model(model.name).running > 0;
+                order.emplace_back(keep_ms(model.name) + (runs ? unload_wait_ms : 0.0), model.name);
             }
         }
         std::sort(order.begin(), order.end());
@@ -347,7 +352,7 @@
         for (auto& [name, engine] : engines)
         {
             engine_profile const* const profile = profile_of(engine);
-            if (profile == nullptr || engine.entry.leaving)
+            if (profile == nullptr || engine.entry.leaving || now < engine.down_until)
             {
                 continue;
             }
@@ -458,20 +463,14 @@
     // Ends what an engine has had time to finish and asks the engine itself when that does not show.
     void settle(steady_time now, engine_state& engine, std::vector<rotation_step>& steps)
     {
-        if (engine.pending && engine.pending->kind == order_kind::unload_model &&
-            now >= engine.pending->expected_end)
-        {
-            // The next order tells: an engine that still waits for runs answers with a conflict.
-            drop_model(engine, engine.pending->model);
-            engine.pending.reset();
-        }
+        // The entry shows the effect of an order soon after it; an unload waits for its runs before.
         if (engine.pending && now >= engine.pending->expected_end + entry_lag)
         {
-            engine.pending.reset();
+            engine.pending->expected_end = now;
             engine.inquiry_due = true;
         }
-        if ((engine.inquiry_due || !engine.confirmed) && !engine.open && !engine.inquiring &&
-            now >= engine.quiet_until)
+        if (now >= engine.down_until && (engine.inquiry_due || !engine.confirmed) && !engine.open &&
+            !engine.inquiring && now >= engine.quiet_until)
         {
             engine.inquiry_due = false;
             engine.inquiring = true;
@@ -633,7 +632,7 @@
             break;
         }
         case order_kind::unload_model:
-            engine.pending = effect{order.kind, order.model, now, now + unload_patience, false};
+            engine.pending = effect{order.kind, order.model, now, now, false};
             break;
         case order_kind::load_adapter:
             engine.adapters[adapter] = now;
@@ -718,6 +717,14 @@
 void rotation_planner::on_demand(steady_time now, demand_report const& report)
 {
     impl_->demand.on_report(now, report);
+    for (backend_name const& name : report.unreachable)
+    {
+        auto const found = impl_->engines.find(name);
+        if (found != impl_->engines.end())
+        {
+            found->second.down_until = now + down_time;
+        }
+    }
 }
 
 void rotation_planner::begin_lease()
@@ -750,11 +757,11 @@
             impl_->continue_rotation(now, engine, steps);
         }
     }
-    impl_->count_replicas();
+    impl_->count_replicas(now);
     for (wish const& each : impl_->wishes(now))
     {
         impl_->place(now, each, steps);
-        impl_->count_replicas();
+        impl_->count_replicas(now);
     }
     impl_->plan_adapters(now, steps);
     impl_->prefetch(now, steps);
@@ -832,9 +839,14 @@
         }
     }
     engine.adapters = std::move(held);
-    if (report.busy)
+    if (!report.busy)
+    {
+        engine.pending.reset();
+        return;
+    }
+    if (!engine.pending)
     {
-        engine.inquiry_due = !engine.pending;
+        engine.inquiry_due = true; // It carries out an order of an earlier holder.
         engine.quiet_until = now + inquiry_pause;
     }
 }
--- a/domain/placement_exchange.cpp
+++ b/domain/placement_exchange.cpp
@@ -14,7 +14,8 @@
 
 bool operator==(demand_report const& a, demand_report const& b)
 {
-    return std::tie(a.instance, a.peer_address, a.models) == std::tie(b.instance, b.peer_address, b.models);
+    return std::tie(a.instance, a.peer_address, a.models, a.unreachable) ==
+           std::tie(b.instance, b.peer_address, b.models, b.unreachable);
 }
 
 bool operator==(recent_placement const& a, recent_placement const& b)
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -29,6 +29,7 @@
     std::string instance;
     std::string peer_address; ///< Where the instance takes calls of its peers.
     std::vector<model_demand> models;
+    std::vector<backend_name> unreachable; ///< Engines at whose address nothing listens.
 };
 
 /// An adapter or a model that the lease holder had loaded lately and that entries may not show yet.
