--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -187,8 +187,8 @@
     timer_.cancel(ignored);
     phase_ = phase::serving;
     ++server_->open_requests;
-    server_->on_request(std::make_shared<caller_exchange>(shared_from_this(), std::move(*head_),
-                                                          std::move(body_), boot_now()));
+    server_->on_request(
+        std::make_shared<caller_exchange>(shared_from_this(), *head_, std::move(body_), boot_now()));
     return phase_ == phase::head;
 }
 
@@ -225,7 +225,7 @@
     {
         text.append(body);
     }
-    put(std::move(text));
+    put(text);
     after_answer();
 }
 
@@ -249,7 +249,7 @@
     int const length = std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
     std::string text(size.data(), static_cast<std::size_t>(length));
     text.append(part).append("\r\n");
-    put(std::move(text));
+    put(text);
 }
 
 void caller_connection::end()
@@ -281,7 +281,7 @@
     read_more();
 }
 
-void caller_connection::put(std::string bytes)
+void caller_connection::put(std::string_view bytes)
 {
     if (out_.size() + writing_.size() > unsent_limit)
     {
--- a/adapters/caller_connection_impl.hpp
+++ b/adapters/caller_connection_impl.hpp
@@ -61,7 +61,7 @@
     bool take_head();
     bool take_body();
     void refuse(int status);
-    void put(std::string bytes);
+    void put(std::string_view bytes);
     void flush();
     void after_answer();
     void arm(duration span);
--- a/adapters/caller_server.cpp
+++ b/adapters/caller_server.cpp
@@ -22,9 +22,9 @@
 
 } // namespace
 
-caller_exchange::caller_exchange(std::shared_ptr<caller_connection> connection, Poco::Net::HTTPRequest head,
-                                 std::string body, steady_time arrived)
-    : connection_(std::move(connection)), head_(std::move(head)), body_(std::move(body)), arrived_(arrived)
+caller_exchange::caller_exchange(std::shared_ptr<caller_connection> connection,
+                                 Poco::Net::HTTPRequest const& head, std::string body, steady_time arrived)
+    : connection_(std::move(connection)), head_(head), body_(std::move(body)), arrived_(arrived)
 {
 }
 
--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -25,7 +25,7 @@
 class caller_exchange
 {
 public:
-    caller_exchange(std::shared_ptr<caller_connection> connection, Poco::Net::HTTPRequest head,
+    caller_exchange(std::shared_ptr<caller_connection> connection, Poco::Net::HTTPRequest const& head,
                     std::string body, steady_time arrived);
     ~caller_exchange();
     caller_exchange(caller_exchange const&) = delete;
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -159,7 +159,7 @@
         service.on_new_wish([this] { placement.on_new_wish(); });
         for (caller_server* const server : {&callers, &readiness, &peers})
         {
-            std::string const error = server->start();
+            std::string error = server->start();
             if (!error.empty())
             {
                 return error;
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -204,7 +204,8 @@
         call.body = encode_demand(own);
         reporting = true;
         pool.call(record->peer_address, call, report_limit,
-                  [self = shared_from_this()](http_outcome outcome) { self->on_report_answer(outcome); });
+                  [self = shared_from_this()](http_outcome const& outcome)
+                  { self->on_report_answer(outcome); });
     }
 
     void on_report_answer(http_outcome const& outcome)
