--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -35,9 +35,9 @@
 constexpr char const* backend_kind = "servers";
 // Entries of servers that lapsed in an outage of the store are back within this time of its return.
 constexpr duration backend_return_grace = seconds{2};
-// The lease holder follows each change of an engine at once; the others learn of new placements from it and
-// gather the changes for a sixth of the time after which a leaving server gets no new work, 2.5 s.
-constexpr duration backend_gather_time = milliseconds{400};
+// The lease holder follows each change of an engine at once; the others learn of placements from it and
+// gather the changes for this share of the time after which a leaving server gets no new work.
+constexpr double gather_share = 0.45;
 // The balancer asks for readiness once a second and takes an instance out after two misses.
 constexpr duration readiness_noticed = milliseconds{2500};
 // Kept of the stop time for ending in order.
@@ -170,9 +170,10 @@
         signals.add(SIGHUP);
         wait_for_signal();
         store.set_relay_source([this] { return placement.relay(); });
-        backend_watch.set_gather_time(backend_gather_time);
-        placement.on_lease([this](bool holds)
-                           { backend_watch.set_gather_time(holds ? duration{0} : backend_gather_time); });
+        auto const gather_time = std::chrono::duration_cast<duration>(settings.leaving_time * gather_share);
+        backend_watch.set_gather_time(gather_time);
+        placement.on_lease([this, gather_time](bool holds)
+                           { backend_watch.set_gather_time(holds ? duration{0} : gather_time); });
         config_watch.start();
         backend_watch.start();
         placement.start();
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -50,7 +50,7 @@
 // Instances report an unreachable engine again while they find it so; a crashed one is back in seconds.
 constexpr duration down_time = milliseconds{1200};
 // Entries reach all instances within this time.
-constexpr duration news_life = seconds{1};
+constexpr duration news_life = seconds{3};
 // An adapter that was asked for so recently makes no room for another.
 constexpr duration adapter_stay = milliseconds{1500};
 
@@ -83,6 +83,7 @@
     bool inquiry_due = false;
     bool confirmed = false; ///< The contents come from the engine itself, under this lease.
     std::map<std::string, steady_time> loaded_at; ///< Models whose load has ended lately.
+    std::map<std::string, steady_time> left_at;   ///< Models that have left lately.
     steady_time quiet_until;                      ///< No order before this time.
     steady_time down_until;                       ///< An instance found that nothing listens at its address.
     std::map<demand_table::key, steady_time> adapters; ///< Held or on their way, with their last use.
@@ -701,10 +702,12 @@
         engine.pending.reset();
         engine.entry.models.push_back({model, {}});
         engine.loaded_at[model] = now;
+        engine.left_at.erase(model);
     }
     else if (!load && shown == nullptr)
     {
         engine.pending.reset();
+        engine.left_at[model] = now;
         implementation::drop_model(engine, model);
     }
 }
@@ -879,6 +882,13 @@
                 result.placements.push_back({name, model, "", false});
             }
         }
+        for (auto const& [model, at] : engine.left_at)
+        {
+            if (now - at < news_life && find_resident(engine.entry, model) == nullptr)
+            {
+                result.placements.push_back({name, model, "", true});
+            }
+        }
         bool const unloading = (engine.pending && engine.pending->kind == order_kind::unload_model) ||
                                (engine.open && engine.open->order.kind == order_kind::unload_model);
         if (unloading)
