--- /dev/null
+++ b/tests/edge_soak/soak_main.cpp
@@ -0,0 +1,324 @@
+#include "core/random_source.hpp"
+#include "tests/wire/backend_standin.hpp"
+#include "tests/wire/edge_child.hpp"
+#include "tests/wire/store_standin.hpp"
+
+#include <gflags/gflags.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+DEFINE_uint64(seed, 1, "first seed");
+DEFINE_uint32(seeds, 1, "number of seeds, one after the other");
+DEFINE_uint32(seconds, 20, "time with faults, for each seed");
+DEFINE_uint32(instances, 3, "siskin-edge processes");
+
+namespace siskinusher::standins
+{
+
+namespace
+{
+
+using clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr unsigned holder_gap_ms = 1000;
+// Orders on their way when their sender loses the lease; a signal may stop it just before the write.
+constexpr milliseconds order_slack{50};
+constexpr seconds settle_time{12};
+
+/// What a caller has seen of one request.
+struct caller_record
+{
+    bool once = false;
+    int status = 0; ///< Zero without an answer.
+};
+
+/// One seeded run: callers, faults, and what must hold.
+class soak_run
+{
+public:
+    explicit soak_run(std::uint64_t seed) : seed_(seed), faults_(seed)
+    {
+        store_.write("config", "main", example_config(1));
+        for (unsigned i = 0; i < FLAGS_instances; ++i)
+        {
+            edges_.push_back(
+                std::make_unique<edge_child>("edge-" + std::to_string(i), store_.address(), holder_gap_ms));
+        }
+    }
+
+    bool run()
+    {
+        for (auto const& edge : edges_)
+        {
+            check(edge->wait_ready(), "an instance is not ready at the start");
+        }
+        std::vector<std::thread> callers;
+        for (unsigned i = 0; i < 4; ++i)
+        {
+            callers.emplace_back([this, i] { call_on(i); });
+        }
+        auto const end = clock::now() + seconds{FLAGS_seconds};
+        while (clock::now() < end && ok_)
+        {
+            inject();
+            std::this_thread::sleep_for(milliseconds{100 + faults_.below(900)});
+        }
+        heal();
+        check_settled();
+        stopping_ = true;
+        for (std::thread& caller : callers)
+        {
+            caller.join();
+        }
+        check_promises();
+        std::printf("seed %lu: %s, %zu requests, %u served\n", static_cast<unsigned long>(seed_),
+                    ok_ ? "ok" : "FAILED", records_.size(), served_.load());
+        return ok_;
+    }
+
+private:
+    void check(bool holds, std::string const& what)
+    {
+        if (!holds)
+        {
+            std::printf("seed %lu: %s\n", static_cast<unsigned long>(seed_), what.c_str());
+            ok_ = false;
+        }
+    }
+
+    void inject()
+    {
+        auto const index = static_cast<std::size_t>(faults_.below(edges_.size()));
+        edge_child& edge = *edges_[index];
+        switch (faults_.below(9))
+        {
+        case 0:
+            note("kill", index);
+            edge.process().kill();
+            edge.start();
+            break;
+        case 1:
+            note("pause", index);
+            edge.process().send(SIGSTOP);
+            std::this_thread::sleep_for(milliseconds{faults_.below(4000)});
+            edge.process().send(SIGCONT);
+            break;
+        case 2:
+            note("term", index);
+            edge.process().send(SIGTERM);
+            check(edge.process().wait(seconds{10}), "a process does not end after SIGTERM");
+            edge.start();
+            break;
+        case 3:
+            note("hup", index);
+            edge.process().send(SIGHUP);
+            break;
+        case 4:
+            note("store", index);
+            store_.set_mode(faults_.below(2) == 0 ? store_standin::mode::busy : store_standin::mode::silent);
+            std::this_thread::sleep_for(milliseconds{faults_.below(3000)});
+            store_.set_mode(store_standin::mode::up);
+            break;
+        case 5:
+            note("history", index);
+            store_.forget_history();
+            store_.write("config", "main", example_config(++config_version_));
+            break;
+        case 6:
+            note("drain", index);
+            backends_[index % backends_.size()]->announce("draining");
+            std::this_thread::sleep_for(milliseconds{500});
+            backends_[index % backends_.size()]->announce("ready");
+            break;
+        default:
+            note("backend", index);
+            backends_[faults_.below(backends_.size())]->set_fault(
+                static_cast<backend_fault>(faults_.below(6)));
+            break;
+        }
+    }
+
+    void note(char const* fault, std::size_t index)
+    {
+        history_ += std::string(fault) + std::to_string(index) + " ";
+    }
+
+    void heal()
+    {
+        store_.set_mode(store_standin::mode::up);
+        for (auto const& backend : backends_)
+        {
+            backend->set_fault(backend_fault::none);
+            backend->announce("ready");
+        }
+    }
+
+    // After the last fault every instance serves every kind of request again.
+    void check_settled()
+    {
+        auto const limit = clock::now() + settle_time;
+        for (auto const& edge : edges_)
+        {
+            for (char const* const path : {"/once/s", "/again/s", "/stream/s"})
+            {
+                bool served = false;
+                while (!served && clock::now() < limit)
+                {
+                    auto const answer = send(*edge, path, std::string(path) == "/stream/s" ? "m3" : "");
+                    served = answer && answer->status == 200;
+                }
+                check(served, std::string(path) + " is not served after the faults; " + history_);
+            }
+        }
+    }
+
+    void call_on(unsigned number)
+    {
+        random_source random(seed_ * 1000 + number);
+        while (!stopping_)
+        {
+            edge_child const& edge = *edges_[random.below(edges_.size())];
+            char const* const paths[] = {"/once/1", "/again/1", "/stream/1", "/stream-once/1"};
+            auto const kind = random.below(4);
+            (void)send(edge, paths[kind], kind >= 2 ? "m" + std::to_string(random.below(6)) : "");
+            std::this_thread::sleep_for(milliseconds{random.below(30)});
+        }
+    }
+
+    std::optional<http_answer> send(edge_child const& edge, std::string const& path, std::string const& model)
+    {
+        std::string const id = "s" + std::to_string(seed_) + "-" + std::to_string(++next_id_);
+        bool const stream = !model.empty();
+        bool const get = path.rfind("/again/", 0) == 0;
+        std::map<std::string, std::string> headers{{"Deadline-Ms", "4000"}};
+        if (stream)
+        {
+            headers["Model"] = model;
+        }
+        auto const answer = edge.call(get ? "GET" : "POST", path, id, headers);
+        int const status = answer ? answer->status : 0;
+        bool const once = path.rfind("/once/", 0) == 0 || path.rfind("/stream-once/", 0) == 0;
+        {
+            std::lock_guard<std::mutex> const lock(mutex_);
+            records_[id] = {once, status};
+        }
+        if (status == 200)
+        {
+            ++served_;
+            check(stream ? events_in_order(answer->body, id)
+                         : !answer->whole || answer->body == "body of " + id,
+                  id + " got another body: " + answer->body);
+        }
+        return answer;
+    }
+
+    // Events count up from one, and each is this request's own.
+    static bool events_in_order(std::string const& body, std::string const& id)
+    {
+        unsigned expected = 1;
+        for (std::size_t at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1))
+        {
+            std::string const event = "id: " + std::to_string(expected++) + "\ndata: " + id + "\n\n";
+            if (body.compare(at, event.size(), event) != 0)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void check_promises()
+    {
+        std::map<std::string, unsigned> runs;
+        for (auto const& backend : backends_)
+        {
+            for (auto const& [id, count] : backend->runs())
+            {
+                runs[id] += count;
+            }
+            check(!backend->overloaded(), "an engine was ordered to load more than it holds");
+            check_holders(backend->orders());
+        }
+        for (auto const& [id, record] : records_)
+        {
+            unsigned const count = runs[id];
+            check(!record.once || count <= 1, id + " ran " + std::to_string(count) + " times; " + history_);
+            check(!record.once || record.status != 503 || count == 0,
+                  id + " was refused and has run; " + history_);
+            check(record.status != 404 && record.status != 400,
+                  id + " got " + std::to_string(record.status) + "; " + history_);
+        }
+        check(served_ > 0, "nothing was served");
+    }
+
+    // Orders of two holders lie apart, and the epoch never falls.
+    void check_holders(std::vector<order_mark> const& orders)
+    {
+        for (std::size_t i = 1; i < orders.size(); ++i)
+        {
+            order_mark const& before = orders[i - 1];
+            order_mark const& after = orders[i];
+            bool const apart = after.at - before.at >= milliseconds{holder_gap_ms} - order_slack;
+            check(before.holder == after.holder || apart, "two holders take turns; " + history_);
+            check(after.epoch >= before.epoch, "the epoch falls; " + history_);
+        }
+    }
+
+    std::uint64_t const seed_;
+    random_source faults_;
+    store_standin store_;
+    std::vector<std::unique_ptr<backend_standin>> backends_ = make_backends(store_);
+    std::vector<std::unique_ptr<edge_child>> edges_;
+    std::mutex mutex_;
+    std::map<std::string, caller_record> records_;
+    std::atomic<std::uint64_t> next_id_{0};
+    std::atomic<unsigned> served_{0};
+    std::atomic<bool> stopping_{false};
+    std::atomic<bool> ok_{true};
+    std::uint64_t config_version_ = 1;
+    std::string history_;
+
+    static std::vector<std::unique_ptr<backend_standin>> make_backends(store_standin& store)
+    {
+        std::vector<std::unique_ptr<backend_standin>> made;
+        made.push_back(std::make_unique<backend_standin>(store, "p1", "plain"));
+        made.push_back(std::make_unique<backend_standin>(store, "p2", "plain"));
+        for (int i = 0; i < 3; ++i)
+        {
+            made.push_back(std::make_unique<backend_standin>(store, "e" + std::to_string(i), "llm",
+                                                             std::set<std::string>{"m" + std::to_string(i)}));
+        }
+        return made;
+    }
+};
+
+} // namespace
+
+} // namespace siskinusher::standins
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(
+        "siskin-edge processes under randomised faults; ends with 1 when a promise is broken");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    bool ok = true;
+    for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_seeds; ++seed)
+    {
+        siskinusher::standins::soak_run run(seed);
+        ok = run.run() && ok;
+        std::fflush(stdout);
+    }
+    return ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,184 @@
+#include "platform/backend_entry_codec.hpp"
+#include "platform/lease_record_codec.hpp"
+#include "platform/order_codec.hpp"
+#include "platform/request_codec.hpp"
+#include "platform/serving_config_codec.hpp"
+#include "tests/wire/backend_standin.hpp"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+using namespace siskinusher;
+using namespace siskinusher::platform;
+using nlohmann::json;
+
+namespace
+{
+
+json entry()
+{
+    return {{"service", "llm"},
+            {"address", "10.0.0.1:80"},
+            {"zone", "z"},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"seq", 41},
+            {"models", {{{"name", "m"}, {"version", 1}, {"adapters", {"a1"}}}}},
+            {"at_hand", {{"in_memory", {"m"}}, {"on_disk", {"m", "n"}}}},
+            {"born", 1700000000000}};
+}
+
+bool contains(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a foreign or damaged entry being used as a server, or ending the process.
+Test(backend_entry_codec, unusable_entries_name_no_server)
+{
+    cr_assert(decode_backend_entry("e", entry()).has_value());
+    for (char const* const field : {"service", "address", "zone", "slots", "state"})
+    {
+        json missing = entry();
+        missing.erase(field);
+        cr_assert_not(decode_backend_entry("e", missing).has_value(), "without %s", field);
+        json wrong = entry();
+        wrong[field] = json::array({1, "x"});
+        cr_assert_not(decode_backend_entry("e", wrong).has_value(), "wrong %s", field);
+    }
+    json unknown = entry();
+    unknown["state"] = "resting";
+    cr_assert_not(decode_backend_entry("e", unknown).has_value());
+    for (json const& value : {json(), json(3), json("text"), json::array(), json::object()})
+    {
+        cr_assert_not(decode_backend_entry("e", value).has_value());
+    }
+}
+
+// Guards against the entry's heartbeat count being taken for the number of orders (264 orders were refused).
+Test(backend_entry_codec, order_count_comes_from_the_report)
+{
+    auto const report = decode_engine_report(
+        "e", R"({"models":[{"name":"m","adapters":["a1"]}],"busy":true,"seq":3,"coming":["m/a7@1"]})");
+    cr_assert(report.has_value());
+    cr_assert_eq(report->order_sequence, 3);
+    cr_assert(report->busy);
+    cr_assert_eq(report->models[0].adapters.size(), 2); // An adapter on its way takes a place.
+    cr_assert_not(decode_engine_report("e", "{\"models\":[]}").has_value());
+    cr_assert_not(decode_engine_report("e", "\xff{").has_value());
+}
+
+// Guards against half a configuration: a text with a route that cannot be read is not taken at all.
+Test(serving_config_codec, unreadable_parts_make_the_whole_invalid)
+{
+    std::string why;
+    json const good = standins::example_config(7);
+    auto const config = decode_serving_config(good, why);
+    cr_assert(config.has_value(), "%s", why.c_str());
+    cr_assert_eq(config->version, 7);
+    cr_assert(config->routes[0].repeat == repeat_rule::once);
+    cr_assert(config->routes[1].repeat == repeat_rule::idempotent);
+    cr_assert(config->routes[2].repeat == repeat_rule::resumable_stream);
+    cr_assert(config->routes[3].repeat == repeat_rule::once);
+    for (char const* const field : {"host", "path_prefix", "route_kind", "timeout_ms"})
+    {
+        json bad = good;
+        bad["routes"][1].erase(field);
+        cr_assert_not(decode_serving_config(bad, why).has_value(), "without %s", field);
+        cr_assert_not(why.empty());
+    }
+    json unknown = good;
+    unknown["routes"][0]["route_kind"] = "whenever";
+    cr_assert_not(decode_serving_config(unknown, why).has_value());
+    cr_assert_not(decode_serving_config(json(), why).has_value());
+}
+
+// Guards against headers that only the system may set reaching a server from a caller, and against a caller's
+// deadline being passed on instead of what is left.
+Test(request_codec, system_headers_of_callers_are_dropped)
+{
+    Poco::Net::HTTPRequest head("POST", "/a/b?c=d", "HTTP/1.1");
+    for (char const* const name :
+         {"Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Request-Priority", "Expect-Instance"})
+    {
+        head.set(name, "callers-own");
+    }
+    head.set("Attempt-Id", "r1");
+    head.set("Model", "m/a2");
+    head.set("Prompt-Prefix", "5c:800,91:10");
+    head.set("Deadline-Ms", "2000");
+    head.set("Connection", "X-Hop");
+    head.set("X-Hop", "1");
+    head.set("X-Kept", "2");
+    caller_request const request = decode_request(head);
+    cr_assert_eq(request.model, "m");
+    cr_assert_eq(request.adapter, "a2");
+    cr_assert_eq(request.prompt.size(), 2);
+    cr_assert(request.time_allowed == duration(milliseconds{2000}));
+    attempt_headers headers;
+    headers.time_left = milliseconds{1500};
+    headers.backend = "i-1";
+    std::string const text = encode_attempt(request, "xyz", headers);
+    cr_assert_not(contains(text, "callers-own"));
+    cr_assert_not(contains(text, "X-Hop: 1"));
+    cr_assert(contains(text, "POST /a/b?c=d HTTP/1.1\r\n"));
+    cr_assert(contains(text, "X-Kept: 2\r\n"));
+    cr_assert(contains(text, "Attempt-Id: r1\r\n"));
+    cr_assert(contains(text, "Deadline-Ms: 1500\r\n"));
+    cr_assert(contains(text, "Expect-Instance: i-1\r\n"));
+    cr_assert(contains(text, "Content-Length: 3\r\n\r\nxyz"));
+}
+
+// Guards against an answer of another request, or one that did not run, being taken for this request's.
+Test(request_codec, answers_are_told_apart)
+{
+    Poco::Net::HTTPResponse head(Poco::Net::HTTPResponse::HTTP_OK);
+    head.set("Attempt-Id", "r2");
+    cr_assert(decode_answer(head, "r1", "i-1").other_request);
+    cr_assert_not(decode_answer(head, "r2", "i-1").signed_answer);
+    Poco::Net::HTTPResponse full(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    cr_assert_not(decode_answer(full, "r1", "i-1").not_run);
+    full.set("Not-Executed", "1");
+    cr_assert(decode_answer(full, "r1", "i-1").not_run);
+    Poco::Net::HTTPResponse misdirected(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(421));
+    misdirected.set("Instance-Id", "i-2");
+    cr_assert(decode_answer(misdirected, "r1", "i-1").not_run);
+    cr_assert(decode_answer(misdirected, "r1", "i-1").other_server);
+    Poco::Net::HTTPResponse odd(Poco::Net::HTTPResponse::HTTP_OK);
+    odd.set("Server-Load", "none");
+    cr_assert_not(decode_answer(odd, "r1", "i-1").load.has_value());
+}
+
+// Guards against an order whose fate is unknown being taken for refused, and the other way round.
+Test(order_codec, unclear_outcomes_stay_unclear)
+{
+    auto const result = [](int status, bool sent)
+    {
+        http_outcome outcome;
+        outcome.status = status;
+        outcome.sent = sent;
+        return decode_order_outcome(outcome);
+    };
+    cr_assert(result(202, true) == rotation_result::accepted);
+    cr_assert(result(409, true) == rotation_result::conflict);
+    cr_assert(result(0, false) == rotation_result::not_sent);
+    cr_assert(result(0, true) == rotation_result::unknown);
+    cr_assert(result(500, true) == rotation_result::unknown);
+}
+
+// Guards against a lease record of another writer being read as a holder.
+Test(lease_record_codec, foreign_objects_are_not_records)
+{
+    order_lease_record const record{"n@a:1", "a:1", 4, 9, "key"};
+    auto const back = decode_lease_record(encode_lease_record(record));
+    cr_assert(back.has_value() && *back == record);
+    json foreign = encode_lease_record(record);
+    foreign["epoch"] = "4";
+    cr_assert_not(decode_lease_record(foreign).has_value());
+    cr_assert_not(decode_lease_record(json()).has_value());
+}
--- /dev/null
+++ b/tests/platform/edge_process_test.cpp
@@ -0,0 +1,302 @@
+#include "tests/wire/backend_standin.hpp"
+#include "tests/wire/edge_child.hpp"
+#include "tests/wire/store_standin.hpp"
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <functional>
+#include <future>
+#include <set>
+#include <string>
+#include <thread>
+
+using namespace siskinusher::standins;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A store with a configuration, two plain servers and two engines, and one siskin-edge process.
+struct small_fleet
+{
+    small_fleet()
+    {
+        store.write("config", "main", example_config(1));
+        cr_assert(edge.wait_ready(), "%s", edge.log_text().c_str());
+    }
+
+    store_standin store;
+    backend_standin plain_1{store, "p1", "plain"};
+    backend_standin plain_2{store, "p2", "plain"};
+    backend_standin engine_1{store, "e1", "llm", {"m0"}};
+    backend_standin engine_2{store, "e2", "llm", {"m0"}};
+    edge_child edge{"edge-1", store.address()};
+};
+
+bool eventually(std::function<bool()> const& condition, milliseconds limit = seconds{15})
+{
+    auto const until = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < until)
+    {
+        if (condition())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+    return false;
+}
+
+// Ids of the events in a stream's body.
+std::string event_ids(std::string const& body)
+{
+    std::string ids;
+    for (std::size_t at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1))
+    {
+        ids += body.substr(at + 4, body.find('\n', at) - at - 4) + " ";
+    }
+    return ids;
+}
+
+} // namespace
+
+// Guards against the whole path being broken: routes, answers, streams and unknown paths on a calm day.
+Test(edge_process, serves_a_calm_day)
+{
+    small_fleet fleet;
+    auto const plain = fleet.edge.call("POST", "/once/1", "r1");
+    cr_assert(plain && plain->status == 200);
+    cr_assert_eq(plain->body, "body of r1");
+    cr_assert(plain->headers.count("Server-Stamp") == 1);
+    auto const stream = fleet.edge.call("POST", "/stream/1", "r2", {{"Model", "m0"}});
+    cr_assert(stream && stream->status == 200);
+    cr_assert_eq(event_ids(stream->body), "1 2 3 4 5 6 ");
+    auto const none = fleet.edge.call("GET", "/elsewhere/", "r3");
+    cr_assert(none && none->status == 404);
+    cr_assert_eq(fleet.engine_1.last_head("Hold") + fleet.engine_2.last_head("Hold"), "");
+}
+
+// Guards against a 404 from an instance that knows no configuration yet.
+Test(edge_process, without_a_configuration_it_is_not_ready_and_refuses)
+{
+    store_standin store;
+    edge_child const edge("edge-1", store.address());
+    cr_assert(eventually([&edge] { return edge.call("GET", "/again/1", "r1").has_value(); }));
+    cr_assert_not(edge.ready());
+    auto const refused = edge.call("GET", "/again/1", "r2");
+    cr_assert(refused && refused->status == 503);
+    cr_assert(refused->headers.count("Retry-After") == 1);
+    store.write("config", "main", example_config(1));
+    cr_assert(edge.wait_ready());
+}
+
+// Guards against a debit that runs twice, or is refused as "not run" although it may have run.
+Test(edge_process, lost_answer_of_a_call_is_not_repeated)
+{
+    small_fleet fleet;
+    fleet.plain_1.set_fault(backend_fault::lost_answer);
+    fleet.plain_2.set_fault(backend_fault::lost_answer);
+    auto const answer = fleet.edge.call("POST", "/once/1", "r1");
+    cr_assert(answer && (answer->status == 502 || answer->status == 504));
+    cr_assert_eq(fleet.plain_1.total_runs() + fleet.plain_2.total_runs(), 1);
+}
+
+// Guards against a lookup that fails although another server could answer it.
+Test(edge_process, idempotent_request_is_tried_elsewhere)
+{
+    small_fleet fleet;
+    for (backend_fault const fault : {backend_fault::server_error, backend_fault::lost_answer,
+                                      backend_fault::rejects, backend_fault::other_answer})
+    {
+        fleet.plain_1.set_fault(fault);
+        for (int i = 0; i < 4; ++i)
+        {
+            auto const id = "r" + std::to_string(static_cast<int>(fault)) + "-" + std::to_string(i);
+            auto const answer = fleet.edge.call("GET", "/again/1", id);
+            cr_assert(answer && answer->status == 200, "fault %d", static_cast<int>(fault));
+            cr_assert_eq(answer->body, "body of " + id);
+        }
+    }
+}
+
+// Guards against a refusal of a call that another server would take: a rejection proves that it did not run.
+Test(edge_process, rejected_call_goes_to_another_server)
+{
+    small_fleet fleet;
+    fleet.plain_1.set_fault(backend_fault::rejects);
+    auto const answer = fleet.edge.call("POST", "/once/1", "r1");
+    cr_assert(answer && answer->status == 200);
+    cr_assert_eq(fleet.plain_1.total_runs(), 0);
+    fleet.plain_2.set_fault(backend_fault::rejects);
+    auto const refused = fleet.edge.call("POST", "/once/1", "r2");
+    cr_assert(refused && refused->status == 503);
+    cr_assert(refused->headers.count("Retry-After") == 1);
+    cr_assert_eq(fleet.plain_1.runs()["r2"] + fleet.plain_2.runs()["r2"], 0);
+}
+
+// Guards against missing or doubled events when an engine stops in the middle of an event.
+Test(edge_process, broken_stream_goes_on_at_another_engine)
+{
+    small_fleet fleet;
+    fleet.engine_1.set_fault(backend_fault::breaks_stream);
+    for (int i = 0; i < 3; ++i)
+    {
+        auto const stream = fleet.edge.call("POST", "/stream/1", "r" + std::to_string(i), {{"Model", "m0"}});
+        cr_assert(stream.has_value());
+        cr_assert_eq(event_ids(stream->body), "1 2 3 4 5 6 ");
+    }
+    auto const resumed =
+        fleet.edge.call("POST", "/stream/1", "r9", {{"Model", "m0"}, {"Last-Event-Id", "4"}});
+    cr_assert(resumed.has_value());
+    cr_assert_eq(event_ids(resumed->body), "5 6 ");
+}
+
+// Guards against a model that never comes up, and against orders of two holders.
+Test(edge_process, missing_model_is_loaded)
+{
+    small_fleet fleet;
+    edge_child const second("edge-2", fleet.store.address());
+    cr_assert(second.wait_ready());
+    for (int i = 1; i < 5; ++i)
+    {
+        auto const model = "m" + std::to_string(i);
+        cr_assert(eventually(
+            [&]
+            {
+                auto const answer = (i % 2 == 0 ? second : fleet.edge)
+                                        .call("POST", "/stream/1", "r" + model, {{"Model", model}});
+                return answer && answer->status == 200;
+            }));
+    }
+    cr_assert_not(fleet.engine_1.overloaded());
+    cr_assert_not(fleet.engine_2.overloaded());
+    std::set<std::string> holders;
+    for (backend_standin* const engine : {&fleet.engine_1, &fleet.engine_2})
+    {
+        for (order_mark const& mark : engine->orders())
+        {
+            holders.insert(mark.holder);
+        }
+    }
+    cr_assert_eq(holders.size(), 1);
+}
+
+// Guards against new work for a server that leaves.
+Test(edge_process, leaving_server_gets_nothing_new)
+{
+    small_fleet fleet;
+    fleet.plain_1.announce("draining");
+    std::this_thread::sleep_for(milliseconds{2500});
+    unsigned const before = fleet.plain_1.total_runs();
+    for (int i = 0; i < 8; ++i)
+    {
+        cr_assert(fleet.edge.call("POST", "/once/1", "r" + std::to_string(i))->status == 200);
+    }
+    cr_assert_eq(fleet.plain_1.total_runs(), before);
+}
+
+// Guards against a request that a stopping process cuts or leaves without an answer, and against new callers
+// being led to it.
+Test(edge_process, sigterm_finishes_what_was_accepted)
+{
+    small_fleet fleet;
+    fleet.plain_1.set_work(milliseconds{1500});
+    fleet.plain_2.set_work(milliseconds{1500});
+    auto slow =
+        std::async(std::launch::async, [&fleet] { return fleet.edge.call("POST", "/once/1", "slow"); });
+    cr_assert(eventually([&fleet] { return fleet.plain_1.total_runs() + fleet.plain_2.total_runs() == 1; }));
+    fleet.edge.process().send(SIGTERM);
+    cr_assert(eventually([&fleet] { return !fleet.edge.ready(); }, seconds{2}));
+    auto const answer = slow.get();
+    cr_assert(answer && answer->status == 200);
+    cr_assert_eq(answer->headers.at("Connection"), "close");
+    cr_assert(fleet.edge.process().wait(seconds{9}));
+    cr_assert_eq(fleet.edge.process().exit_code(), 0);
+}
+
+// Guards against SIGHUP ending the process, and against a broken settings file taking effect.
+Test(edge_process, sighup_keeps_serving)
+{
+    small_fleet fleet;
+    for (int i = 0; i < 3; ++i)
+    {
+        fleet.edge.process().send(SIGHUP);
+        auto const answer = fleet.edge.call("POST", "/once/1", "r" + std::to_string(i));
+        cr_assert(answer && answer->status == 200);
+    }
+    cr_assert(
+        eventually([&fleet] { return fleet.edge.log_text().find("event=reload") != std::string::npos; }));
+}
+
+// Guards against an outage of the store stopping what is known to work, and against a configuration that
+// falls back or is missed when the store forgets its history.
+Test(edge_process, store_outage_and_lost_history)
+{
+    small_fleet fleet;
+    for (store_standin::mode const mode : {store_standin::mode::busy, store_standin::mode::silent})
+    {
+        fleet.store.set_mode(mode);
+        std::this_thread::sleep_for(milliseconds{600});
+        cr_assert(fleet.edge.call("POST", "/once/1", "r" + std::to_string(static_cast<int>(mode)))->status ==
+                  200);
+        cr_assert(fleet.edge.ready());
+        fleet.store.set_mode(store_standin::mode::up);
+    }
+    auto changed = example_config(5);
+    changed["routes"][0]["path_prefix"] = "/new/";
+    fleet.store.forget_history();
+    fleet.store.write("config", "main", changed);
+    cr_assert(
+        eventually([&fleet] { return fleet.edge.call("POST", "/new/1", "n")->status == 200; }, seconds{3}));
+    fleet.store.write("config", "main", example_config(4));
+    std::this_thread::sleep_for(milliseconds{500});
+    cr_assert_eq(fleet.edge.call("POST", "/new/1", "n2")->status, 200);
+}
+
+// Guards against a foreign entry or configuration ending the process or replacing what is known.
+Test(edge_process, unreadable_objects_are_ignored)
+{
+    small_fleet fleet;
+    fleet.store.write("servers", "odd", {{"service", 7}, {"address", nlohmann::json::array()}});
+    fleet.store.write("servers", "odd2", "text");
+    fleet.store.write("config", "main", {{"version", 9}, {"routes", "none"}});
+    fleet.store.write("config", "other", example_config(99));
+    cr_assert(eventually(
+        [&fleet] { return fleet.edge.log_text().find("event=config_ignored") != std::string::npos; }));
+    cr_assert_eq(fleet.edge.call("POST", "/once/1", "r1")->status, 200);
+}
+
+// Guards against engines that work on for a caller that has left.
+Test(edge_process, work_ends_when_the_caller_leaves)
+{
+    small_fleet fleet;
+    fleet.engine_1.set_events(1000);
+    fleet.engine_2.set_events(1000);
+    fleet.engine_1.set_work(milliseconds{300});
+    fleet.engine_2.set_work(milliseconds{300});
+    // The caller gives up before the first event.
+    (void)http_call(fleet.edge.callers(), "POST", "/stream-once/1", "body",
+                    {{"Host", "h"}, {"Attempt-Id", "r1"}, {"Model", "m0"}}, milliseconds{120});
+    cr_assert_eq(fleet.engine_1.total_runs() + fleet.engine_2.total_runs(), 1);
+    cr_assert(eventually([&fleet] { return fleet.engine_1.cancelled() + fleet.engine_2.cancelled() == 1; },
+                         seconds{3}));
+}
+
+// Guards against bad input being passed on, or ending the process.
+Test(edge_process, bad_requests_get_a_clear_error)
+{
+    small_fleet fleet;
+    auto const with = [&fleet](std::map<std::string, std::string> const& headers)
+    { return fleet.edge.call("POST", "/once/1", "r", headers); };
+    cr_assert_eq(with({{"X-Large", std::string(20000, 'x')}})->status, 431);
+    auto const large = http_call(fleet.edge.callers(), "POST", "/once/1", std::string(200000, 'x'),
+                                 {{"Host", "h"}, {"Attempt-Id", "r"}});
+    cr_assert(!large || large->status == 413);
+    auto const without_id = http_call(fleet.edge.callers(), "POST", "/once/1", "x", {{"Host", "h"}});
+    cr_assert(without_id && without_id->status == 400);
+    cr_assert_eq(fleet.plain_1.total_runs() + fleet.plain_2.total_runs(), 0);
+    cr_assert_eq(fleet.edge.call("POST", "/once/1", "fine")->status, 200);
+}
--- a/tests/standins/child_process.cpp
+++ b/tests/standins/child_process.cpp
@@ -22,14 +22,6 @@
 std::mutex children_mutex;
 std::set<pid_t> children; ///< Started and not collected; an id in here cannot belong to another process.
 
-std::string own_folder()
-{
-    char path[4096];
-    auto const size = ::readlink("/proc/self/exe", path, sizeof path);
-    std::string const program(path, size > 0 ? static_cast<std::size_t>(size) : 0);
-    return program.substr(0, program.rfind('/'));
-}
-
 /// File actions and attributes of posix_spawn, released on every way out.
 struct spawn_options
 {
@@ -64,7 +56,7 @@
 child_process::child_process(std::string name, std::vector<std::string> const& command, std::string log)
     : name_(std::move(name)), log_(std::move(log))
 {
-    std::vector<std::string> all{own_folder() + "/standin-launch"};
+    std::vector<std::string> all{program_folder() + "/standin-launch"};
     all.insert(all.end(), command.begin(), command.end());
     std::vector<char*> arguments;
     arguments.reserve(all.size() + 1);
@@ -136,6 +128,14 @@
     wait(std::chrono::seconds{5});
 }
 
+std::string program_folder()
+{
+    char path[4096];
+    auto const size = ::readlink("/proc/self/exe", path, sizeof path);
+    std::string const program(path, size > 0 ? static_cast<std::size_t>(size) : 0);
+    return program.substr(0, program.rfind('/'));
+}
+
 void kill_all_children()
 {
     std::lock_guard<std::mutex> const lock(children_mutex);
--- a/tests/standins/child_process.hpp
+++ b/tests/standins/child_process.hpp
@@ -44,6 +44,9 @@
     int exit_code_ = -1;
 };
 
+/// Folder of the running program, without a slash at its end.
+std::string program_folder();
+
 /// Ends every process that was started and not collected. For the ways out that run no destructors.
 void kill_all_children();
 
--- /dev/null
+++ b/tests/wire/backend_standin.cpp
@@ -0,0 +1,248 @@
+#include "tests/wire/backend_standin.hpp"
+
+#include <thread>
+#include <utility>
+
+namespace siskinusher::standins
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t model_places = 2;
+
+} // namespace
+
+backend_standin::backend_standin(store_standin& store, std::string name, std::string service,
+                                 std::set<std::string> models)
+    : store_(store), name_(std::move(name)), service_(std::move(service)), engine_(!models.empty()),
+      models_(std::move(models)),
+      server_(
+          "127.0.0.1", 0, [this](http_exchange& exchange) { serve(exchange); }, [](json const&) {})
+{
+    announce();
+}
+
+backend_standin::~backend_standin() = default;
+
+json backend_standin::model_list() const
+{
+    json list = json::array();
+    for (std::string const& model : models_)
+    {
+        list.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
+    }
+    return list;
+}
+
+void backend_standin::announce(std::string const& state)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    json entry{{"service", service_},
+               {"address", server_.address()},
+               {"zone", "here"},
+               {"version", "v1"},
+               {"slots", 8},
+               {"state", state},
+               {"born", 1}};
+    if (engine_)
+    {
+        entry["models"] = model_list();
+        entry["at_hand"] = {{"in_memory", json::array()}, {"on_disk", json::array({"m0", "m1", "m2"})}};
+    }
+    lock.unlock();
+    store_.write("servers", name_, entry);
+}
+
+std::map<std::string, unsigned> backend_standin::runs()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return runs_;
+}
+
+unsigned backend_standin::total_runs()
+{
+    unsigned sum = 0;
+    for (auto const& [id, count] : runs())
+    {
+        sum += count;
+    }
+    return sum;
+}
+
+std::set<std::string> backend_standin::models()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return models_;
+}
+
+std::vector<order_mark> backend_standin::orders()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return orders_;
+}
+
+std::string backend_standin::last_head(std::string const& header)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return last_heads_[header];
+}
+
+void backend_standin::serve(http_exchange& exchange)
+{
+    if (exchange.path() == "/api/order")
+    {
+        take_order(exchange);
+        return;
+    }
+    if (exchange.path() == "/api/report")
+    {
+        report(exchange);
+        return;
+    }
+    std::string const id = exchange.header("Attempt-Id");
+    std::string const model = exchange.header("Model");
+    backend_fault const fault = fault_;
+    exchange.set_header("Attempt-Id", fault == backend_fault::other_answer ? "another" : id);
+    exchange.set_header("Server-Load", "1,0,8");
+    std::unique_lock<std::mutex> lock(mutex_);
+    for (char const* const header : {"Deadline-Ms", "Expect-Instance", "Hold", "Last-Event-Id"})
+    {
+        last_heads_[header] = exchange.header(header);
+    }
+    bool const absent = !model.empty() && models_.count(model) == 0;
+    bool const misdirected = exchange.header("Expect-Instance") != name_;
+    if (absent || misdirected || fault == backend_fault::rejects || exchange.header("Hold") == "mine")
+    {
+        lock.unlock();
+        exchange.set_header("Instance-Id", name_);
+        exchange.set_header("Not-Executed", "1");
+        exchange.reply(absent || misdirected ? 421 : 503, "");
+        return;
+    }
+    ++runs_[id];
+    lock.unlock();
+    std::this_thread::sleep_for(std::chrono::milliseconds{work_ms_});
+    exchange.set_header("Server-Stamp", name_ + "." + id);
+    if (fault == backend_fault::lost_answer)
+    {
+        exchange.abort();
+        return;
+    }
+    if (engine_ && fault != backend_fault::server_error)
+    {
+        stream(exchange, id, fault);
+        return;
+    }
+    exchange.reply(fault == backend_fault::server_error ? 500 : 200, "body of " + id, "text/plain");
+}
+
+void backend_standin::stream(http_exchange& exchange, std::string const& id, backend_fault fault)
+{
+    std::string const after = exchange.header("Last-Event-Id");
+    unsigned const first = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
+    exchange.begin_stream();
+    for (unsigned event = first; event <= events_; ++event)
+    {
+        std::string const text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+        bool const breaks = fault == backend_fault::breaks_stream && event == first + 2;
+        if (!exchange.send_piece(breaks ? text.substr(0, 6) : text))
+        {
+            ++cancelled_;
+            return;
+        }
+        if (breaks)
+        {
+            exchange.abort();
+            return;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{work_ms_});
+        if (exchange.peer_closed())
+        {
+            ++cancelled_;
+            return;
+        }
+    }
+}
+
+void backend_standin::take_order(http_exchange& exchange)
+{
+    json const order = json::parse(exchange.body());
+    std::unique_lock<std::mutex> lock(mutex_);
+    orders_.push_back({std::chrono::steady_clock::now(), order["holder"].get<std::string>(),
+                       order["fence"].get<std::uint64_t>()});
+    if (exchange.header("Expect-Instance") != name_ || order.value("expect", sequence_) != sequence_)
+    {
+        lock.unlock();
+        exchange.reply(409, "{}");
+        return;
+    }
+    ++sequence_;
+    std::string const model = order["model"].get<std::string>();
+    if (order["op"] == "load")
+    {
+        models_.insert(model);
+        overloaded_ = overloaded_ || models_.size() > model_places;
+    }
+    else
+    {
+        models_.erase(model);
+    }
+    lock.unlock();
+    announce();
+    exchange.reply(202, "{}");
+}
+
+void backend_standin::report(http_exchange& exchange)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    json const body{{"models", model_list()}, {"busy", false}, {"seq", sequence_}};
+    lock.unlock();
+    exchange.reply(200, body.dump());
+}
+
+json example_config(std::uint64_t version)
+{
+    auto const route = [](char const* prefix, char const* kind, char const* service, bool resumable)
+    {
+        return json{{"name", prefix},         {"host", "h"},        {"path_prefix", prefix},
+                    {"route_kind", kind},     {"service", service}, {"timeout_ms", 4000},
+                    {"goal_ms", 200},         {"priority", 0},      {"attempts", 2},
+                    {"resumable", resumable}, {"gap_aim_ms", 250}};
+    };
+    json models = json::array();
+    for (int i = 0; i < 6; ++i)
+    {
+        models.push_back({{"name", "m" + std::to_string(i)},
+                          {"weights_mb", 1000},
+                          {"load_s", 0.3},
+                          {"disk_s", 0.1},
+                          {"warm_s", 0.05},
+                          {"adapters", 0},
+                          {"adapter_mb", 0}});
+    }
+    return {
+        {"version", version},
+        {"routes",
+         {route("/once/", "non_idempotent", "plain", false), route("/again/", "idempotent", "plain", false),
+          route("/stream/", "streaming", "llm", true), route("/stream-once/", "streaming", "llm", false)}},
+        {"services",
+         {{{"name", "plain"}, {"max_conns", 100}},
+          {{"name", "llm"},
+           {"max_conns", 100},
+           {"engine",
+            {{"slots", 8},
+             {"weights_mb", 2500},
+             {"adapter_slots", 2},
+             {"loads_per_s", 50},
+             {"models", models}}}}}},
+        {"limits",
+         {{"max_header_bytes", 16384},
+          {"max_body_bytes", 100000},
+          {"header_timeout_ms", 1000},
+          {"idle_timeout_ms", 3000}}}};
+}
+
+} // namespace siskinusher::standins
--- /dev/null
+++ b/tests/wire/backend_standin.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "tests/standins/http_server.hpp"
+#include "tests/wire/store_standin.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace siskinusher::standins
+{
+
+/// How a backend stand-in treats the requests that it runs.
+enum class backend_fault
+{
+    none,
+    server_error,  ///< Runs and answers 500.
+    lost_answer,   ///< Runs and closes without an answer.
+    rejects,       ///< Answers 503 as full, without running.
+    other_answer,  ///< Answers with another request's id.
+    breaks_stream, ///< Closes in the middle of a stream's third event.
+};
+
+/// An order that a backend stand-in has received, accepted or not.
+struct order_mark
+{
+    std::chrono::steady_clock::time_point at;
+    std::string holder;
+    std::uint64_t epoch = 0;
+};
+
+/// Stand-in for one backend server, an engine when it is given models: it writes its entry, runs requests,
+/// streams events with ids, and takes orders with a sequence.
+class backend_standin
+{
+public:
+    backend_standin(store_standin& store, std::string name, std::string service,
+                    std::set<std::string> models = {});
+    ~backend_standin();
+    backend_standin(backend_standin const&) = delete;
+    backend_standin& operator=(backend_standin const&) = delete;
+
+    void announce(std::string const& state = "ready");
+    void set_fault(backend_fault value) { fault_ = value; }
+    void set_work(std::chrono::milliseconds value) { work_ms_ = value.count(); }
+    void set_events(unsigned count) { events_ = count; }
+
+    /// How often each request id has run here.
+    std::map<std::string, unsigned> runs();
+    unsigned total_runs();
+    unsigned cancelled() const { return cancelled_; }
+    std::set<std::string> models();
+    std::vector<order_mark> orders(); ///< In the order of their arrival.
+    bool overloaded() const { return overloaded_; }
+    std::string last_head(std::string const& header);
+
+private:
+    void serve(http_exchange& exchange);
+    void stream(http_exchange& exchange, std::string const& id, backend_fault fault);
+    void take_order(http_exchange& exchange);
+    void report(http_exchange& exchange);
+    nlohmann::json model_list() const;
+
+    store_standin& store_;
+    std::string const name_;
+    std::string const service_;
+    bool const engine_;
+    std::mutex mutex_;
+    std::set<std::string> models_;
+    std::map<std::string, unsigned> runs_;
+    std::vector<order_mark> orders_;
+    std::map<std::string, std::string> last_heads_;
+    std::uint64_t sequence_ = 0;
+    std::atomic<backend_fault> fault_{backend_fault::none};
+    std::atomic<std::int64_t> work_ms_{1};
+    std::atomic<unsigned> events_{6};
+    std::atomic<unsigned> cancelled_{0};
+    std::atomic<bool> overloaded_{false};
+    http_server server_;
+};
+
+/// A configuration with the plain routes /once/ and /again/ (host "h") of the service "plain", and the
+/// streaming routes /stream/ (resumable) and /stream-once/ of the service "llm" with models m0 to m5.
+nlohmann::json example_config(std::uint64_t version);
+
+} // namespace siskinusher::standins
--- /dev/null
+++ b/tests/wire/edge_child.cpp
@@ -0,0 +1,121 @@
+#include "tests/wire/edge_child.hpp"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace siskinusher::standins
+{
+
+namespace
+{
+
+std::string make_folder()
+{
+    std::string pattern = "/tmp/siskin-edge-XXXXXX";
+    if (::mkdtemp(pattern.data()) == nullptr)
+    {
+        throw std::runtime_error("no folder for " + pattern);
+    }
+    return pattern;
+}
+
+// Ports that are free now; they are chosen together, so that they differ.
+std::vector<std::string> free_addresses(std::size_t count)
+{
+    std::vector<std::unique_ptr<Poco::Net::ServerSocket>> sockets;
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        sockets.push_back(
+            std::make_unique<Poco::Net::ServerSocket>(Poco::Net::SocketAddress("127.0.0.1", 0)));
+        addresses.push_back(sockets.back()->address().toString());
+    }
+    return addresses;
+}
+
+} // namespace
+
+edge_child::edge_child(std::string name, std::string store_address, unsigned gap_ms)
+    : name_(std::move(name)), folder_(make_folder())
+{
+    auto const addresses = free_addresses(3);
+    callers_ = addresses[0];
+    readiness_ = addresses[1];
+    std::ofstream settings(folder_ + "/settings.yaml");
+    settings << "instance: { name: " << name_ << ", data_centre: here, region: r1 }\n"
+             << "data_centres:\n  - { name: here, region: r1 }\n"
+             << "listen: { callers: \"" << callers_ << "\", readiness: \"" << readiness_ << "\", peers: \""
+             << addresses[2] << "\" }\n"
+             << "platform: { object_store: \"" << store_address << "\", leaving_ms: 2500 }\n"
+             << "retries: { ratio: 0.2, window_s: 10, slack: 640 }\n"
+             << "orders: { holder_gap_ms: " << gap_ms << ", load_window_s: 5 }\n"
+             << "limits: { stop_s: 8, descriptors: 2000 }\n";
+    settings.close();
+    start();
+}
+
+edge_child::~edge_child()
+{
+    process_.reset();
+    for (char const* const file : {"/settings.yaml", "/log"})
+    {
+        (void)std::remove((folder_ + file).c_str());
+    }
+    (void)std::remove(folder_.c_str());
+}
+
+void edge_child::start()
+{
+    process_ =
+        std::make_unique<child_process>(name_,
+                                        std::vector<std::string>{program_folder() + "/../siskin-edge",
+                                                                 "--settings", folder_ + "/settings.yaml"},
+                                        folder_ + "/log");
+}
+
+bool edge_child::ready() const
+{
+    auto const answer = http_call(readiness_, "GET", "/api/readiness", {}, {}, std::chrono::seconds{1});
+    return answer && answer->status == 200;
+}
+
+bool edge_child::wait_ready(std::chrono::milliseconds time) const
+{
+    auto const until = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < until)
+    {
+        if (ready())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+    return false;
+}
+
+std::string edge_child::log_text() const
+{
+    std::ifstream in(folder_ + "/log");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+std::optional<http_answer> edge_child::call(std::string const& method, std::string const& path,
+                                            std::string const& id,
+                                            std::map<std::string, std::string> headers) const
+{
+    headers["Host"] = "h";
+    headers["Attempt-Id"] = id;
+    return http_call(callers_, method, path, method == "POST" ? "body" : "", headers,
+                     std::chrono::seconds{8});
+}
+
+} // namespace siskinusher::standins
--- /dev/null
+++ b/tests/wire/store_standin.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "tests/standins/http_server.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace siskinusher::standins
+{
+
+/// Stand-in for the platform's metadata store: lists, watches, conditional writes and outages.
+class store_standin
+{
+public:
+    enum class mode
+    {
+        up,
+        busy,   ///< Answers 503.
+        silent, ///< Answers nothing.
+    };
+
+    store_standin();
+    ~store_standin();
+    store_standin(store_standin const&) = delete;
+    store_standin& operator=(store_standin const&) = delete;
+
+    std::string address() const { return server_.address(); }
+
+    /// What the operator and the servers write.
+    void write(std::string const& kind, std::string const& name, nlohmann::json const& spec);
+    void remove(std::string const& kind, std::string const& name);
+    void set_mode(mode value);
+    /// Drops the history, so that every watch of an older revision is answered 410.
+    void forget_history();
+    nlohmann::json spec_of(std::string const& kind, std::string const& name);
+
+private:
+    struct object
+    {
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        nlohmann::json spec;
+    };
+    struct change
+    {
+        std::uint64_t revision = 0;
+        std::string kind;
+        nlohmann::json event;
+    };
+
+    void serve(http_exchange& exchange);
+    void list(http_exchange& exchange, std::string const& kind);
+    void watch(http_exchange& exchange, std::string const& kind);
+    void put(http_exchange& exchange, std::string const& kind, std::string const& name, bool create);
+    nlohmann::json encode(std::string const& name, object const& value) const;
+    void record(std::string const& kind, std::string const& name, object const& value, bool deleted);
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, std::map<std::string, object>> kinds_;
+    std::deque<change> history_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t forgotten_ = 0; ///< Changes up to this revision are no longer known.
+    mode mode_{mode::up};
+    bool stopping_ = false;
+    http_server server_;
+};
+
+} // namespace siskinusher::standins
