--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -31,6 +31,8 @@
 constexpr duration least_silence = milliseconds{500};
 // A stream that may be resumed and has stopped for so many of its longest pauses goes on elsewhere.
 constexpr double stalled_pauses = 3.0;
+// Shorter pauses, as shares of the longest one allowed, are those of a healthy batch.
+constexpr double notable_pause = 0.4;
 // The final answer is due at the route's time limit; this is kept for sending it.
 constexpr duration answer_margin = milliseconds{30};
 constexpr duration unconfigured_retry_after = seconds{1};
@@ -377,6 +379,26 @@
                        resumable && open->answer_begun ? std::max(stalled, least_silence) : duration{0});
     }
 
+    // Tells the dispatcher how the server's stream goes on.
+    void note_pause(open_exchange& open, steady_time now)
+    {
+        if (open.last_event_at <= open.sent_at)
+        {
+            requests.on_first_event(open.number);
+            return;
+        }
+        duration const pause = now - open.last_event_at;
+        open.longest_pause = std::max(open.longest_pause, pause);
+        if (open.route.pause_limit > duration{0})
+        {
+            double const share = std::chrono::duration<double>(pause) / open.route.pause_limit;
+            if (share >= notable_pause)
+            {
+                requests.on_pause(now, open.target.backend, share);
+            }
+        }
+    }
+
     // False when the event does not follow the last one.
     bool pass_on(open_pointer const& open, stream_event const& event)
     {
@@ -399,10 +421,7 @@
             open->caller->begin(open->facts->status, open->facts->header_lines);
         }
         steady_time const now = boot_now();
-        if (open->last_event_at != steady_time{})
-        {
-            open->longest_pause = std::max<duration>(open->longest_pause, now - open->last_event_at);
-        }
+        note_pause(*open, now);
         open->last_event_at = now;
         open->caller->write(event.bytes);
         return true;
--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -15,6 +15,11 @@
 constexpr duration placement_life = seconds{3};
 constexpr double failure_weight = 0.2;
 constexpr double server_error_weight = 0.1;
+constexpr double pause_weight = 0.3;
+// A stalled stream says no more than one whose pause is four times too long.
+constexpr double longest_pause_share = 4.0;
+// A burst of prompts is read within a second.
+constexpr double pause_memory_s = 1.5;
 // Crashed servers are back after some seconds.
 constexpr double failure_memory_s = 3.0;
 constexpr duration first_avoidance = milliseconds{400};
@@ -139,6 +144,19 @@
     return backend.failure_rate * std::exp(-age / failure_memory_s);
 }
 
+double backend_state_table::pause_level(steady_time now, known_backend const& backend)
+{
+    double const age = std::chrono::duration<double>(now - backend.paused_at).count();
+    return backend.pause_level * std::exp(-age / pause_memory_s);
+}
+
+void backend_state_table::on_pause(steady_time now, known_backend& backend, double share)
+{
+    double const level = pause_level(now, backend);
+    backend.pause_level = level + pause_weight * (std::min(share, longest_pause_share) - level);
+    backend.paused_at = now;
+}
+
 void backend_state_table::on_server_error(steady_time now, known_backend& backend)
 {
     raise_failure_rate(now, backend, server_error_weight);
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -35,6 +35,9 @@
     std::map<placement_key, steady_time> placed_until; ///< The lease holder had it loaded.
     std::map<placement_key, steady_time> leaving_until;
     std::map<placement_key, unsigned> running;
+    double unread_tokens = 0.0; ///< Prompt tokens sent by this instance and not known to be read.
+    double pause_level = 0.0;   ///< Pauses in streams as a share of what is allowed; fades.
+    steady_time paused_at;      ///< Of the last pause.
 };
 
 /// The backend servers that this instance knows, and what its own attempts tell about them.
@@ -60,6 +63,9 @@
     std::vector<backend_name> unreachable(steady_time now) const;
     bool any_of_service(std::string const& service) const;
 
+    /// A stream of the server paused; `share` is the pause as a share of the longest one allowed.
+    static void on_pause(steady_time now, known_backend& backend, double share);
+    static double pause_level(steady_time now, known_backend const& backend);
     /// The failure rate, which fades so that a server that failed is tried again.
     static double failure_rate(steady_time now, known_backend const& backend);
     /// Requests at the server as far as known; a load report counts for two seconds.
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -26,6 +26,8 @@
 constexpr double queued_call_ms = 25.0;
 // A server that fails all its requests costs a retry and its time.
 constexpr double failing_server_ms = 400.0;
+// A server whose streams pause as long as is allowed makes further ones late too.
+constexpr double pausing_server_ms = 60.0;
 // Published prefill speed of the engines, in tokens for each millisecond.
 constexpr double prefill_tokens_per_ms = 38.7;
 // Requests beyond the places that this instance adds to a server's queue.
@@ -89,7 +91,7 @@
         return same ? same_region_ms : other_region_ms;
     }
 
-    double prefill_ms(dispatch_request const& request, backend_name const& backend) const
+    double unread_tokens(dispatch_request const& request, backend_name const& backend) const
     {
         double unread = 0.0;
         bool matching = true;
@@ -99,7 +101,7 @@
             matching = matching && reader != last_reader.end() && reader->second == backend;
             unread += matching ? 0.0 : part.tokens;
         }
-        return unread / prefill_tokens_per_ms;
+        return unread;
     }
 
     double cost_ms(steady_time now, dispatch_request const& request, known_backend const& backend) const
@@ -112,7 +114,8 @@
                                 : in_use * 2.0 + queued * queued_call_ms;
         return distance_ms(backend.entry.data_centre) + load +
                backend_state_table::failure_rate(now, backend) * failing_server_ms +
-               prefill_ms(request, backend.entry.name);
+               (unread_tokens(request, backend.entry.name) + backend.unread_tokens) / prefill_tokens_per_ms +
+               backend_state_table::pause_level(now, backend) * pausing_server_ms;
     }
 
     bool has_place(steady_time now, known_backend const& backend) const
@@ -165,6 +168,9 @@
         basis.load_age = backend.load_at == steady_time{} ? duration{0} : now - backend.load_at;
         basis.waited = now - waiting.since;
         ++backend.own;
+        double const unread = unread_tokens(waiting.request, backend.entry.name);
+        backend.unread_tokens += unread;
+        unread_of[waiting.request.number] = {backend.entry.name, unread};
         ++backend.running[{waiting.request.model, waiting.request.adapter}];
         ++demand[key_of(waiting.request)].running;
         assigned[waiting.request.number] = waiting.request;
@@ -202,6 +208,22 @@
     // Sorted by urgency when a request is added.
     std::list<waiting_request> waiting;
     std::map<request_number, dispatch_request> assigned;
+    void forget_unread(request_number number)
+    {
+        auto const found = unread_of.find(number);
+        if (found == unread_of.end())
+        {
+            return;
+        }
+        if (known_backend* const backend = table.find(found->second.first))
+        {
+            backend->unread_tokens = std::max(backend->unread_tokens - found->second.second, 0.0);
+        }
+        unread_of.erase(found);
+    }
+
+    // Prompt tokens that each assigned request has brought to its server, until its first event.
+    std::map<request_number, std::pair<backend_name, double>> unread_of;
     std::map<std::string, backend_name> last_reader;
     std::map<demand_key, demand_count> demand;
     bool new_wish = false;
@@ -284,6 +306,7 @@
     }
     dispatch_request const request = found->second;
     impl_->assigned.erase(found);
+    impl_->forget_unread(report.number);
     demand_count& count = impl_->demand[key_of(request)];
     count.running -= count.running > 0 ? 1 : 0;
     known_backend* const backend = impl_->table.find(report.backend);
@@ -332,6 +355,19 @@
     }
 }
 
+void dispatcher::on_first_event(request_number number)
+{
+    impl_->forget_unread(number);
+}
+
+void dispatcher::on_pause(steady_time now, backend_name const& backend, double share)
+{
+    if (known_backend* const known = impl_->table.find(backend))
+    {
+        backend_state_table::on_pause(now, *known, share);
+    }
+}
+
 std::vector<dispatch_step> dispatcher::step(steady_time now)
 {
     std::vector<dispatch_step> steps;
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -77,6 +77,11 @@
     void on_load(steady_time now, backend_name const& backend, backend_load const& load);
     void on_attempt_end(steady_time now, attempt_report const& report);
 
+    /// The first event of a request's stream has arrived: its prompt has been read.
+    void on_first_event(request_number number);
+    /// A stream of the server paused; `share` is the pause as a share of the longest one allowed.
+    void on_pause(steady_time now, backend_name const& backend, double share);
+
     /// The decisions that are due, in the order in which they are to be carried out.
     std::vector<dispatch_step> step(steady_time now);
     /// When step is due again without another event; empty when nothing waits.
--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -246,3 +246,44 @@
     }
     cr_assert(trials >= 2 && trials <= 8, "%u trials in 5 s", trials);
 }
+
+// Load: streams of one engine pause as long as is allowed. New streams go elsewhere for a while.
+Test(dispatcher, pausing_engine_is_spared)
+{
+    dispatcher requests(settings());
+    requests.on_backend(at(0), engine("a", "m"));
+    backend_entry far = engine("b", "m");
+    far.data_centre = "far";
+    requests.on_backend(at(0), far);
+    requests.submit(at(0), request(1, "m"));
+    cr_assert_eq(assigned(requests.step(at(0)), 1), "a");
+    for (int i = 0; i < 5; ++i)
+    {
+        requests.on_pause(at(100 + i), "a", 1.2);
+    }
+    requests.submit(at(110), request(2, "m"));
+    cr_assert_eq(assigned(requests.step(at(110)), 2), "b");
+    requests.on_attempt_end(at(200), {1, "a", attempt_result::answered, false, false, {}});
+    requests.submit(at(9000), request(3, "m"));
+    cr_assert_eq(assigned(requests.step(at(9000)), 3), "a");
+}
+
+// Load: a burst of long prompts. They are spread over the engines instead of being read one after the other
+// at the nearest one, which would stop all of its streams.
+Test(dispatcher, burst_of_long_prompts_is_spread)
+{
+    dispatcher requests(settings());
+    requests.on_backend(at(0), engine("a", "m"));
+    backend_entry far = engine("b", "m");
+    far.data_centre = "far";
+    requests.on_backend(at(0), far);
+    std::map<std::string, unsigned> counts;
+    for (request_number n = 1; n <= 6; ++n)
+    {
+        dispatch_request long_prompt = request(n, "m");
+        long_prompt.prompt = {{"p" + std::to_string(n), 4000}};
+        requests.submit(at(0), long_prompt);
+        ++counts[assigned(requests.step(at(0)), n)];
+    }
+    cr_assert(counts["a"] >= 2 && counts["b"] >= 2, "%u and %u", counts["a"], counts["b"]);
+}
