--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -26,6 +26,9 @@
 constexpr double queued_call_ms = 25.0;
 // A server that fails all its requests costs a retry and its time.
 constexpr double failing_server_ms = 400.0;
+// Reading a prompt makes the running streams pause. A quarter of that time counts for each of them, so that
+// long prompts go where few streams run.
+constexpr double disturbed_share = 0.25;
 // A server whose streams pause as long as is allowed makes further ones late too.
 constexpr double pausing_server_ms = 60.0;
 // Published prefill speed of the engines, in tokens for each millisecond.
@@ -112,9 +115,11 @@
         double const load = backend.entry.engine
                                 ? in_use * running_request_ms + queued * queued_engine_request_ms
                                 : in_use * 2.0 + queued * queued_call_ms;
-        return distance_ms(backend.entry.data_centre) + load +
+        double const own_reading = unread_tokens(request, backend.entry.name) / prefill_tokens_per_ms;
+        double const reading = own_reading + backend.unread_tokens / prefill_tokens_per_ms;
+        double const disturbance = backend.entry.engine ? in_use * own_reading * disturbed_share : 0.0;
+        return distance_ms(backend.entry.data_centre) + load + reading + disturbance +
                backend_state_table::failure_rate(now, backend) * failing_server_ms +
-               (unread_tokens(request, backend.entry.name) + backend.unread_tokens) / prefill_tokens_per_ms +
                backend_state_table::pause_level(now, backend) * pausing_server_ms;
     }
 
