--- a/adapters/edge_settings.cpp
+++ b/adapters/edge_settings.cpp
@@ -68,9 +68,10 @@
     settings.load_window_s = orders.number("load_window_s", 0.1, 3600.0);
     orders.finish();
 
-    yaml_map limits = section(root, "limits", "a map of stop_s and descriptors");
+    yaml_map limits = section(root, "limits", "a map of stop_s, descriptors and cpu_share");
     settings.stop_time = seconds{static_cast<std::int64_t>(limits.integer("stop_s", 1, 3600))};
     settings.descriptors = limits.integer("descriptors", 64, 10000000);
+    settings.cpu_share = limits.number("cpu_share", 0.001, 1024.0, 1.0);
     limits.finish();
 
     yaml_map log(root.find("log"), "log", errors);
@@ -89,7 +90,7 @@
     {
         return std::tie(s.name, s.data_centre, s.region, s.region_of, s.caller_address, s.readiness_address,
                         s.peer_address, s.store_address, s.leaving_time, s.retry_ratio, s.retry_window,
-                        s.retry_slack, s.holder_gap, s.load_window_s, s.stop_time, s.descriptors,
+                        s.retry_slack, s.holder_gap, s.load_window_s, s.stop_time, s.descriptors, s.cpu_share,
                         s.log_level);
     };
     return fields(a) == fields(b);
--- a/adapters/edge_settings.hpp
+++ b/adapters/edge_settings.hpp
@@ -29,6 +29,7 @@
     double load_window_s = 5.0; ///< In which loads from the weight store are bounded.
     duration stop_time = seconds{8}; ///< From SIGTERM to the end of the process.
     std::size_t descriptors = 4100;
+    double cpu_share = 1.0; ///< Of a core.
     std::string log_level = "info";
 };
 
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -45,6 +45,9 @@
 constexpr duration stop_margin = milliseconds{400};
 // Of one event; 42 requests a second with two lines each stay below.
 constexpr unsigned log_lines_per_second = 200;
+// For an instance with a whole core; one with an eighth of a core waits eight times as long.
+constexpr duration least_claim_delay = milliseconds{30};
+constexpr double most_claim_delays = 10.0;
 constexpr duration stop_poll = milliseconds{100};
 // Descriptors for files and for connections to servers, the store and peers.
 constexpr std::size_t reserved_descriptors = 1000;
@@ -85,6 +88,8 @@
     result.peer_address = settings.peer_address;
     result.fresh_key = random_key();
     result.lease.turn_gap = settings.holder_gap;
+    result.lease.claim_delay = std::chrono::duration_cast<duration>(
+        least_claim_delay * std::min(1.0 / settings.cpu_share, most_claim_delays));
     result.rotation.window_s = settings.load_window_s;
     return result;
 }
--- a/decision/order_lease.cpp
+++ b/decision/order_lease.cpp
@@ -27,12 +27,16 @@
     // When an instance that does not hold the lease may claim it.
     steady_time claim_at() const
     {
-        if (!record || is_holder())
+        if (is_holder())
         {
             return steady_time{};
         }
+        if (!record)
+        {
+            return first_seen + times.claim_delay;
+        }
         duration const lease_left = record->holder.empty() ? duration{0} : times.valid;
-        return first_seen + lease_left + times.turn_gap + times.drift;
+        return first_seen + lease_left + times.turn_gap + times.drift + times.claim_delay;
     }
 
     order_lease_record next_record(bool claim) const
--- a/decision/order_lease.hpp
+++ b/decision/order_lease.hpp
@@ -31,8 +31,9 @@
 {
     duration valid = milliseconds{1500}; ///< From the sending of a renewal.
     duration renew_every = milliseconds{450};
-    duration read_every = seconds{1};   ///< By instances that do not hold the lease.
-    duration turn_gap = seconds{3};     ///< Between the last order of one holder and the first of the next.
+    duration read_every = seconds{1}; ///< By instances that do not hold the lease.
+    duration turn_gap = seconds{3};   ///< Between the last order of one holder and the first of the next.
+    duration claim_delay{0}; ///< Leaves the lease to instances with more processor, if there are any.
     duration drift = milliseconds{300}; ///< For orders on their way and clocks that differ.
 };
 
--- a/tests/decision/order_lease_test.cpp
+++ b/tests/decision/order_lease_test.cpp
@@ -224,3 +224,21 @@
         cr_assert(last_holder >= 0, "seed %lu: never held", static_cast<unsigned long>(seed));
     }
 }
+
+// Guards against the lease going to an instance that is too small for the holder's work while a larger one is
+// there.
+Test(order_lease, larger_instance_claims_first)
+{
+    lease_store store;
+    order_lease_times slow;
+    slow.claim_delay = milliseconds{250};
+    order_lease small("small", "s:1", "key", slow);
+    auto large = make("large");
+    for (int ms = 0; ms < 1000; ms += 50)
+    {
+        run_step(small, store, at(ms));
+        run_step(*large, store, at(ms + 10));
+    }
+    cr_assert(large->may_order(at(1000)));
+    cr_assert_not(small.may_order(at(1000)));
+}
