Make plans cheap on large fleets

Cause: each wish looked at all engines with all their victims and counted the loads in progress anew; a plan took longer than the interval between two. Engines with a copy come first and most others are passed over.

--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -386,29 +386,42 @@
     placement best_placement(steady_time now, wish const& want)
     {
         placement best;
-        for (auto& [name, engine] : engines)
+        // Engines with a copy first: hardly any other can do better, and most are passed over at once.
+        for (bool const with_copy : {true, false})
         {
-            service_index const* const profile = profile_of(engine);
-            if (profile == nullptr || engine.entry.leaving || now < engine.down_until)
+            std::optional<bool> store_allowed;
+            for (auto& [name, engine] : engines)
             {
-                continue;
-            }
-            model_profile const* const model = profile->find(want.model);
-            if (model == nullptr || occupants(engine).count(want.model) > 0)
-            {
-                continue;
-            }
-            tier const from = tier_of(engine, want.model);
-            if (from == tier::store && !store_load_allowed(now, *profile->engine))
-            {
-                continue;
-            }
-            double cost = std::chrono::duration<double, std::milli>(load_time(from, *model)).count() +
-                          occupied_ms(now, engine);
-            auto leaving = victims(engine, *profile, model->weights_mb, want.only_if_idle, cost);
-            if (leaving && (best.engine == nullptr || cost < best.cost))
-            {
-                best = {&engine, cost, std::move(*leaving)};
+                service_index const* const profile = profile_of(engine);
+                model_profile const* const model = profile == nullptr ? nullptr : profile->find(want.model);
+                if (model == nullptr || engine.entry.leaving || now < engine.down_until)
+                {
+                    continue;
+                }
+                tier const from = tier_of(engine, want.model);
+                if ((from != tier::store) != with_copy)
+                {
+                    continue;
+                }
+                double cost = std::chrono::duration<double, std::milli>(load_time(from, *model)).count() +
+                              occupied_ms(now, engine);
+                if ((best.engine != nullptr && cost >= best.cost) || occupants(engine).count(want.model) > 0)
+                {
+                    continue;
+                }
+                if (from == tier::store && !store_allowed)
+                {
+                    store_allowed = store_load_allowed(now, *profile->engine);
+                }
+                if (from == tier::store && !*store_allowed)
+                {
+                    break;
+                }
+                auto leaving = victims(engine, *profile, model->weights_mb, want.only_if_idle, cost);
+                if (leaving && (best.engine == nullptr || cost < best.cost))
+                {
+                    best = {&engine, cost, std::move(*leaving)};
+                }
             }
         }
         return best;
@@ -805,8 +818,10 @@
         {
             break; // Every engine is occupied; the most urgent wishes have been looked at.
         }
-        impl_->place(now, each, steps);
-        impl_->count_replicas(now);
+        if (impl_->place(now, each, steps))
+        {
+            impl_->count_replicas(now);
+        }
     }
     impl_->plan_adapters(now, steps);
     impl_->prefetch(now, steps);
