--- a/adapters/edge_settings.cpp
+++ b/adapters/edge_settings.cpp
@@ -52,9 +52,10 @@
     settings.peer_address = listen.address("peers");
     listen.finish();
 
-    yaml_map platform = section(root, "platform", "a map of object_store and leaving_ms");
+    yaml_map platform = section(root, "platform", "a map of object_store, leaving_ms and change_ms");
     settings.store_address = platform.address("object_store");
     settings.leaving_time = milliseconds_of(platform, "leaving_ms", 100, 600000);
+    settings.change_time = milliseconds_of(platform, "change_ms", 100, 600000);
     platform.finish();
 
     yaml_map retries = section(root, "retries", "a map of ratio, window_s and slack");
@@ -89,9 +90,9 @@
     auto const fields = [](edge_settings const& s)
     {
         return std::tie(s.name, s.data_centre, s.region, s.region_of, s.caller_address, s.readiness_address,
-                        s.peer_address, s.store_address, s.leaving_time, s.retry_ratio, s.retry_window,
-                        s.retry_slack, s.holder_gap, s.load_window_s, s.stop_time, s.descriptors, s.cpu_share,
-                        s.log_level);
+                        s.peer_address, s.store_address, s.leaving_time, s.change_time, s.retry_ratio,
+                        s.retry_window, s.retry_slack, s.holder_gap, s.load_window_s, s.stop_time,
+                        s.descriptors, s.cpu_share, s.log_level);
     };
     return fields(a) == fields(b);
 }
--- a/adapters/edge_settings.hpp
+++ b/adapters/edge_settings.hpp
@@ -25,6 +25,7 @@
     duration retry_window = seconds{10};
     unsigned retry_slack = 0;
     duration leaving_time = milliseconds{2500}; ///< After which a leaving server gets no new work.
+    duration change_time = milliseconds{2500};  ///< Within which a configuration must be in force.
     duration holder_gap{0};     ///< Between the last order of one lease holder and the first of the next.
     double load_window_s = 5.0; ///< In which loads from the weight store are bounded.
     duration stop_time = seconds{8}; ///< From SIGTERM to the end of the process.
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -39,6 +39,11 @@
 // The lease holder follows each change of an engine at once; the others learn of placements from it and
 // gather the changes for this share of the time after which a leaving server gets no new work.
 constexpr double gather_share = 0.45;
+// The changes of a moment, for example the effects of several orders, are read with one call.
+constexpr duration holder_gather_time = milliseconds{25};
+// A configuration that comes alone is read at once; those that follow it are gathered for this share of the
+// time in which they must be in force.
+constexpr double config_gather_share = 0.3;
 // The balancer asks for readiness once a second and takes an instance out after two misses.
 constexpr duration readiness_noticed = milliseconds{2500};
 // Kept of the stop time for ending in order.
@@ -181,8 +186,10 @@
         store.set_relay_source([this] { return placement.relay(); });
         auto const gather_time = std::chrono::duration_cast<duration>(settings.leaving_time * gather_share);
         backend_watch.set_gather_time(gather_time);
+        config_watch.set_gather_time(
+            std::chrono::duration_cast<duration>(settings.change_time * config_gather_share));
         placement.on_lease([this, gather_time](bool holds)
-                           { backend_watch.set_gather_time(holds ? duration{0} : gather_time); });
+                           { backend_watch.set_gather_time(holds ? holder_gather_time : gather_time); });
         metrics.set_gauge("siskin_config_version", [this] { return config ? config->version : 0; });
         metrics.set_gauge("siskin_holds_lease", [this] { return placement.holds_lease() ? 1U : 0U; });
         metrics.set_gauge("siskin_open_requests", [this] { return service.open_requests(); });
--- a/tests/wire/edge_child.cpp
+++ b/tests/wire/edge_child.cpp
@@ -53,7 +53,7 @@
              << "data_centres:\n  - { name: here, region: r1 }\n"
              << "listen: { callers: \"" << callers_ << "\", readiness: \"" << readiness_ << "\", peers: \""
              << addresses[2] << "\" }\n"
-             << "platform: { object_store: \"" << store_address << "\", leaving_ms: 2500 }\n"
+             << "platform: { object_store: \"" << store_address << "\", leaving_ms: 2500, change_ms: 2500 }\n"
              << "retries: { ratio: 0.2, window_s: 10, slack: 640 }\n"
              << "orders: { holder_gap_ms: " << gap_ms << ", load_window_s: 5 }\n"
              << "limits: { stop_s: 8, descriptors: 2000 }\n";
