--- /dev/null
+++ b/decision/engine_rotation_impl.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "decision/demand_table.hpp"
+#include "decision/rotation_planner.hpp"
+#include "decision/service_index.hpp"
+#include "domain/engine_report.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace siskinusher
+{
+
+/// An order without an answer yet.
+struct open_order
+{
+    rotation_order order;
+    steady_time sent_at;
+};
+
+/// An order that the engine has accepted and whose effect its entry does not show yet.
+struct order_effect
+{
+    order_kind kind{order_kind::load_model};
+    std::string model;
+    steady_time accepted_at;
+    steady_time expected_end;
+    bool from_store = false;
+};
+
+/// One engine as the rotation planner knows it: what it holds, what it was ordered, and when it can take the
+/// next order.
+struct engine_rotation
+{
+    backend_entry entry;
+    std::uint64_t sequence = 0;
+    std::optional<open_order> open;
+    std::optional<order_effect> pending;
+    std::string leaving_model; ///< To be unloaded once all instances send it no new requests; empty for none.
+    steady_time leave_at;
+    std::string next_model; ///< Room is being made for it; empty for none.
+    bool inquiring = false;
+    bool inquiry_due = false;
+    bool confirmed = false; ///< The contents come from the engine itself, under this lease.
+    std::map<std::string, steady_time> loaded_at; ///< Models whose load has ended lately.
+    std::map<std::string, steady_time> left_at;   ///< Models that have left lately.
+    steady_time quiet_until;                      ///< No order before this time.
+    steady_time down_until;                       ///< An instance found that nothing listens at its address.
+    std::map<demand_table::key, steady_time> adapters; ///< Held or on their way, with their last use.
+    std::map<demand_table::key, steady_time> adapter_sent;
+
+    bool can_take_order(steady_time now) const;
+    /// Models that take memory or may come to do so.
+    std::set<std::string> occupants() const;
+    /// Occupants without those that leave: models that can serve now or soon.
+    std::set<std::string> serving() const;
+    double free_mb(service_index const& service) const;
+    /// The nearest copy of the model's weights.
+    checkpoint_tier tier_of(std::string const& model) const;
+    /// How long the engine is occupied with the orders that it has, in milliseconds.
+    double occupied_ms(steady_time now) const;
+    unsigned adapters_on_their_way(steady_time now) const;
+    void drop_model(std::string const& model);
+};
+
+/// How long an engine takes to load the model from there.
+duration load_time(checkpoint_tier from, model_profile const& model);
+
+} // namespace siskinusher
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -1,6 +1,8 @@
 #include "decision/rotation_planner.hpp"
 
 #include "decision/demand_table.hpp"
+#include "decision/engine_rotation_impl.hpp"
+#include "decision/service_index.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -25,7 +27,7 @@
 constexpr duration entry_lag = seconds{2};
 // Requests of one model at one engine beyond which a further replica is worth its place.
 constexpr double replica_load = 16.0;
-// From these rates on, a model has two and three replicas, so that a lost engine does not stop it.
+// From this rate on, a model has two replicas, so that a lost engine does not stop it.
 constexpr double two_replica_rate = 0.8;
 // Requests a second of one model at one engine. Each request's prompt is read between the tokens of the
 // others: at this rate and 900 tokens a prompt that takes a tenth of the engine's time, so that pauses stay
@@ -34,16 +36,10 @@
 constexpr unsigned most_replicas = 8;
 // A model asked for once a second is kept as if its next load cost this much more.
 constexpr double keep_ms_per_rate = 2500.0;
-// From the end of a load until the engine's entry shows it to the holder.
-constexpr duration entry_delay = milliseconds{50};
-// An unload and a load from disk.
-constexpr duration rotation_time = milliseconds{1000};
-constexpr duration order_round_trip = milliseconds{40};
 // A model with requests leaves only when they have ended; meanwhile the engine takes no other order.
 constexpr double unload_wait_ms = 1500.0;
 // Adapters on their way to one engine at the same time.
 constexpr unsigned adapters_in_transit = 4;
-constexpr duration adapter_transit = milliseconds{60};
 // A model with fewer requests a second leaves without being announced: hardly one would be refused.
 constexpr double announced_rate = 0.5;
 // Instances report, and learn what leaves, every 500 ms.
@@ -57,62 +53,6 @@
 // An adapter that was asked for so recently makes no room for another.
 constexpr duration adapter_stay = milliseconds{1500};
 
-struct open_order
-{
-    rotation_order order;
-    steady_time sent_at;
-};
-
-// An order that the engine has accepted and whose effect its entry does not show yet.
-struct effect
-{
-    order_kind kind{order_kind::load_model};
-    std::string model;
-    steady_time accepted_at;
-    steady_time expected_end;
-    bool from_store = false;
-};
-
-struct engine_state
-{
-    backend_entry entry;
-    std::uint64_t sequence = 0;
-    std::optional<open_order> open;
-    std::optional<effect> pending;
-    std::string leaving_model; ///< To be unloaded once all instances send it no new requests; empty for none.
-    steady_time leave_at;
-    std::string next_model; ///< Room is being made for it; empty for none.
-    bool inquiring = false;
-    bool inquiry_due = false;
-    bool confirmed = false; ///< The contents come from the engine itself, under this lease.
-    std::map<std::string, steady_time> loaded_at; ///< Models whose load has ended lately.
-    std::map<std::string, steady_time> left_at;   ///< Models that have left lately.
-    steady_time quiet_until;                      ///< No order before this time.
-    steady_time down_until;                       ///< An instance found that nothing listens at its address.
-    std::map<demand_table::key, steady_time> adapters; ///< Held or on their way, with their last use.
-    std::map<demand_table::key, steady_time> adapter_sent;
-
-    bool can_take_order(steady_time now) const
-    {
-        return now >= down_until && confirmed && !open && !inquiring && !inquiry_due && !entry.leaving &&
-               now >= quiet_until;
-    }
-};
-
-// The engines of one service, with their models by name: a plan looks up thousands of them.
-struct service_index
-{
-    engine_profile const* engine = nullptr;
-    std::unordered_map<std::string, model_profile const*> models;
-    double adapters_mb = 0.0; ///< Memory for all places for adapters.
-
-    model_profile const* find(std::string const& name) const
-    {
-        auto const found = models.find(name);
-        return found == models.end() ? nullptr : found->second;
-    }
-};
-
 struct wish
 {
     std::string model;
@@ -129,7 +69,7 @@
 public:
     explicit implementation(rotation_settings settings_in) : settings(settings_in) {}
 
-    service_index const* profile_of(engine_state const& engine) const
+    service_index const* profile_of(engine_rotation const& engine) const
     {
         auto const found = services.find(engine.entry.service);
         return found == services.end() ? nullptr : &found->second;
@@ -144,68 +84,10 @@
             {
                 continue;
             }
-            service_index& index = services[service.name];
-            index.engine = &*service.engine;
-            double largest_adapter = 0.0;
-            for (model_profile const& model : service.engine->models)
-            {
-                index.models[model.name] = &model;
-                largest_adapter = std::max(largest_adapter, model.adapters > 0 ? model.adapter_mb : 0.0);
-            }
-            index.adapters_mb = largest_adapter * service.engine->adapter_places;
+            services.emplace(service.name, service_index(*service.engine));
         }
     }
 
-    // Models that take memory at the engine or may come to do so.
-    std::set<std::string> occupants(engine_state const& engine) const
-    {
-        std::set<std::string> names;
-        for (resident_model const& model : engine.entry.models)
-        {
-            names.insert(model.name);
-        }
-        if (engine.pending && engine.pending->kind == order_kind::load_model)
-        {
-            names.insert(engine.pending->model);
-        }
-        if (engine.open && engine.open->order.kind == order_kind::load_model)
-        {
-            names.insert(engine.open->order.model);
-        }
-        return names;
-    }
-
-    // Occupants without the one that is being unloaded: those that can serve now or soon.
-    std::set<std::string> serving(engine_state const& engine) const
-    {
-        std::set<std::string> names = occupants(engine);
-        if (engine.pending && engine.pending->kind == order_kind::unload_model)
-        {
-            names.erase(engine.pending->model);
-        }
-        if (engine.open && engine.open->order.kind == order_kind::unload_model)
-        {
-            names.erase(engine.open->order.model);
-        }
-        names.erase(engine.leaving_model);
-        if (!engine.next_model.empty())
-        {
-            names.insert(engine.next_model);
-        }
-        return names;
-    }
-
-    double free_mb(engine_state const& engine, service_index const& service) const
-    {
-        double used = 0.0;
-        for (std::string const& name : occupants(engine))
-        {
-            model_profile const* const model = service.find(name);
-            used += model == nullptr ? 0.0 : model->weights_mb;
-        }
-        return service.engine->memory_mb - used - service.adapters_mb;
-    }
-
     void count_replicas(steady_time now)
     {
         replicas.clear();
@@ -216,7 +98,7 @@
             {
                 continue;
             }
-            for (std::string const& model : serving(engine))
+            for (std::string const& model : engine.serving())
             {
                 ++replicas[model];
                 at_hand.insert(model);
@@ -273,7 +155,7 @@
         for (auto const& [name, engine] : engines)
         {
             bool const open_load = engine.open && engine.open->order.kind == order_kind::load_model &&
-                                   tier_of(engine, engine.open->order.model) == tier::store;
+                                   engine.tier_of(engine.open->order.model) == checkpoint_tier::remote;
             bool const running = engine.pending && engine.pending->from_store;
             count += open_load || running ? 1 : 0;
         }
@@ -293,42 +175,13 @@
                static_cast<double>(store_loads.size()) + 1.0 <= most;
     }
 
-    enum class tier
-    {
-        memory,
-        disk,
-        store,
-    };
-
-    static tier tier_of(engine_state const& engine, std::string const& model)
-    {
-        if (engine.entry.copies_in_memory.count(model) > 0)
-        {
-            return tier::memory;
-        }
-        return engine.entry.copies_on_disk.count(model) > 0 ? tier::disk : tier::store;
-    }
-
-    static duration load_time(tier from, model_profile const& model)
-    {
-        switch (from)
-        {
-        case tier::memory:
-            return model.load_from_memory;
-        case tier::disk:
-            return model.load_from_disk;
-        case tier::store:
-            break;
-        }
-        return model.load_from_store;
-    }
-
     // The models that have to leave so that `needed_mb` fit, the least kept first; empty result when they
     // cannot.
-    std::optional<std::vector<std::string>> victims(engine_state const& engine, service_index const& profile,
-                                                    double needed_mb, bool only_if_idle, double& cost) const
+    std::optional<std::vector<std::string>> victims(engine_rotation const& engine,
+                                                    service_index const& profile, double needed_mb,
+                                                    bool only_if_idle, double& cost) const
     {
-        double room = free_mb(engine, profile);
+        double room = engine.free_mb(profile);
         std::vector<std::pair<double, std::string>> order;
         for (resident_model const& model : engine.entry.models)
         {
@@ -354,29 +207,10 @@
         return room >= needed_mb ? std::optional(chosen) : std::nullopt;
     }
 
-    // How long the engine is occupied with the orders that it has, in milliseconds.
-    static double occupied_ms(steady_time now, engine_state const& engine)
-    {
-        duration span = std::max<duration>(engine.quiet_until - now, duration{0});
-        if (engine.pending)
-        {
-            span = std::max<duration>(span, engine.pending->expected_end - now + entry_delay);
-        }
-        if (!engine.next_model.empty())
-        {
-            span += rotation_time;
-        }
-        if (engine.open || engine.inquiring || engine.inquiry_due)
-        {
-            span += order_round_trip;
-        }
-        return std::chrono::duration<double, std::milli>(span).count();
-    }
-
     // An engine where a model can be placed, with what that costs in milliseconds of load time.
     struct placement
     {
-        engine_state* engine = nullptr;
+        engine_rotation* engine = nullptr;
         double cost = 0.0;
         std::vector<std::string> victims;
     };
@@ -398,22 +232,22 @@
                 {
                     continue;
                 }
-                tier const from = tier_of(engine, want.model);
-                if ((from != tier::store) != with_copy)
+                checkpoint_tier const from = engine.tier_of(want.model);
+                if ((from != checkpoint_tier::remote) != with_copy)
                 {
                     continue;
                 }
                 double cost = std::chrono::duration<double, std::milli>(load_time(from, *model)).count() +
-                              occupied_ms(now, engine);
-                if ((best.engine != nullptr && cost >= best.cost) || occupants(engine).count(want.model) > 0)
+                              engine.occupied_ms(now);
+                if ((best.engine != nullptr && cost >= best.cost) || engine.occupants().count(want.model) > 0)
                 {
                     continue;
                 }
-                if (from == tier::store && !store_allowed)
+                if (from == checkpoint_tier::remote && !store_allowed)
                 {
-                    store_allowed = store_load_allowed(now, *profile->engine);
+                    store_allowed = store_load_allowed(now, profile->engine());
                 }
-                if (from == tier::store && !*store_allowed)
+                if (from == checkpoint_tier::remote && !*store_allowed)
                 {
                     break;
                 }
@@ -446,12 +280,12 @@
         return true;
     }
 
-    void send(steady_time now, engine_state& engine, order_kind kind, std::string const& model,
+    void send(steady_time now, engine_rotation& engine, order_kind kind, std::string const& model,
               std::string const& adapter, std::string const& reason, std::vector<rotation_step>& steps)
     {
         rotation_order order{engine.entry.name, engine.entry.address, kind,  model,
                              adapter,           engine.sequence,      reason};
-        if (kind == order_kind::load_model && tier_of(engine, model) == tier::store)
+        if (kind == order_kind::load_model && engine.tier_of(model) == checkpoint_tier::remote)
         {
             store_loads.push_back(now);
         }
@@ -460,17 +294,17 @@
     }
 
     // Goes on with an engine that makes room for a model.
-    void continue_rotation(steady_time now, engine_state& engine, std::vector<rotation_step>& steps)
+    void continue_rotation(steady_time now, engine_rotation& engine, std::vector<rotation_step>& steps)
     {
         service_index const* const profile = profile_of(engine);
         model_profile const* const model = profile == nullptr ? nullptr : profile->find(engine.next_model);
-        if (model == nullptr || occupants(engine).count(engine.next_model) > 0)
+        if (model == nullptr || engine.occupants().count(engine.next_model) > 0)
         {
             engine.leaving_model.clear();
             engine.next_model.clear();
             return;
         }
-        if (free_mb(engine, *profile) >= model->weights_mb)
+        if (engine.free_mb(*profile) >= model->weights_mb)
         {
             std::string const name = std::exchange(engine.next_model, "");
             send(now, engine, order_kind::load_model, name, "", "room was made", steps);
@@ -496,7 +330,7 @@
 
     // Unloads a model to make room. One that requests go to is announced first: an engine refuses requests
     // for a model that is about to leave.
-    void make_leave(steady_time now, engine_state& engine, std::string model,
+    void make_leave(steady_time now, engine_rotation& engine, std::string model,
                     std::vector<rotation_step>& steps)
     {
         if (engine.leaving_model != model && demand.of_model(model).rate >= announced_rate)
@@ -510,7 +344,7 @@
     }
 
     // Ends what an engine has had time to finish and asks the engine itself when that does not show.
-    void settle(steady_time now, engine_state& engine, std::vector<rotation_step>& steps)
+    void settle(steady_time now, engine_rotation& engine, std::vector<rotation_step>& steps)
     {
         // The entry shows the effect of an order soon after it; an unload waits for its runs before.
         if (engine.pending && now >= engine.pending->expected_end + entry_lag)
@@ -527,18 +361,6 @@
         }
     }
 
-    static void drop_model(engine_state& engine, std::string const& model)
-    {
-        auto& models = engine.entry.models;
-        models.erase(std::remove_if(models.begin(), models.end(),
-                                    [&model](resident_model const& each) { return each.name == model; }),
-                     models.end());
-        for (auto each = engine.adapters.begin(); each != engine.adapters.end();)
-        {
-            each = each->first.first == model ? engine.adapters.erase(each) : std::next(each);
-        }
-    }
-
     std::vector<wish> wishes(steady_time now) const
     {
         std::vector<wish> list;
@@ -615,12 +437,12 @@
 
     void place_adapter(steady_time now, demand_table::key const& which, std::vector<rotation_step>& steps)
     {
-        engine_state* best = nullptr;
+        engine_rotation* best = nullptr;
         std::size_t best_count = 0;
         for (auto& [name, engine] : engines)
         {
             bool const usable = find_resident(engine.entry, which.first) != nullptr &&
-                                serving(engine).count(which.first) > 0 && !engine.entry.leaving;
+                                engine.serving().count(which.first) > 0 && !engine.entry.leaving;
             if (!usable)
             {
                 continue;
@@ -631,7 +453,7 @@
                 return; // It is on its way, or instances will learn of it with the next reply.
             }
             if (engine.can_take_order(now) && !engine.pending &&
-                in_transit(now, engine) < adapters_in_transit &&
+                engine.adapters_on_their_way(now) < adapters_in_transit &&
                 (best == nullptr || engine.adapters.size() < best_count))
             {
                 best = &engine;
@@ -644,7 +466,7 @@
         }
         service_index const* const profile = profile_of(*best);
         if (profile != nullptr && best->adapters.count(which) == 0 &&
-            best->adapters.size() >= profile->engine->adapter_places)
+            best->adapters.size() >= profile->engine().adapter_places)
         {
             auto const oldest =
                 std::min_element(best->adapters.begin(), best->adapters.end(),
@@ -659,29 +481,23 @@
         send(now, *best, order_kind::load_adapter, which.first, which.second, "requests wait", steps);
     }
 
-    static unsigned in_transit(steady_time now, engine_state const& engine)
-    {
-        return static_cast<unsigned>(std::count_if(engine.adapter_sent.begin(), engine.adapter_sent.end(),
-                                                   [now](auto const& each)
-                                                   { return now - each.second < adapter_transit; }));
-    }
-
-    void on_accepted(steady_time now, engine_state& engine, rotation_order const& order)
+    void on_accepted(steady_time now, engine_rotation& engine, rotation_order const& order)
     {
         demand_table::key const adapter{order.model, order.adapter};
         switch (order.kind)
         {
         case order_kind::load_model:
         {
-            tier const from = tier_of(engine, order.model);
+            checkpoint_tier const from = engine.tier_of(order.model);
             service_index const* const profile = profile_of(engine);
             model_profile const* const model = profile ? profile->find(order.model) : nullptr;
             duration const span = model == nullptr ? seconds{6} : load_time(from, *model);
-            engine.pending = effect{order.kind, order.model, now, now + span, from == tier::store};
+            engine.pending =
+                order_effect{order.kind, order.model, now, now + span, from == checkpoint_tier::remote};
             break;
         }
         case order_kind::unload_model:
-            engine.pending = effect{order.kind, order.model, now, now, false};
+            engine.pending = order_effect{order.kind, order.model, now, now, false};
             break;
         case order_kind::load_adapter:
             engine.adapters[adapter] = now;
@@ -699,7 +515,7 @@
     rotation_settings const settings;
     std::shared_ptr<serving_config const> config;
     std::unordered_map<std::string, service_index> services;
-    std::map<backend_name, engine_state> engines;
+    std::map<backend_name, engine_rotation> engines;
     demand_table demand;
     std::map<std::string, unsigned> replicas;
     std::set<std::string> at_hand; ///< Models of which some engine has a copy.
@@ -726,10 +542,10 @@
         return;
     }
     auto const [found, inserted] = impl_->engines.try_emplace(entry.name);
-    engine_state& engine = found->second;
+    engine_rotation& engine = found->second;
     if (!inserted && engine.entry.started_at != entry.started_at)
     {
-        engine = engine_state{}; // It has started again and holds nothing of before.
+        engine = engine_rotation{}; // It has started again and holds nothing of before.
     }
     std::vector<resident_model> const held = std::move(engine.entry.models);
     engine.entry = entry;
@@ -758,7 +574,7 @@
     {
         engine.pending.reset();
         engine.left_at[model] = now;
-        implementation::drop_model(engine, model);
+        engine.drop_model(model);
     }
 }
 
@@ -835,7 +651,7 @@
     {
         return;
     }
-    engine_state& engine = found->second;
+    engine_rotation& engine = found->second;
     engine.open.reset();
     switch (result)
     {
@@ -882,7 +698,7 @@
     {
         return;
     }
-    engine_state& engine = found->second;
+    engine_rotation& engine = found->second;
     engine.inquiring = false;
     engine.confirmed = true;
     engine.sequence = report.order_sequence;
