--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -1,4 +1,5 @@
 #include "core/random_source.hpp"
+#include "tests/adapters/tcp_relay.hpp"
 #include "tests/wire/backend_standin.hpp"
 #include "tests/wire/edge_child.hpp"
 #include "tests/wire/store_standin.hpp"
@@ -44,6 +45,11 @@
     int status = 0; ///< Zero without an answer.
 };
 
+std::uint16_t port_of(std::string const& address)
+{
+    return static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+}
+
 /// One seeded run: callers, faults, and what must hold.
 class soak_run
 {
@@ -53,8 +59,9 @@
         store_.write("config", "main", example_config(1));
         for (unsigned i = 0; i < FLAGS_instances; ++i)
         {
-            edges_.push_back(
-                std::make_unique<edge_child>("edge-" + std::to_string(i), store_.address(), holder_gap_ms));
+            store_links_.push_back(std::make_unique<tcp_relay>(port_of(store_.address())));
+            edges_.push_back(std::make_unique<edge_child>("edge-" + std::to_string(i),
+                                                          store_links_.back()->address(), holder_gap_ms));
         }
     }
 
@@ -102,7 +109,7 @@
     {
         auto const index = static_cast<std::size_t>(faults_.below(edges_.size()));
         edge_child& edge = *edges_[index];
-        switch (faults_.below(9))
+        switch (faults_.below(10))
         {
         case 0:
             note("kill", index);
@@ -142,6 +149,11 @@
             std::this_thread::sleep_for(milliseconds{500});
             backends_[index % backends_.size()]->announce("ready");
             break;
+        case 7:
+            // The open connections to the store go silent for good while new ones work.
+            note("silence", index);
+            store_links_[index]->silence();
+            break;
         default:
             note("backend", index);
             backends_[faults_.below(backends_.size())]->set_fault(
@@ -280,6 +292,7 @@
     random_source faults_;
     store_standin store_;
     std::vector<std::unique_ptr<backend_standin>> backends_ = make_backends(store_);
+    std::vector<std::unique_ptr<tcp_relay>> store_links_; ///< Between each instance and the store.
     std::vector<std::unique_ptr<edge_child>> edges_;
     std::mutex mutex_;
     std::map<std::string, caller_record> records_;
