Write answers out before a stopping process ends

A caller that reads slowly also lost its connection to the idle timer, and to the kernel's limit of 3 s for closed windows.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t unsent_limit = 4U << 20U;
 // A body that is announced must be complete within this time.
 constexpr duration body_time = seconds{10};
+// A caller that takes no bytes of its answer for so long is gone; the kernel also counts closed windows.
+constexpr duration slow_reader_limit = seconds{15};
 
 } // namespace
 
@@ -35,7 +37,7 @@
 
 void caller_connection::start()
 {
-    set_liveness_options(socket_);
+    set_liveness_options(socket_, slow_reader_limit);
     arm(server_->limits.idle_time);
     read_more();
 }
@@ -339,6 +341,11 @@
 {
     if (phase_ == phase::head && in_.empty())
     {
+        if (has_unsent())
+        {
+            arm(server_->limits.idle_time); // The connection is not idle while its answer is being read.
+            return;
+        }
         close();
         return;
     }
--- a/adapters/caller_connection_impl.hpp
+++ b/adapters/caller_connection_impl.hpp
@@ -37,6 +37,7 @@
     void close();
     /// Waits for the first byte of a request.
     bool idle() const;
+    bool has_unsent() const { return !writing_.empty() || !out_.empty(); }
     steady_time idle_since() const { return idle_since_; }
     std::string caller_address() const;
 
--- a/adapters/caller_server.cpp
+++ b/adapters/caller_server.cpp
@@ -227,6 +227,13 @@
     return impl_->state->open_requests;
 }
 
+std::size_t caller_server::unsent_connections() const
+{
+    return static_cast<std::size_t>(std::count_if(impl_->connections.begin(), impl_->connections.end(),
+                                                  [](auto const& each)
+                                                  { return each.second->has_unsent(); }));
+}
+
 std::size_t caller_server::connections() const
 {
     return impl_->connections.size();
--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -87,6 +87,8 @@
     /// Requests whose answer has not ended.
     std::size_t open_requests() const;
     std::size_t connections() const;
+    /// Connections with a part of an answer that is not written yet.
+    std::size_t unsent_connections() const;
 
 private:
     class implementation;
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -31,6 +31,8 @@
 // A server that names no keep-alive time keeps a connection at least this long.
 constexpr duration default_keep_alive = seconds{4};
 constexpr std::size_t idle_connections_per_address = 64;
+// A server that takes no bytes for so long is behind a silent path.
+constexpr duration unacknowledged_limit = seconds{3};
 
 struct idle_connection
 {
@@ -164,7 +166,7 @@
                                       self->finish(refused ? exchange_end::refused : exchange_end::not_sent);
                                       return;
                                   }
-                                  set_liveness_options(self->socket_);
+                                  set_liveness_options(self->socket_, unacknowledged_limit);
                                   self->write();
                               });
     }
--- a/adapters/socket_options.cpp
+++ b/adapters/socket_options.cpp
@@ -18,7 +18,6 @@
 constexpr int keep_alive_idle_s = 1;
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probes = 2;
-constexpr int unacknowledged_limit_ms = 3000;
 
 void set_option(int descriptor, int level, int name, int value)
 {
@@ -27,7 +26,7 @@
 
 } // namespace
 
-void set_liveness_options(boost::asio::ip::tcp::socket& socket)
+void set_liveness_options(boost::asio::ip::tcp::socket& socket, duration unacknowledged)
 {
     int const descriptor = socket.native_handle();
     set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
@@ -35,7 +34,8 @@
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
-    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+    auto const limit_ms = std::chrono::duration_cast<milliseconds>(unacknowledged).count();
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit_ms));
 }
 
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string const& address)
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -268,7 +268,8 @@
     {
         duration const passed = boot_now() - stop_at;
         bool const unnoticed = passed < readiness_noticed;
-        bool const busy = callers.open_requests() > 0 || !placement.retired();
+        bool const busy =
+            callers.open_requests() > 0 || callers.unsent_connections() > 0 || !placement.retired();
         if (passed >= settings.stop_time - stop_margin || (!unnoticed && !busy))
         {
             loop.stop();
--- a/tests/platform/edge_process_test.cpp
+++ b/tests/platform/edge_process_test.cpp
@@ -2,6 +2,8 @@
 #include "tests/wire/edge_child.hpp"
 #include "tests/wire/store_standin.hpp"
 
+#include <Poco/Net/StreamSocket.h>
+
 #include <criterion/criterion.h>
 
 #include <csignal>
@@ -10,6 +12,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace siskinusher::standins;
 
@@ -217,6 +220,34 @@
     cr_assert_eq(fleet.edge.process().exit_code(), 0);
 }
 
+// Guards against a stopping process that ends with a part of an answer unsent, because its caller reads
+// slowly.
+Test(edge_process, sigterm_waits_for_slow_readers)
+{
+    small_fleet fleet;
+    constexpr std::size_t size = 3000000;
+    fleet.plain_1.set_padding(size);
+    fleet.plain_2.set_padding(size);
+    Poco::Net::StreamSocket caller;
+    caller.init(AF_INET);
+    caller.setReceiveBufferSize(4096); // So that most of the answer stays with the process.
+    caller.connect(Poco::Net::SocketAddress(fleet.edge.callers()));
+    std::string const request = "GET /again/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: slow\r\n\r\n";
+    caller.sendBytes(request.data(), static_cast<int>(request.size()));
+    cr_assert(
+        eventually([&fleet] { return fleet.edge.log_text().find("outcome=served") != std::string::npos; }));
+    fleet.edge.process().send(SIGTERM);
+    std::this_thread::sleep_for(milliseconds{3500}); // Longer than a process without requests stays.
+    std::size_t received = 0;
+    std::vector<char> buffer(65536);
+    for (int count = 1; count > 0;)
+    {
+        count = caller.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        received += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    cr_assert(received > size, "%zu of %zu bytes", received, size);
+}
+
 // Guards against SIGHUP ending the process, and against a broken settings file taking effect.
 Test(edge_process, sighup_keeps_serving)
 {
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -136,7 +136,8 @@
         stream(exchange, id, fault);
         return;
     }
-    exchange.reply(fault == backend_fault::server_error ? 500 : 200, "body of " + id, "text/plain");
+    exchange.reply(fault == backend_fault::server_error ? 500 : 200,
+                   "body of " + id + std::string(padding_, '.'), "text/plain");
 }
 
 void backend_standin::stream(http_exchange& exchange, std::string const& id, backend_fault fault)
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -51,6 +51,8 @@
     void set_fault(backend_fault value) { fault_ = value; }
     void set_work(std::chrono::milliseconds value) { work_ms_ = value.count(); }
     void set_events(unsigned count) { events_ = count; }
+    /// Bytes that follow the usual body of a plain answer.
+    void set_padding(std::size_t bytes) { padding_ = bytes; }
 
     /// How often each request id has run here.
     std::map<std::string, unsigned> runs();
@@ -82,6 +84,7 @@
     std::atomic<std::int64_t> work_ms_{1};
     std::atomic<unsigned> events_{6};
     std::atomic<unsigned> cancelled_{0};
+    std::atomic<std::size_t> padding_{0};
     std::atomic<bool> overloaded_{false};
     http_server server_;
 };
