--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -361,7 +361,7 @@
                         {"on_disk", std::to_string(entry->copies_on_disk.size())},
                         {"revision", std::to_string(object.revision)}}});
         }
-        requests.on_backend(boot_now(), *entry);
+        requests.on_backend(*entry);
         placement.on_backend(*entry);
         service.pump();
     }
--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -59,7 +59,7 @@
 
 } // namespace
 
-void backend_state_table::on_backend(steady_time now, backend_entry const& entry)
+void backend_state_table::on_backend(backend_entry const& entry)
 {
     auto& slot = backends_[entry.name];
     if (slot && slot->entry.started_at != entry.started_at)
@@ -86,7 +86,6 @@
     {
         slot->absent_until.clear();
     }
-    (void)now;
     slot->entry = entry;
 }
 
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -44,7 +44,7 @@
 class backend_state_table
 {
 public:
-    void on_backend(steady_time now, backend_entry const& entry);
+    void on_backend(backend_entry const& entry);
     void on_backend_gone(backend_name const& name);
     void on_placements(steady_time now, placement_news const& news);
     void on_load(steady_time now, backend_name const& name, backend_load const& load);
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -24,6 +24,8 @@
 // A request beyond the server's places waits for one of them to end.
 constexpr double queued_engine_request_ms = 60.0;
 constexpr double queued_call_ms = 25.0;
+// Calls at one server hardly slow each other down; the figure spreads them.
+constexpr double running_call_ms = 2.0;
 // A server that fails all its requests costs a retry and its time.
 constexpr double failing_server_ms = 400.0;
 // Reading a prompt makes the running streams pause. A quarter of that time counts for each of them, so that
@@ -114,7 +116,7 @@
         double const queued = in_use + 1 > places ? in_use + 1 - places : 0.0;
         double const load = backend.entry.engine
                                 ? in_use * running_request_ms + queued * queued_engine_request_ms
-                                : in_use * 2.0 + queued * queued_call_ms;
+                                : in_use * running_call_ms + queued * queued_call_ms;
         double const own_reading = unread_tokens(request, backend.entry.name) / prefill_tokens_per_ms;
         double const reading = own_reading + backend.unread_tokens / prefill_tokens_per_ms;
         double const disturbance = backend.entry.engine ? in_use * own_reading * disturbed_share : 0.0;
@@ -248,9 +250,9 @@
     impl_->config = std::move(config);
 }
 
-void dispatcher::on_backend(steady_time now, backend_entry const& entry)
+void dispatcher::on_backend(backend_entry const& entry)
 {
-    impl_->table.on_backend(now, entry);
+    impl_->table.on_backend(entry);
 }
 
 void dispatcher::on_backend_gone(backend_name const& name)
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -65,7 +65,7 @@
     dispatcher& operator=(dispatcher const&) = delete;
 
     void on_config(std::shared_ptr<serving_config const> config);
-    void on_backend(steady_time now, backend_entry const& entry);
+    void on_backend(backend_entry const& entry);
     void on_backend_gone(backend_name const& name);
     void on_placements(steady_time now, placement_news const& news);
 
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -36,6 +36,13 @@
 constexpr unsigned most_replicas = 8;
 // A model asked for once a second is kept as if its next load cost this much more.
 constexpr double keep_ms_per_rate = 2500.0;
+// Requests of the first priority are late after 400 ms, less than any load from disk takes.
+constexpr double most_urgent_weight = 4.0;
+// Among models that nobody asks for, those with a further replica leave first.
+constexpr double last_replica_ms = 20.0;
+// Below this rate a model makes room for one that is fetched ahead.
+constexpr double idle_rate = 0.3;
+constexpr unsigned kept_idle_replicas = 3;
 // A model with requests leaves only when they have ended; meanwhile the engine takes no other order.
 constexpr double unload_wait_ms = 1500.0;
 // Adapters on their way to one engine at the same time.
@@ -133,8 +140,8 @@
         {
             return sum.rate / held;
         }
-        double const urgency = sum.priority == 0 ? 4.0 : 1.0;
-        return sum.rate * urgency * keep_ms_per_rate / held + (held == 1 ? 20.0 : 0.0);
+        double const urgency = sum.priority == 0 ? most_urgent_weight : 1.0;
+        return sum.rate * urgency * keep_ms_per_rate / held + (held == 1 ? last_replica_ms : 0.0);
     }
 
     bool may_leave(std::string const& model, bool only_if_idle) const
@@ -143,8 +150,10 @@
         unsigned const held = replicas_of(model);
         if (only_if_idle)
         {
-            return sum.waiting == 0 && sum.running == 0 && (sum.rate < 0.3 || held > desired(sum)) &&
-                   (held <= 1 || held > 3);
+            // Models with two or three replicas were busy before; those with more have some to spare.
+            bool const spare = held <= 1 || held > kept_idle_replicas;
+            return sum.waiting == 0 && sum.running == 0 && spare &&
+                   (sum.rate < idle_rate || held > desired(sum));
         }
         return held > std::max(desired(sum), 1U) || (sum.running == 0 && sum.waiting == 0);
     }
--- a/domain/backend_entry.hpp
+++ b/domain/backend_entry.hpp
@@ -22,7 +22,7 @@
 /// What a backend server says about itself in the platform's store.
 struct backend_entry
 {
-    backend_name name; ///< Identity of one start of the server, for Expect-Instance style checks.
+    backend_name name; ///< Mostly new with each start; a request for another name is refused by the server.
     std::string service;
     std::string address;
     std::string data_centre;
--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -88,7 +88,7 @@
 Test(dispatcher, urgent_requests_of_a_burst_go_first)
 {
     dispatcher requests(settings());
-    requests.on_backend(at(1), server("a", "here", 1));
+    requests.on_backend(server("a", "here", 1));
     for (request_number n = 1; n <= 40; ++n)
     {
         requests.submit(at(1), request(n, "", n % 2 == 0 ? 0 : 2));
@@ -125,7 +125,7 @@
 Test(dispatcher, request_waits_for_its_model)
 {
     dispatcher requests(settings());
-    requests.on_backend(at(0), engine("e", ""));
+    requests.on_backend(engine("e", ""));
     requests.submit(at(0), request(1, "m"));
     cr_assert(requests.step(at(0)).empty());
     cr_assert(requests.has_new_wish());
@@ -143,8 +143,8 @@
     dispatcher requests(settings());
     backend_entry leaving = server("a", "here");
     leaving.leaving = true;
-    requests.on_backend(at(0), leaving);
-    requests.on_backend(at(0), engine("e", "m"));
+    requests.on_backend(leaving);
+    requests.on_backend(engine("e", "m"));
     requests.on_placements(at(0), {{{"e", "m", "", true}}, 9});
     requests.submit(at(0), request(1, "m"));
     requests.submit(at(0), request(2));
@@ -157,8 +157,8 @@
 Test(dispatcher, failing_server_is_avoided_and_taken_back)
 {
     dispatcher requests(settings());
-    requests.on_backend(at(0), server("a", "here"));
-    requests.on_backend(at(0), server("b", "far"));
+    requests.on_backend(server("a", "here"));
+    requests.on_backend(server("b", "far"));
     requests.submit(at(0), request(1));
     cr_assert_eq(assigned(requests.step(at(0)), 1), "a");
     requests.on_attempt_end(at(10), {1, "a", attempt_result::connection_lost, false, false, {}});
@@ -183,8 +183,8 @@
 Test(dispatcher, near_servers_are_preferred_until_they_are_full)
 {
     dispatcher requests(settings());
-    requests.on_backend(at(0), server("far", "far"));
-    requests.on_backend(at(0), server("here", "here"));
+    requests.on_backend(server("far", "far"));
+    requests.on_backend(server("here", "here"));
     std::map<std::string, unsigned> counts;
     for (request_number n = 1; n <= 12; ++n)
     {
@@ -213,11 +213,11 @@
     dispatcher requests(settings());
     backend_entry entry = engine("e", "m");
     entry.started_at = 1;
-    requests.on_backend(at(0), entry);
+    requests.on_backend(entry);
     requests.on_placements(at(0), {{{"e", "x", "", false}}, 9});
     entry.started_at = 2;
     entry.models.clear();
-    requests.on_backend(at(10), entry);
+    requests.on_backend(entry);
     requests.submit(at(10), request(1, "x"));
     cr_assert_eq(assigned(requests.step(at(10)), 1), "");
 }
@@ -227,7 +227,7 @@
 Test(dispatcher, crashed_server_is_not_tried_in_a_loop)
 {
     dispatcher requests(settings());
-    requests.on_backend(at(0), engine("e", "m"));
+    requests.on_backend(engine("e", "m"));
     dispatch_request patient = request(1, "m");
     patient.patience = seconds{20};
     unsigned trials = 0;
@@ -251,10 +251,10 @@
 Test(dispatcher, pausing_engine_is_spared)
 {
     dispatcher requests(settings());
-    requests.on_backend(at(0), engine("a", "m"));
+    requests.on_backend(engine("a", "m"));
     backend_entry far = engine("b", "m");
     far.data_centre = "far";
-    requests.on_backend(at(0), far);
+    requests.on_backend(far);
     requests.submit(at(0), request(1, "m"));
     cr_assert_eq(assigned(requests.step(at(0)), 1), "a");
     for (int i = 0; i < 5; ++i)
@@ -273,10 +273,10 @@
 Test(dispatcher, burst_of_long_prompts_is_spread)
 {
     dispatcher requests(settings());
-    requests.on_backend(at(0), engine("a", "m"));
+    requests.on_backend(engine("a", "m"));
     backend_entry far = engine("b", "m");
     far.data_centre = "far";
-    requests.on_backend(at(0), far);
+    requests.on_backend(far);
     std::map<std::string, unsigned> counts;
     for (request_number n = 1; n <= 6; ++n)
     {
