--- a/decision/rotation_planner.hpp
+++ b/decision/rotation_planner.hpp
@@ -56,7 +56,7 @@
 struct rotation_settings
 {
     double window_s = 5.0;         ///< In which the loads from the weight store are bounded.
-    double window_factor = 1.0; ///< Share of the configured rate that is used.
+    double window_factor = 1.0;    ///< Share of the configured rate that is used.
     unsigned full_speed_loads = 4; ///< Loads from the weight store beyond this number slow each other down.
 };
 
