--- a/adapters/object_store_client.cpp
+++ b/adapters/object_store_client.cpp
@@ -1,3 +1,8 @@
+#if defined(__GNUC__) && !defined(__clang__)
+// GCC 12 takes a moved-from variant of store operations for uninitialized at -O3.
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
+
 #include "adapters/object_store_client.hpp"
 
 #include "adapters/event_delivery.hpp"
