--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -324,9 +324,10 @@
         }
         open->progress_timer.expires_after(limit);
         open->progress_timer.async_wait(
-            [self = shared_from_this(), open](boost::system::error_code error)
+            [self = shared_from_this(), open, watched = open->attempt](boost::system::error_code error)
             {
-                if (!error && open->attempt)
+                // The timer may have run out in the moment in which the attempt ended by itself.
+                if (!error && open->attempt && open->attempt == watched)
                 {
                     bool const sent = open->attempt->sent();
                     open->attempt->cancel();
