--- a/adapters/edge_settings.cpp
+++ b/adapters/edge_settings.cpp
@@ -61,7 +61,7 @@
     yaml_map retries = section(root, "retries", "a map of ratio, window_s and slack");
     settings.retry_ratio = retries.number("ratio", 0.0, 10.0);
     settings.retry_window = seconds{static_cast<std::int64_t>(retries.integer("window_s", 1, 3600))};
-    settings.retry_slack = static_cast<unsigned>(retries.integer("slack", 0, 1000000));
+    settings.spare_retries = static_cast<unsigned>(retries.integer("slack", 0, 1000000));
     retries.finish();
 
     yaml_map orders = section(root, "orders", "a map of holder_gap_ms and load_window_s");
@@ -91,7 +91,7 @@
     {
         return std::tie(s.name, s.data_centre, s.region, s.region_of, s.caller_address, s.readiness_address,
                         s.peer_address, s.store_address, s.leaving_time, s.change_time, s.retry_ratio,
-                        s.retry_window, s.retry_slack, s.holder_gap, s.load_window_s, s.stop_time,
+                        s.retry_window, s.spare_retries, s.holder_gap, s.load_window_s, s.stop_time,
                         s.descriptors, s.cpu_share, s.log_level);
     };
     return fields(a) == fields(b);
--- a/adapters/edge_settings.hpp
+++ b/adapters/edge_settings.hpp
@@ -23,7 +23,7 @@
     std::string store_address;
     double retry_ratio = 0.0;
     duration retry_window = seconds{10};
-    unsigned retry_slack = 0;
+    unsigned spare_retries = 0;
     duration leaving_time = milliseconds{2500}; ///< After which a leaving server gets no new work.
     duration change_time = milliseconds{2500};  ///< Within which a configuration must be in force.
     duration holder_gap{0};     ///< Between the last order of one lease holder and the first of the next.
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -81,7 +81,7 @@
     retry_limits limits;
     limits.ratio = settings.retry_ratio;
     limits.window = settings.retry_window;
-    limits.slack = settings.retry_slack;
+    limits.slack = settings.spare_retries;
     limits.instances = instances;
     return limits;
 }
@@ -242,7 +242,7 @@
                                     fresh->store_address != settings.store_address;
         settings.retry_ratio = fresh->retry_ratio;
         settings.retry_window = fresh->retry_window;
-        settings.retry_slack = fresh->retry_slack;
+        settings.spare_retries = fresh->spare_retries;
         settings.stop_time = fresh->stop_time;
         retries.on_limits(limits_of(settings, instances));
         log.write({"reload",
