--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -31,7 +31,7 @@
 // Reports of demand: often while requests wait for a model, otherwise as often as rates need.
 constexpr duration report_interval = milliseconds{500};
 constexpr duration waiting_report_interval = milliseconds{20}; // Times the root of the number of instances.
-// Plans, and replies, are made anew at most so often; a plan over 112 engines and 344 models takes 2 ms.
+// Plans, and replies, are made anew at most so often; each one looks at every engine for every wish.
 constexpr duration least_plan_interval = milliseconds{15};
 // An order is answered after a round trip between regions; more is an engine that does not answer.
 constexpr duration order_limit = milliseconds{700};
