--- a/tests/fleet/fake_fleet.hpp
+++ b/tests/fleet/fake_fleet.hpp
@@ -257,6 +257,7 @@
     void send_lists();
     std::vector<listed_server> listing() const;
     void check_after_event();
+    void check_replicas(std::string const& model, unsigned count);
     void check_leases();
     void check_overdue();
     void violation(std::string const& what);
@@ -297,6 +298,8 @@
     std::vector<std::string> violations_;
     std::set<std::string> reported_;
     std::map<std::string, unsigned> replicas_before_;
+    std::map<std::string, unsigned> bound_at_sending_; ///< Of loads that began since the last check.
+    std::map<std::string, steady_time> beyond_bound_since_;
     std::deque<std::string> trace_;
     void keep_checkpoint(fake_server& server, std::string const& model) const;
     bool fits(fake_server const& server, std::uint64_t bytes) const;
--- a/tests/fleet/fake_fleet_checks.cpp
+++ b/tests/fleet/fake_fleet_checks.cpp
@@ -77,18 +77,38 @@
     }
     for (auto const& each : replicas)
     {
-        // A lowered bound is met by unloading; until then the replicas must not become more.
-        if (each.second > replicas_before_[each.first] && each.second > bound_of(each.first))
-        {
-            violation("I1 model " + each.first + " has " + std::to_string(each.second) + " replicas");
-        }
+        check_replicas(each.first, each.second);
     }
+    bound_at_sending_.clear();
     replicas_before_ = std::move(replicas);
     check_leases();
     check_overdue();
     note_generations();
 }
 
+// A lowered bound is met by unloading; until then the replicas must not become more. An order counts by the
+// bound that its sender acted on when it was sent: the sender may learn of a lower one before it arrives.
+void fake_fleet::check_replicas(std::string const& model, unsigned count)
+{
+    unsigned const bound = bound_of(model);
+    auto const sent = bound_at_sending_.find(model);
+    unsigned const allowed = sent == bound_at_sending_.end() ? bound : std::max(bound, sent->second);
+    if (count > replicas_before_[model] && count > allowed)
+    {
+        violation("I1 model " + model + " has " + std::to_string(count) + " replicas");
+    }
+    if (count <= bound)
+    {
+        beyond_bound_since_.erase(model);
+        return;
+    }
+    steady_time const since = beyond_bound_since_.emplace(model, now_).first->second;
+    if (now_ - std::max(since, last_disturbed_) > config_grace + lease_takeover)
+    {
+        violation("I1 model " + model + " keeps " + std::to_string(count) + " replicas beyond its bound");
+    }
+}
+
 void fake_fleet::note_generations()
 {
     std::uint64_t lowest = configs_.size();
--- a/tests/fleet/fake_fleet_engines.cpp
+++ b/tests/fleet/fake_fleet_engines.cpp
@@ -35,6 +35,7 @@
 void fake_fleet::deliver_order(std::string const& instance, std::uint64_t incarnation, send_order const& what)
 {
     std::string const server = what.what.what.engine;
+    unsigned const bound = bound_of(what.what.what.subject);
     auto const answer = [this, instance, incarnation](order_outcome const& outcome)
     {
         schedule(local_latency,
@@ -57,13 +58,18 @@
         return;
     }
     schedule(latency(instance, server),
-             [this, server, what, answer]
+             [this, server, what, answer, bound]
              {
                  if (!servers_.at(server)->running)
                  {
                      answer({what.what.what.id, order_result::unknown, 0, 0});
                      return;
                  }
+                 if (what.what.what.kind == order_kind::load_model)
+                 {
+                     unsigned& sent = bound_at_sending_[what.what.what.subject];
+                     sent = std::max(sent, bound);
+                 }
                  take_order(*servers_.at(server), what, answer);
              });
 }
--- a/tests/fleet/fake_fleet_parts.hpp
+++ b/tests/fleet/fake_fleet_parts.hpp
@@ -12,6 +12,8 @@
 inline constexpr duration silence_limit = seconds{5};
 inline constexpr duration leaving_grace = seconds{3};
 inline constexpr duration config_grace = seconds{11};
+// A lease of six seconds runs out and is claimed anew before a killed holder's successor unloads.
+inline constexpr duration lease_takeover = seconds{8};
 inline constexpr duration watch_time = seconds{3};
 inline constexpr unsigned engine_queue = 32;
 
