--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -1,8 +1,12 @@
 #include "adapters/placement_codec.hpp"
 
+#include "adapters/field_codec.hpp"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace siskinusher
@@ -21,12 +25,12 @@
     return {bytes.begin(), bytes.end()};
 }
 
-// A row is a list, which keeps the messages small.
-std::optional<json> rows_of(std::string const& bytes)
+// Messages are lists of fixed length, which keeps them small.
+std::optional<json> list_of(std::string const& bytes, std::size_t size)
 {
-    json value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    bool const usable = !value.is_discarded() && value.is_array() && value.size() == 2 && value[1].is_array();
-    return usable ? std::optional(std::move(value)) : std::nullopt;
+    auto value = field_codec::parse_cbor(bytes);
+    bool const usable = value.has_value() && value.value().is_array() && value.value().size() == size;
+    return usable ? std::optional(std::move(value.value())) : std::nullopt;
 }
 
 bool is_row(json const& row, std::size_t texts, std::size_t numbers)
@@ -45,6 +49,135 @@
     return true;
 }
 
+bool is_text_list(json const& value)
+{
+    return value.is_array() &&
+           std::all_of(value.begin(), value.end(), [](json const& each) { return each.is_string(); });
+}
+
+json binary_of(std::string const& bytes)
+{
+    return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string bytes_of(json const& value)
+{
+    auto const& bytes = value.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+json encode_position(update_position const& position)
+{
+    return json::array({position.source, position.sequence});
+}
+
+std::optional<update_position> decode_position(json const& value)
+{
+    return is_row(value, 1, 1)
+               ? std::optional(update_position{value[0].get<std::string>(), value[1].get<std::uint64_t>()})
+               : std::nullopt;
+}
+
+json encode_server(revised_backend const& server)
+{
+    backend_entry const& entry = server.entry;
+    json models = json::array();
+    for (resident_model const& model : entry.models)
+    {
+        json names = json::array({model.name});
+        for (std::string const& adapter : model.adapters)
+        {
+            names.push_back(adapter);
+        }
+        models.push_back(std::move(names));
+    }
+    json const facts = json::array({entry.name, entry.service, entry.address, entry.data_centre, entry.places,
+                                    entry.leaving ? 1U : 0U, entry.engine ? 1U : 0U,
+                                    static_cast<std::uint64_t>(entry.started_at), server.revision});
+    return json::array({facts, models});
+}
+
+std::optional<revised_backend> decode_server(json const& value)
+{
+    if (!value.is_array() || value.size() != 2 || !is_row(value[0], 4, 5) || !value[1].is_array())
+    {
+        return std::nullopt;
+    }
+    json const& facts = value[0];
+    revised_backend server;
+    backend_entry& entry = server.entry;
+    entry.name = facts[0].get<std::string>();
+    entry.service = facts[1].get<std::string>();
+    entry.address = facts[2].get<std::string>();
+    entry.data_centre = facts[3].get<std::string>();
+    entry.places = facts[4].get<unsigned>();
+    entry.leaving = facts[5].get<unsigned>() != 0;
+    entry.engine = facts[6].get<unsigned>() != 0;
+    entry.started_at = facts[7].get<std::int64_t>();
+    server.revision = facts[8].get<std::uint64_t>();
+    for (json const& names : value[1])
+    {
+        if (!is_text_list(names) || names.empty())
+        {
+            return std::nullopt;
+        }
+        resident_model model{names[0].get<std::string>(), {}};
+        for (std::size_t i = 1; i < names.size(); ++i)
+        {
+            model.adapters.insert(names[i].get<std::string>());
+        }
+        entry.models.push_back(std::move(model));
+    }
+    return server;
+}
+
+std::optional<placement_news> decode_news(std::string const& bytes)
+{
+    auto const value = list_of(bytes, 2);
+    if (!value || !(*value)[0].is_number_unsigned() || !(*value)[1].is_array())
+    {
+        return std::nullopt;
+    }
+    placement_news news;
+    news.instances = (*value)[0].get<unsigned>();
+    for (json const& row : (*value)[1])
+    {
+        if (!is_row(row, 3, 1))
+        {
+            return std::nullopt;
+        }
+        news.placements.push_back({row[0].get<std::string>(), row[1].get<std::string>(),
+                                   row[2].get<std::string>(), row[3].get<unsigned>() != 0});
+    }
+    return news;
+}
+
+std::optional<backend_update> decode_update(std::string const& bytes)
+{
+    auto const value = list_of(bytes, 5);
+    auto position = value ? decode_position((*value)[0]) : std::nullopt;
+    if (!position || !(*value)[1].is_boolean() || !(*value)[2].is_number_unsigned() ||
+        !(*value)[3].is_array() || !is_text_list((*value)[4]))
+    {
+        return std::nullopt;
+    }
+    backend_update update;
+    update.position = std::move(*position);
+    update.complete = (*value)[1].get<bool>();
+    update.store_revision = (*value)[2].get<std::uint64_t>();
+    for (json const& each : (*value)[3])
+    {
+        auto server = decode_server(each);
+        if (!server)
+        {
+            return std::nullopt;
+        }
+        update.changed.push_back(std::move(*server));
+    }
+    update.gone = (*value)[4].get<std::vector<std::string>>();
+    return update;
+}
+
 } // namespace
 
 std::string encode_demand(demand_report const& report)
@@ -55,29 +188,24 @@
         rows.push_back({each.service, each.model, each.adapter, each.priority, each.waiting, each.running,
                         each.arrivals});
     }
-    json who = json::array({report.instance, report.peer_address});
-    for (backend_name const& name : report.unreachable)
-    {
-        who.push_back(name);
-    }
-    return to_bytes(json::array({who, rows}));
+    json const who = json::array({report.instance, report.peer_address});
+    return to_bytes(json::array({who, report.unreachable, rows, encode_position(report.known_servers)}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
 {
-    auto const value = rows_of(bytes);
-    if (!value || (*value)[0].size() < 2 || !is_row((*value)[0], (*value)[0].size(), 0))
+    auto const value = list_of(bytes, 4);
+    auto position = value ? decode_position((*value)[3]) : std::nullopt;
+    if (!position || !is_row((*value)[0], 2, 0) || !is_text_list((*value)[1]) || !(*value)[2].is_array())
     {
         return std::nullopt;
     }
     demand_report report;
-    for (std::size_t i = 2; i < (*value)[0].size(); ++i)
-    {
-        report.unreachable.push_back((*value)[0][i].get<std::string>());
-    }
     report.instance = (*value)[0][0].get<std::string>();
     report.peer_address = (*value)[0][1].get<std::string>();
-    for (json const& row : (*value)[1])
+    report.unreachable = (*value)[1].get<std::vector<backend_name>>();
+    report.known_servers = std::move(*position);
+    for (json const& row : (*value)[2])
     {
         if (!is_row(row, 3, 4))
         {
@@ -100,25 +228,40 @@
     return to_bytes(json::array({news.instances, rows}));
 }
 
-std::optional<placement_news> decode_news(std::string const& bytes)
+std::string encode_update(backend_update const& update)
+{
+    json servers = json::array();
+    for (revised_backend const& each : update.changed)
+    {
+        servers.push_back(encode_server(each));
+    }
+    return to_bytes(json::array(
+        {encode_position(update.position), update.complete, update.store_revision, servers, update.gone}));
+}
+
+std::string encode_reply(std::string const& news, std::string const& update, std::uint64_t config_revision,
+                         duration age)
+{
+    auto const age_us = static_cast<std::uint64_t>(std::max<duration>(age, duration{0}).count());
+    return to_bytes(json::array({binary_of(news), binary_of(update), config_revision, age_us}));
+}
+
+std::optional<holder_reply> decode_reply(std::string const& bytes)
 {
-    auto const value = rows_of(bytes);
-    if (!value || !(*value)[0].is_number_unsigned())
+    auto const value = list_of(bytes, 4);
+    if (!value || !(*value)[0].is_binary() || !(*value)[1].is_binary() || !(*value)[2].is_number_unsigned() ||
+        !(*value)[3].is_number_unsigned())
     {
         return std::nullopt;
     }
-    placement_news news;
-    news.instances = (*value)[0].get<unsigned>();
-    for (json const& row : (*value)[1])
+    auto news = decode_news(bytes_of((*value)[0]));
+    auto servers = decode_update(bytes_of((*value)[1]));
+    if (!news || !servers)
     {
-        if (!is_row(row, 3, 1))
-        {
-            return std::nullopt;
-        }
-        news.placements.push_back({row[0].get<std::string>(), row[1].get<std::string>(),
-                                   row[2].get<std::string>(), row[3].get<unsigned>() != 0});
+        return std::nullopt;
     }
-    return news;
+    return holder_reply{std::move(*news), std::move(*servers), (*value)[2].get<std::uint64_t>(),
+                        duration{(*value)[3].get<duration::rep>()}};
 }
 
 } // namespace siskinusher
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -2,6 +2,7 @@
 
 #include "domain/placement_exchange.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -12,8 +13,13 @@
 /// are not what the encoder makes.
 std::string encode_demand(demand_report const& report);
 std::optional<demand_report> decode_demand(std::string const& bytes);
+/// The parts of a reply, which many instances get within the same moment and which are encoded once for them.
 std::string encode_news(placement_news const& news);
-std::optional<placement_news> decode_news(std::string const& bytes);
+std::string encode_update(backend_update const& update);
+/// Joins the encoded parts of a reply.
+std::string encode_reply(std::string const& news, std::string const& update, std::uint64_t config_revision,
+                         duration age);
+std::optional<holder_reply> decode_reply(std::string const& bytes);
 
 /// Path of the call that carries a demand report to the lease holder.
 extern char const* const demand_path;
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -8,11 +8,9 @@
 #include "adapters/ports.hpp"
 #include "apps/placement_service.hpp"
 #include "apps/request_service.hpp"
-#include "platform/backend_entry_codec.hpp"
+#include "apps/state_follower.hpp"
 #include "platform/metadata_store.hpp"
-#include "platform/object_watch.hpp"
 #include "platform/request_codec.hpp"
-#include "platform/serving_config_codec.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -31,19 +29,6 @@
 namespace
 {
 
-constexpr char const* config_kind = "config";
-constexpr char const* config_name = "main";
-constexpr char const* backend_kind = "servers";
-// Entries of servers that lapsed in an outage of the store are back within this time of its return.
-constexpr duration backend_return_grace = seconds{2};
-// The lease holder follows each change of an engine at once; the others learn of placements from it and
-// gather the changes for this share of the time after which a leaving server gets no new work.
-constexpr double gather_share = 0.45;
-// The changes of a moment, for example the effects of several orders, are read with one call.
-constexpr duration holder_gather_time = milliseconds{25};
-// A configuration that comes alone is read at once; those that follow it are gathered for this share of the
-// time in which they must be in force.
-constexpr double config_gather_share = 0.3;
 // The balancer asks for readiness once a second and takes an instance out after two misses.
 constexpr duration readiness_noticed = milliseconds{2500};
 // Kept of the stop time for ending in order.
@@ -99,6 +84,15 @@
     return result;
 }
 
+state_follower_settings follower_settings(edge_settings const& settings)
+{
+    state_follower_settings result;
+    result.source = settings.name + "-" + std::to_string(random_number());
+    result.leaving_time = settings.leaving_time;
+    result.change_time = settings.change_time;
+    return result;
+}
+
 caller_server_settings server_settings(std::string const& address, std::size_t connections)
 {
     caller_server_settings result;
@@ -120,12 +114,16 @@
           requests({settings.data_centre, settings.region_of}),
           retries(limits_of(settings, unknown_instances)),
           service(loop, pool, requests, retries, log, metrics, metrics, random_number()),
+          state(loop, store, log, metrics, follower_settings(settings), state_changes()),
           placement(
-              loop, pool, store, log, metrics, placement_settings(settings),
+              loop, pool, store, log, metrics, placement_settings(settings), state,
               [this]
               {
-                  return demand_report{settings.name, settings.peer_address, requests.take_demand(),
-                                       requests.unreachable(boot_now())};
+                  return demand_report{settings.name,
+                                       settings.peer_address,
+                                       requests.take_demand(),
+                                       requests.unreachable(boot_now()),
+                                       {}};
               },
               [this](placement_news const& news) { on_news(news); }),
           callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
@@ -134,37 +132,16 @@
           readiness(loop, server_settings(settings.readiness_address, 64),
                     [this](std::shared_ptr<caller_exchange> const& exchange) { on_readiness(exchange); }),
           peers(loop, server_settings(settings.peer_address, 512),
-                [this](std::shared_ptr<caller_exchange> const& exchange) { on_peer(exchange); }),
-          config_watch(loop, store, log, watch_settings(config_kind, duration{0}), config_handlers()),
-          backend_watch(loop, store, log, watch_settings(backend_kind, backend_return_grace),
-                        backend_handlers())
-    {
-    }
-
-    static platform::object_watch_settings watch_settings(char const* kind, duration grace)
+                [this](std::shared_ptr<caller_exchange> const& exchange) { on_peer(exchange); })
     {
-        platform::object_watch_settings result;
-        result.kind = kind;
-        result.return_grace = grace;
-        return result;
     }
 
-    platform::object_watch_handlers config_handlers()
+    state_handlers state_changes()
     {
-        platform::object_watch_handlers handlers;
-        handlers.on_object = [this](platform::store_object const& object) { on_config(object); };
-        handlers.on_deleted = [this](std::string const& name) {
-            log.write({"config_deleted", {{"name", name}, {"outcome", "kept"}}});
-        };
-        return handlers;
-    }
-
-    platform::object_watch_handlers backend_handlers()
-    {
-        platform::object_watch_handlers handlers;
-        handlers.on_object = [this](platform::store_object const& object) { on_backend(object); };
-        handlers.on_deleted = [this](std::string const& name) { on_backend_gone(name); };
-        handlers.on_listed = [this] { backends_listed = true; };
+        state_handlers handlers;
+        handlers.on_config = [this](std::shared_ptr<serving_config const> const& fresh) { on_config(fresh); };
+        handlers.on_backend = [this](backend_entry const& entry) { on_backend(entry); };
+        handlers.on_backend_gone = [this](backend_name const& name) { on_backend_gone(name); };
         return handlers;
     }
 
@@ -184,18 +161,11 @@
         signals.add(SIGHUP);
         wait_for_signal();
         store.set_relay_source([this] { return placement.relay(); });
-        auto const gather_time = std::chrono::duration_cast<duration>(settings.leaving_time * gather_share);
-        backend_watch.set_gather_time(gather_time);
-        config_watch.set_gather_time(
-            std::chrono::duration_cast<duration>(settings.change_time * config_gather_share));
-        placement.on_lease([this, gather_time](bool holds)
-                           { backend_watch.set_gather_time(holds ? holder_gather_time : gather_time); });
         metrics.set_gauge("siskin_config_version", [this] { return config ? config->version : 0; });
         metrics.set_gauge("siskin_holds_lease", [this] { return placement.holds_lease() ? 1U : 0U; });
         metrics.set_gauge("siskin_open_requests", [this] { return service.open_requests(); });
         metrics.set_gauge("siskin_backends", [this] { return requests.backends(); });
-        config_watch.start();
-        backend_watch.start();
+        state.start();
         placement.start();
         log.write({"start",
                    {{"instance", settings.name},
@@ -283,7 +253,7 @@
         stop_timer.async_wait([this](boost::system::error_code) { poll_stop(); });
     }
 
-    bool ready() const { return !stopping && service.has_config() && backends_listed; }
+    bool ready() const { return !stopping && service.has_config() && state.servers_known(); }
 
     void on_readiness(std::shared_ptr<caller_exchange> const& exchange)
     {
@@ -306,69 +276,25 @@
         placement.on_peer_call(exchange);
     }
 
-    void on_config(platform::store_object const& object)
+    void on_config(std::shared_ptr<serving_config const> const& fresh)
     {
-        if (object.name != config_name)
-        {
-            return;
-        }
-        std::string why;
-        auto decoded = platform::decode_serving_config(object.spec, why);
-        if (!decoded || (config && decoded->version < config->version))
-        {
-            why = decoded ? "an older version" : why;
-            log.write({"config_ignored", {{"revision", std::to_string(object.revision)}, {"reason", why}}});
-            return;
-        }
-        if (config && decoded->version == config->version)
-        {
-            return;
-        }
-        config = std::make_shared<serving_config const>(std::move(*decoded));
+        config = fresh;
         callers.set_limits(config->limits);
         service.on_config(config);
         requests.on_config(config);
         placement.on_config(config);
-        log.write({"config_in_force",
-                   {{"version", std::to_string(config->version)},
-                    {"routes", std::to_string(config->routes.size())},
-                    {"revision", std::to_string(object.revision)}}});
         service.pump();
     }
 
-    void on_backend(platform::store_object const& object)
+    void on_backend(backend_entry const& entry)
     {
-        auto const entry = platform::decode_backend_entry(object.name, object.spec);
-        if (!entry)
-        {
-            log.write({"backend_ignored",
-                       {{"backend", object.name}, {"revision", std::to_string(object.revision)}}});
-            return;
-        }
-        backend_entry const* const known = requests.find_backend(entry->name);
-        if (known == nullptr || known->leaving != entry->leaving || !(known->models == entry->models))
-        {
-            std::string models;
-            for (resident_model const& model : entry->models)
-            {
-                models.append(models.empty() ? "" : ",").append(model.name);
-            }
-            log.write({"backend",
-                       {{"backend", entry->name},
-                        {"service", entry->service},
-                        {"state", entry->leaving ? "leaving" : "ready"},
-                        {"models", models},
-                        {"on_disk", std::to_string(entry->copies_on_disk.size())},
-                        {"revision", std::to_string(object.revision)}}});
-        }
-        requests.on_backend(*entry);
-        placement.on_backend(*entry);
+        requests.on_backend(entry);
+        placement.on_backend(entry);
         service.pump();
     }
 
-    void on_backend_gone(std::string const& name)
+    void on_backend_gone(backend_name const& name)
     {
-        log.write({"backend_gone", {{"backend", name}}});
         requests.on_backend_gone(name);
         placement.on_backend_gone(name);
     }
@@ -396,15 +322,13 @@
     dispatcher requests;
     retry_allowance retries;
     request_service service;
+    state_follower state;
     placement_service placement;
     caller_server callers;
     caller_server readiness;
     caller_server peers;
-    platform::object_watch config_watch;
-    platform::object_watch backend_watch;
     std::shared_ptr<serving_config const> config;
     unsigned instances = unknown_instances;
-    bool backends_listed = false;
     bool stopping = false;
     steady_time stop_at;
 };
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -5,6 +5,7 @@
 #include "adapters/outbound_pool.hpp"
 #include "adapters/placement_codec.hpp"
 #include "adapters/ports.hpp"
+#include "apps/state_follower.hpp"
 #include "platform/backend_entry_codec.hpp"
 #include "platform/lease_record_codec.hpp"
 #include "platform/metadata_store.hpp"
@@ -18,6 +19,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <unordered_map>
 #include <utility>
 
 namespace siskinusher
@@ -72,9 +74,9 @@
 public:
     implementation(boost::asio::io_context& loop, outbound_pool& pool_in, platform::metadata_store& store_in,
                    log_port& log_in, metric_port& metrics_in, placement_service_settings settings_in,
-                   demand_source demand_in, news_handler on_news_in)
+                   state_follower& state_in, demand_source demand_in, news_handler on_news_in)
         : pool(pool_in), store(store_in), log(log_in), metrics(metrics_in), settings(std::move(settings_in)),
-          demand(std::move(demand_in)), on_news(std::move(on_news_in)), timer(loop),
+          state(state_in), demand(std::move(demand_in)), on_news(std::move(on_news_in)), timer(loop),
           lease(settings.name, settings.peer_address, settings.fresh_key, settings.lease),
           planner(settings.rotation)
     {
@@ -174,17 +176,15 @@
             {
                 planner.begin_lease();
             }
-            if (on_lease)
-            {
-                on_lease(holds);
-            }
+            state.on_lease(holds);
             log.write({holds ? "lease_gained" : "lease_lost", {{"epoch", std::to_string(lease.epoch())}}});
         }
     }
 
     void report(steady_time now)
     {
-        demand_report const own = demand();
+        demand_report own = demand();
+        own.known_servers = state.position();
         bool const waits = std::any_of(own.models.begin(), own.models.end(),
                                        [](model_demand const& each) { return each.waiting > 0; });
         // The holder's work grows with the reports, so that more instances report less often.
@@ -219,34 +219,45 @@
     void on_report_answer(http_outcome const& outcome)
     {
         reporting = false;
-        auto const news = outcome.status == 200 ? decode_news(outcome.body) : std::nullopt;
-        if (holder_reached != news.has_value())
+        auto const reply = outcome.status == 200 ? decode_reply(outcome.body) : std::nullopt;
+        if (holder_reached != reply.has_value())
         {
-            holder_reached = news.has_value();
+            holder_reached = reply.has_value();
             log.write({holder_reached ? "holder_reached" : "holder_lost",
                        {{"status", std::to_string(outcome.status)}, {"why", outcome.why}}});
         }
-        if (news)
+        if (reply)
         {
-            instances = news->instances;
-            on_news(*news);
+            instances = reply->news.instances;
+            state.on_reply(*reply);
+            on_news(reply->news);
+        }
+        else if (outcome.status != 0 || !outcome.sent)
+        {
+            state.on_holder_lost();
         }
     }
 
-    // Hundreds of instances ask within the same moment.
-    std::string const& encoded_news(steady_time now)
+    // Hundreds of instances ask within the same moment, and most of them are at the same position.
+    std::string encoded_reply(steady_time now, update_position const& known)
     {
         if (now - news_at >= least_plan_interval)
         {
             news_at = now;
             news_bytes = encode_news(planner.news(now));
+            update_bytes.clear();
         }
-        return news_bytes;
+        std::string& update = update_bytes[known.source + "/" + std::to_string(known.sequence)];
+        if (update.empty())
+        {
+            update = encode_update(state.servers_since(known));
+        }
+        return encode_reply(news_bytes, update, state.config_revision(), now - lease.confirmed_at());
     }
 
     void plan(steady_time now)
     {
-        if (!lease.may_order(now))
+        if (!lease.may_order(now) || !state.servers_fresh())
         {
             return;
         }
@@ -358,7 +369,7 @@
         {
             plan(now);
         }
-        call->answer(200, "Content-Type: application/cbor\r\n", encoded_news(now));
+        call->answer(200, "Content-Type: application/cbor\r\n", encoded_reply(now, report->known_servers));
     }
 
     // Makes a store call for a peer that does not reach the store.
@@ -410,6 +421,7 @@
     log_port& log;
     metric_port& metrics;
     placement_service_settings const settings;
+    state_follower& state;
     demand_source const demand;
     news_handler const on_news;
     boost::asio::steady_timer timer;
@@ -419,19 +431,19 @@
     steady_time planned_at;
     steady_time news_at;
     std::string news_bytes;
-    unsigned instances = 0; ///< That the holder has heard of.
+    std::unordered_map<std::string, std::string> update_bytes; ///< By the position that they start from.
+    unsigned instances = 0;                                    ///< That the holder has heard of.
     bool reporting = false;
     bool holder_reached = false;
     bool held = false;
     std::map<std::string, steady_time> peers; ///< Addresses of instances, with their last report.
-    lease_handler on_lease;
 };
 
 placement_service::placement_service(boost::asio::io_context& loop, outbound_pool& pool,
                                      platform::metadata_store& store, log_port& log, metric_port& metrics,
-                                     placement_service_settings settings, demand_source demand,
-                                     news_handler on_news)
-    : impl_(std::make_shared<implementation>(loop, pool, store, log, metrics, std::move(settings),
+                                     placement_service_settings settings, state_follower& state,
+                                     demand_source demand, news_handler on_news)
+    : impl_(std::make_shared<implementation>(loop, pool, store, log, metrics, std::move(settings), state,
                                              std::move(demand), std::move(on_news)))
 {
 }
@@ -463,11 +475,6 @@
     impl_->next_report = {};
 }
 
-void placement_service::on_lease(lease_handler handler)
-{
-    impl_->on_lease = std::move(handler);
-}
-
 std::optional<platform::store_relay> placement_service::relay() const
 {
     return impl_->relay();
--- a/apps/placement_service.hpp
+++ b/apps/placement_service.hpp
@@ -22,6 +22,7 @@
 {
 
 class outbound_pool;
+class state_follower;
 struct log_port;
 struct metric_port;
 
@@ -41,18 +42,17 @@
 };
 
 /// Keeps the order lease, sends the orders of the rotation planner while it is held, and carries this
-/// instance's demand to the holder.
+/// instance's demand to the holder, whose replies go to the state follower.
 class placement_service
 {
 public:
     using demand_source = std::function<demand_report()>;
     using news_handler = std::function<void(placement_news const&)>;
-    using lease_handler = std::function<void(bool holds)>;
 
     /// All references must outlive the service.
     placement_service(boost::asio::io_context& loop, outbound_pool& pool, platform::metadata_store& store,
                       log_port& log, metric_port& metrics, placement_service_settings settings,
-                      demand_source demand, news_handler on_news);
+                      state_follower& state, demand_source demand, news_handler on_news);
     ~placement_service();
     placement_service(placement_service const&) = delete;
     placement_service& operator=(placement_service const&) = delete;
@@ -63,8 +63,6 @@
     void on_backend_gone(backend_name const& name);
     /// A request waits for a model: tells the holder soon.
     void on_new_wish();
-    /// Called when the lease is gained or lost.
-    void on_lease(lease_handler handler);
     /// A peer that may reach the store when this instance does not; empty when none is known.
     std::optional<platform::store_relay> relay() const;
     /// Answers a call of another instance.
--- /dev/null
+++ b/apps/state_follower.cpp
@@ -0,0 +1,328 @@
+#include "apps/state_follower.hpp"
+
+#include "adapters/boot_clock.hpp"
+#include "adapters/ports.hpp"
+#include "decision/backend_directory.hpp"
+#include "decision/source_choice.hpp"
+#include "platform/backend_entry_codec.hpp"
+#include "platform/metadata_store.hpp"
+#include "platform/object_watch.hpp"
+#include "platform/serving_config_codec.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+constexpr char const* config_kind = "config";
+constexpr char const* config_name = "main";
+constexpr char const* backend_kind = "servers";
+// Entries of servers that lapsed in an outage of the store are back within this time of its return.
+constexpr duration backend_return_grace = seconds{2};
+// Without the holder's replies an instance gathers the changes of entries for this share of the time after
+// which a leaving server gets no new work.
+constexpr double gather_share = 0.45;
+// The lease holder follows each change of an engine at once; the changes of a moment, for example the effects
+// of several orders, are read with one call.
+constexpr duration holder_gather_time = milliseconds{25};
+// A configuration that comes alone is read at once; those that follow it are gathered for this share of the
+// time in which they must be in force.
+constexpr double config_gather_share = 0.3;
+// How often the source is chosen anew; short against the life of a reply.
+constexpr duration choice_interval = milliseconds{100};
+
+duration share_of(duration whole, double share)
+{
+    return std::chrono::duration_cast<duration>(whole * share);
+}
+
+platform::object_watch_settings watch_settings(char const* kind, duration grace)
+{
+    platform::object_watch_settings result;
+    result.kind = kind;
+    result.return_grace = grace;
+    return result;
+}
+
+std::string names_of(std::vector<resident_model> const& models)
+{
+    std::string names;
+    for (resident_model const& model : models)
+    {
+        names.append(names.empty() ? "" : ",").append(model.name);
+    }
+    return names;
+}
+
+} // namespace
+
+class state_follower::implementation
+{
+public:
+    implementation(boost::asio::io_context& loop, platform::metadata_store& store, log_port& log_in,
+                   metric_port& metrics_in, state_follower_settings settings_in, state_handlers handlers_in)
+        : log(log_in), metrics(metrics_in), settings(std::move(settings_in)),
+          handlers(std::move(handlers_in)), directory(settings.source), timer(loop),
+          config_watch(loop, store, log, watch_settings(config_kind, duration{0}), config_handlers()),
+          backend_watch(loop, store, log, watch_settings(backend_kind, backend_return_grace),
+                        backend_handlers())
+    {
+        backend_watch.set_gather_time(share_of(settings.leaving_time, gather_share));
+        config_watch.set_gather_time(share_of(settings.change_time, config_gather_share));
+    }
+
+    platform::object_watch_handlers config_handlers()
+    {
+        platform::object_watch_handlers result;
+        result.on_object = [this](platform::store_object const& object) { on_config(object); };
+        result.on_deleted = [this](std::string const& name) {
+            log.write({"config_deleted", {{"name", name}, {"outcome", "kept"}}});
+        };
+        return result;
+    }
+
+    platform::object_watch_handlers backend_handlers()
+    {
+        platform::object_watch_handlers result;
+        result.on_object = [this](platform::store_object const& object) { on_backend_object(object); };
+        result.on_deleted = [this](std::string const& name) { on_backend_gone(name, "entry_gone"); };
+        result.on_listed = [this]
+        {
+            servers_known = true;
+            servers_fresh = true;
+        };
+        return result;
+    }
+
+    void on_config(platform::store_object const& object)
+    {
+        if (object.name != config_name)
+        {
+            return;
+        }
+        config_revision = std::max(config_revision, object.revision);
+        std::string why;
+        auto decoded = platform::decode_serving_config(object.spec, why);
+        if (!decoded || (config && decoded->version < config->version))
+        {
+            why = decoded ? "an older version" : why;
+            log.write({"config_ignored", {{"revision", std::to_string(object.revision)}, {"reason", why}}});
+            return;
+        }
+        if (config && decoded->version == config->version)
+        {
+            return;
+        }
+        config = std::make_shared<serving_config const>(std::move(*decoded));
+        log.write({"config_in_force",
+                   {{"version", std::to_string(config->version)},
+                    {"routes", std::to_string(config->routes.size())},
+                    {"revision", std::to_string(object.revision)}}});
+        handlers.on_config(config);
+    }
+
+    void on_backend_object(platform::store_object const& object)
+    {
+        auto const entry = platform::decode_backend_entry(object.name, object.spec);
+        if (!entry)
+        {
+            log.write({"backend_ignored",
+                       {{"backend", object.name}, {"revision", std::to_string(object.revision)}}});
+            return;
+        }
+        switch (directory.put(*entry, object.revision))
+        {
+        case put_outcome::outdated:
+            return;
+        case put_outcome::changed:
+            log_backend(*entry, object.revision);
+            break;
+        case put_outcome::same:
+            break; // The copies of weights may differ, which the lease holder has to know.
+        }
+        handlers.on_backend(*entry);
+    }
+
+    void log_backend(backend_entry const& entry, std::uint64_t revision)
+    {
+        log.write({"backend",
+                   {{"backend", entry.name},
+                    {"service", entry.service},
+                    {"state", entry.leaving ? "leaving" : "ready"},
+                    {"models", names_of(entry.models)},
+                    {"on_disk", std::to_string(entry.copies_on_disk.size())},
+                    {"revision", std::to_string(revision)},
+                    {"source", to_string(source)}}});
+    }
+
+    void on_backend_gone(backend_name const& name, char const* reason)
+    {
+        directory.remove(name);
+        log.write({"backend_gone", {{"backend", name}, {"reason", reason}, {"source", to_string(source)}}});
+        handlers.on_backend_gone(name);
+    }
+
+    void on_reply(holder_reply const& reply)
+    {
+        choice.on_reply(boot_now(), reply.age);
+        // While lapsed entries may still come back, a list without them does not prove that they are gone.
+        if (!reply.servers.complete || backend_watch.settled() || !servers_known)
+        {
+            take_over(reply.servers);
+        }
+        choose_source();
+        if (source == state_source::holder && reply.config_revision > config_revision)
+        {
+            config_watch.refresh();
+        }
+    }
+
+    void take_over(backend_update const& update)
+    {
+        holder_position = update.position;
+        servers_known = servers_known || update.complete;
+        backend_update const effect = directory.merge(update);
+        for (revised_backend const& each : effect.changed)
+        {
+            backend_watch.note(each.entry.name, each.revision);
+            log_backend(each.entry, each.revision);
+            handlers.on_backend(each.entry);
+        }
+        for (backend_name const& name : effect.gone)
+        {
+            backend_watch.forget(name);
+            on_backend_gone(name, "told_by_holder");
+        }
+    }
+
+    void choose_source()
+    {
+        bool const following = choice.choose(boot_now()) == state_source::holder && backend_watch.settled() &&
+                               config_watch.settled();
+        auto const chosen = following ? state_source::holder : state_source::store;
+        if (chosen == source)
+        {
+            return;
+        }
+        source = chosen;
+        metrics.add("siskin_state_source_changes_total", to_string(source), 1);
+        log.write({"state_source",
+                   {{"source", to_string(source)},
+                    {"servers_revision", std::to_string(backend_watch.revision())},
+                    {"config_revision", std::to_string(config_revision)}}});
+        for (platform::object_watch* const watch : {&config_watch, &backend_watch})
+        {
+            if (following)
+            {
+                watch->pause();
+            }
+            else
+            {
+                watch->resume();
+            }
+        }
+    }
+
+    void tick()
+    {
+        choose_source();
+        timer.expires_after(choice_interval);
+        timer.async_wait(
+            [this](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    tick();
+                }
+            });
+    }
+
+    log_port& log;
+    metric_port& metrics;
+    state_follower_settings const settings;
+    state_handlers const handlers;
+    backend_directory directory;
+    source_choice choice;
+    state_source source{state_source::store};
+    update_position holder_position; ///< In the holder's changes.
+    std::shared_ptr<serving_config const> config;
+    std::uint64_t config_revision = 0;
+    bool servers_known = false;
+    bool servers_fresh = false;
+    boost::asio::steady_timer timer;
+    platform::object_watch config_watch;
+    platform::object_watch backend_watch;
+};
+
+state_follower::state_follower(boost::asio::io_context& loop, platform::metadata_store& store, log_port& log,
+                               metric_port& metrics, state_follower_settings settings,
+                               state_handlers handlers)
+    : impl_(std::make_unique<implementation>(loop, store, log, metrics, std::move(settings),
+                                             std::move(handlers)))
+{
+}
+
+state_follower::~state_follower() = default;
+
+void state_follower::start()
+{
+    impl_->config_watch.start();
+    impl_->backend_watch.start();
+    impl_->tick();
+}
+
+void state_follower::on_lease(bool holds)
+{
+    impl_->choice.on_lease(holds);
+    if (holds && impl_->source == state_source::holder)
+    {
+        impl_->servers_fresh = false;
+    }
+    impl_->backend_watch.set_gather_time(holds ? holder_gather_time
+                                               : share_of(impl_->settings.leaving_time, gather_share));
+    impl_->choose_source();
+}
+
+void state_follower::on_reply(holder_reply const& reply)
+{
+    impl_->on_reply(reply);
+}
+
+void state_follower::on_holder_lost()
+{
+    impl_->choice.on_refusal();
+    impl_->choose_source();
+}
+
+bool state_follower::servers_fresh() const
+{
+    return impl_->servers_fresh;
+}
+
+bool state_follower::servers_known() const
+{
+    return impl_->servers_known;
+}
+
+update_position state_follower::position() const
+{
+    return impl_->holder_position;
+}
+
+backend_update state_follower::servers_since(update_position const& known) const
+{
+    return impl_->directory.since(known, impl_->backend_watch.revision());
+}
+
+std::uint64_t state_follower::config_revision() const
+{
+    return impl_->config_revision;
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/backend_directory.cpp
@@ -0,0 +1,155 @@
+#include "decision/backend_directory.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// Servers that are gone are remembered up to this number, for peers that are a little behind; a peer that is
+// further behind gets everything.
+constexpr std::size_t remembered_gone = 512;
+
+// What peers are told of a server.
+backend_entry without_copies(backend_entry entry)
+{
+    entry.copies_in_memory.clear();
+    entry.copies_on_disk.clear();
+    return entry;
+}
+
+} // namespace
+
+class backend_directory::implementation
+{
+public:
+    struct known_server
+    {
+        revised_backend value;
+        std::uint64_t sequence = 0; ///< Of its last change that peers are told of.
+    };
+
+    void note_change(backend_name const& name, std::uint64_t previous)
+    {
+        changes.erase(previous);
+        changes[++position.sequence] = name;
+    }
+
+    void note_gone(backend_name const& name, std::uint64_t previous)
+    {
+        note_change(name, previous);
+        gone[position.sequence] = name;
+        while (gone.size() > remembered_gone)
+        {
+            forgotten_until = gone.begin()->first;
+            changes.erase(gone.begin()->first);
+            gone.erase(gone.begin());
+        }
+    }
+
+    update_position position;
+    std::uint64_t forgotten_until = 0; ///< Removals up to this sequence are no longer remembered.
+    std::map<backend_name, known_server> servers;
+    std::map<std::uint64_t, backend_name> changes; ///< The last change of each server, by sequence.
+    std::map<std::uint64_t, backend_name> gone;    ///< The changes that are removals.
+};
+
+backend_directory::backend_directory(std::string source) : impl_(std::make_unique<implementation>())
+{
+    impl_->position.source = std::move(source);
+}
+
+backend_directory::~backend_directory() = default;
+
+put_outcome backend_directory::put(backend_entry const& entry, std::uint64_t revision)
+{
+    auto const [found, is_new] = impl_->servers.try_emplace(entry.name);
+    implementation::known_server& server = found->second;
+    if (!is_new && revision < server.value.revision)
+    {
+        return put_outcome::outdated;
+    }
+    backend_entry told = without_copies(entry);
+    server.value.revision = revision;
+    if (!is_new && server.value.entry == told)
+    {
+        return put_outcome::same;
+    }
+    server.value.entry = std::move(told);
+    impl_->note_change(entry.name, server.sequence);
+    server.sequence = impl_->position.sequence;
+    return put_outcome::changed;
+}
+
+bool backend_directory::remove(backend_name const& name)
+{
+    auto const found = impl_->servers.find(name);
+    if (found == impl_->servers.end())
+    {
+        return false;
+    }
+    impl_->note_gone(name, found->second.sequence);
+    impl_->servers.erase(found);
+    return true;
+}
+
+backend_update backend_directory::since(update_position const& known, std::uint64_t store_revision) const
+{
+    backend_update update;
+    update.position = impl_->position;
+    update.store_revision = store_revision;
+    update.complete = known.source != impl_->position.source || known.sequence < impl_->forgotten_until ||
+                      known.sequence > impl_->position.sequence;
+    auto each = update.complete ? impl_->changes.begin() : impl_->changes.upper_bound(known.sequence);
+    for (; each != impl_->changes.end(); ++each)
+    {
+        auto const server = impl_->servers.find(each->second);
+        bool const removal = impl_->gone.count(each->first) > 0;
+        if (!removal && server != impl_->servers.end())
+        {
+            update.changed.push_back(server->second.value);
+        }
+        else if (removal && server == impl_->servers.end() && !update.complete)
+        {
+            update.gone.push_back(each->second);
+        }
+    }
+    return update;
+}
+
+backend_update backend_directory::merge(backend_update const& update)
+{
+    backend_update effect;
+    std::set<backend_name> listed;
+    for (revised_backend const& each : update.changed)
+    {
+        listed.insert(each.entry.name);
+        if (put(each.entry, each.revision) == put_outcome::changed)
+        {
+            effect.changed.push_back(each);
+        }
+    }
+    effect.gone = update.gone;
+    if (update.complete)
+    {
+        for (auto const& [name, server] : impl_->servers)
+        {
+            // A server that was written after the sender's state is not missing there.
+            if (listed.count(name) == 0 && server.value.revision <= update.store_revision)
+            {
+                effect.gone.push_back(name);
+            }
+        }
+    }
+    effect.gone.erase(std::remove_if(effect.gone.begin(), effect.gone.end(),
+                                     [this](backend_name const& name) { return !remove(name); }),
+                      effect.gone.end());
+    return effect;
+}
+
+} // namespace siskinusher
--- a/decision/order_lease.cpp
+++ b/decision/order_lease.cpp
@@ -177,6 +177,11 @@
     return !impl_->retired && impl_->claimed && now < impl_->valid_until;
 }
 
+steady_time order_lease::confirmed_at() const
+{
+    return impl_->valid_until - impl_->times.valid;
+}
+
 std::uint64_t order_lease::epoch() const
 {
     return impl_->record ? impl_->record->epoch : 0;
--- a/decision/order_lease.hpp
+++ b/decision/order_lease.hpp
@@ -74,6 +74,8 @@
 
     /// True when an order sent now is covered by the lease.
     bool may_order(steady_time now) const;
+    /// When the last renewal that the store acknowledged was sent.
+    steady_time confirmed_at() const;
     std::uint64_t epoch() const;
     /// The record known last; null before the first.
     order_lease_record const* record() const;
--- /dev/null
+++ b/domain/backend_update.cpp
@@ -0,0 +1,24 @@
+#include "domain/backend_update.hpp"
+
+#include <tuple>
+
+namespace siskinusher
+{
+
+bool operator==(update_position const& a, update_position const& b)
+{
+    return std::tie(a.source, a.sequence) == std::tie(b.source, b.sequence);
+}
+
+bool operator==(revised_backend const& a, revised_backend const& b)
+{
+    return std::tie(a.entry, a.revision) == std::tie(b.entry, b.revision);
+}
+
+bool operator==(backend_update const& a, backend_update const& b)
+{
+    return std::tie(a.position, a.complete, a.store_revision, a.changed, a.gone) ==
+           std::tie(b.position, b.complete, b.store_revision, b.changed, b.gone);
+}
+
+} // namespace siskinusher
--- a/domain/placement_exchange.cpp
+++ b/domain/placement_exchange.cpp
@@ -14,8 +14,8 @@
 
 bool operator==(demand_report const& a, demand_report const& b)
 {
-    return std::tie(a.instance, a.peer_address, a.models, a.unreachable) ==
-           std::tie(b.instance, b.peer_address, b.models, b.unreachable);
+    return std::tie(a.instance, a.peer_address, a.models, a.unreachable, a.known_servers) ==
+           std::tie(b.instance, b.peer_address, b.models, b.unreachable, b.known_servers);
 }
 
 bool operator==(recent_placement const& a, recent_placement const& b)
@@ -29,4 +29,10 @@
     return a.placements == b.placements && a.instances == b.instances;
 }
 
+bool operator==(holder_reply const& a, holder_reply const& b)
+{
+    return std::tie(a.news, a.servers, a.config_revision, a.age) ==
+           std::tie(b.news, b.servers, b.config_revision, b.age);
+}
+
 } // namespace siskinusher
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/steady_time.hpp"
+#include "domain/backend_update.hpp"
 #include "domain/identifiers.hpp"
 
 #include <cstdint>
@@ -30,6 +31,7 @@
     std::string peer_address; ///< Where the instance takes calls of its peers.
     std::vector<model_demand> models;
     std::vector<backend_name> unreachable; ///< Engines at whose address nothing listens.
+    update_position known_servers{};       ///< Place in the holder's changes up to which they are known.
 };
 
 /// An adapter or a model that the lease holder had loaded lately and that entries may not show yet.
@@ -48,9 +50,19 @@
     unsigned instances = 0; ///< That the holder has heard of lately; zero when unknown.
 };
 
+/// All that the lease holder replies to a demand report.
+struct holder_reply
+{
+    placement_news news;
+    backend_update servers;
+    std::uint64_t config_revision = 0; ///< The store's revision of the configuration that the holder has.
+    duration age{0}; ///< Since the sending of the holder's last call that the store answered.
+};
+
 bool operator==(model_demand const& a, model_demand const& b);
 bool operator==(demand_report const& a, demand_report const& b);
 bool operator==(recent_placement const& a, recent_placement const& b);
 bool operator==(placement_news const& a, placement_news const& b);
+bool operator==(holder_reply const& a, holder_reply const& b);
 
 } // namespace siskinusher
--- /dev/null
+++ b/tests/adapters/placement_codec_test.cpp
@@ -0,0 +1,82 @@
+#include "adapters/placement_codec.hpp"
+
+#include "core/random_source.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace siskinusher;
+
+namespace
+{
+
+holder_reply example_reply()
+{
+    holder_reply reply;
+    reply.news.instances = 9;
+    reply.news.placements = {{"e1", "m0", "a1", false}, {"e2", "m1", "", true}};
+    reply.servers.position = {"h1-77", 12};
+    reply.servers.complete = true;
+    reply.servers.store_revision = 400;
+    backend_entry entry;
+    entry.name = "e1";
+    entry.service = "llm";
+    entry.address = "10.0.0.1:80";
+    entry.data_centre = "a";
+    entry.places = 12;
+    entry.leaving = true;
+    entry.engine = true;
+    entry.models = {{"m0", {"a1", "a2"}}, {"m1", {}}};
+    entry.started_at = 1774000000123;
+    reply.servers.changed = {{entry, 399}};
+    reply.servers.gone = {"e7", "e8"};
+    reply.config_revision = 88;
+    reply.age = milliseconds{340};
+    return reply;
+}
+
+std::string encode(holder_reply const& reply)
+{
+    return encode_reply(encode_news(reply.news), encode_update(reply.servers), reply.config_revision,
+                        reply.age);
+}
+
+} // namespace
+
+// Guards against a field that is lost or exchanged between instances.
+Test(placement_codec, messages_keep_their_fields)
+{
+    holder_reply const reply = example_reply();
+    auto const decoded = decode_reply(encode(reply));
+    cr_assert(decoded && *decoded == reply);
+    demand_report const report{
+        "i1", "10.0.0.9:7000", {{"llm", "m0", "a1", 2, 3, 4, 5}}, {"e4"}, {"h1-77", 12}};
+    auto const read = decode_demand(encode_demand(report));
+    cr_assert(read && *read == report);
+}
+
+// Guards against bytes of a stranger, or a cut message, ending the process or being taken for a message.
+Test(placement_codec, damaged_bytes_are_refused_or_still_well_formed)
+{
+    random_source random(20261204);
+    std::string const reply = encode(example_reply());
+    std::string const demand =
+        encode_demand({"i1", "10.0.0.9:7000", {{"llm", "m0", "", 1, 2, 3, 4}}, {}, {}});
+    for (std::string const& whole : {reply, demand})
+    {
+        for (std::size_t size = 0; size < whole.size(); ++size)
+        {
+            cr_assert_not(decode_reply(whole.substr(0, size)).has_value());
+            cr_assert_not(decode_demand(whole.substr(0, size)).has_value());
+        }
+        for (int i = 0; i < 20000; ++i)
+        {
+            std::string bytes = whole;
+            for (std::uint64_t changes = 1 + random.below(4); changes > 0; --changes)
+            {
+                bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+            }
+            (void)decode_reply(bytes);
+            (void)decode_demand(bytes);
+        }
+    }
+}
--- /dev/null
+++ b/tests/decision/backend_directory_test.cpp
@@ -0,0 +1,127 @@
+#include "decision/backend_directory.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace siskinusher;
+
+namespace
+{
+
+backend_entry server(std::string const& name, bool leaving = false)
+{
+    backend_entry entry;
+    entry.name = name;
+    entry.service = "llm";
+    entry.address = "10.0.0.1:80";
+    entry.data_centre = "a";
+    entry.leaving = leaving;
+    entry.models = {{"m0", {"a1"}}};
+    entry.copies_on_disk = {"m0", "m1"};
+    return entry;
+}
+
+std::vector<std::string> changed_names(backend_update const& update)
+{
+    std::vector<std::string> names;
+    for (revised_backend const& each : update.changed)
+    {
+        names.push_back(each.entry.name);
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+using names = std::vector<std::string>;
+
+} // namespace
+
+// Guards against a peer that misses a change, or that is told everything anew with each reply.
+Test(backend_directory, peer_is_told_what_changed_since)
+{
+    backend_directory holder("h1");
+    holder.put(server("e1"), 5);
+    holder.put(server("e2"), 6);
+    backend_directory peer("p1");
+    backend_update const first = holder.since({}, 6);
+    cr_assert(first.complete);
+    cr_assert_eq(changed_names(peer.merge(first)), (names{"e1", "e2"}));
+    cr_assert_not(first.changed[0].entry.copies_on_disk.size(), "copies are left out");
+    holder.put(server("e2", true), 8);
+    holder.remove("e1");
+    backend_update const second = holder.since(first.position, 9);
+    cr_assert_not(second.complete);
+    backend_update const effect = peer.merge(second);
+    cr_assert_eq(changed_names(effect), (names{"e2"}));
+    cr_assert_eq(effect.gone, (names{"e1"}));
+    backend_update const third = holder.since(second.position, 9);
+    cr_assert(third.changed.empty() && third.gone.empty());
+}
+
+// Guards against a change of copies alone, which only the holder needs, being sent to the whole fleet.
+Test(backend_directory, copies_are_not_told)
+{
+    backend_directory holder("h1");
+    holder.put(server("e1"), 5);
+    update_position const before = holder.since({}, 5).position;
+    backend_entry more = server("e1");
+    more.copies_on_disk.insert("m2");
+    cr_assert(holder.put(more, 6) == put_outcome::same);
+    cr_assert_eq(holder.since(before, 6).changed.size(), 0);
+}
+
+// Guards against a new holder, whose state is a little older, bringing back what a peer knows to be changed.
+Test(backend_directory, older_state_does_not_replace_a_newer_one)
+{
+    backend_directory peer("p1");
+    peer.put(server("e1", true), 20);
+    peer.put(server("e2"), 21);
+    backend_directory holder("h2");
+    holder.put(server("e1"), 10);
+    backend_update const effect = peer.merge(holder.since({}, 15));
+    cr_assert(effect.changed.empty(), "e1 is known to leave since revision 20");
+    cr_assert(effect.gone.empty(), "e2 was written after the holder's state");
+}
+
+// Guards against a server that a peer keeps for good because it did not hear of its end.
+Test(backend_directory, complete_update_takes_away_what_it_lacks)
+{
+    backend_directory peer("p1");
+    peer.put(server("e1"), 3);
+    peer.put(server("e2"), 4);
+    backend_directory holder("h1");
+    holder.put(server("e2"), 4);
+    cr_assert_eq(peer.merge(holder.since({"h0", 7}, 9)).gone, (names{"e1"}));
+}
+
+// Guards against memory that grows with each replaced server, and against a peer that is far behind missing a
+// removal that is remembered no more.
+Test(backend_directory, peer_that_is_far_behind_gets_everything)
+{
+    backend_directory holder("h1");
+    holder.put(server("kept"), 1);
+    update_position const early = holder.since({}, 1).position;
+    for (unsigned i = 0; i < 2000; ++i)
+    {
+        std::string const name = "e" + std::to_string(i);
+        holder.put(server(name), i + 2);
+        holder.remove(name);
+    }
+    backend_update const update = holder.since(early, 3000);
+    cr_assert(update.complete);
+    cr_assert_eq(changed_names(update), (names{"kept"}));
+}
+
+// Guards against positions of an earlier process on the same machine being taken for this one's.
+Test(backend_directory, position_of_another_source_gets_everything)
+{
+    backend_directory holder("h1");
+    holder.put(server("e1"), 1);
+    update_position other = holder.since({}, 1).position;
+    other.source = "h1-earlier";
+    cr_assert(holder.since(other, 1).complete);
+    cr_assert(holder.since({"h1", 99}, 1).complete);
+}
--- /dev/null
+++ b/tests/decision/source_choice_test.cpp
@@ -0,0 +1,62 @@
+#include "decision/source_choice.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace siskinusher;
+
+namespace
+{
+
+steady_time at(std::int64_t ms)
+{
+    return steady_time(milliseconds{ms});
+}
+
+} // namespace
+
+// Guards against a fleet whose instances all watch the store though the lease holder answers them.
+Test(source_choice, follows_a_holder_that_answers)
+{
+    source_choice choice;
+    cr_assert(choice.choose(at(0)) == state_source::store);
+    for (int ms = 500; ms < 5000; ms += 500)
+    {
+        choice.on_reply(at(ms), milliseconds{300});
+        cr_assert(choice.choose(at(ms + 499)) == state_source::holder);
+    }
+    cr_assert(choice.choose(at(4500 + 950)) == state_source::holder, "one lost reply changes nothing");
+}
+
+// Guards against an instance that goes on with what a killed, cut off or suspended holder told it last.
+Test(source_choice, turns_to_the_store_when_the_holder_is_silent)
+{
+    source_choice choice;
+    choice.on_reply(at(0), milliseconds{100});
+    cr_assert(choice.choose(at(1200)) == state_source::store);
+    choice.on_reply(at(1300), milliseconds{100});
+    choice.on_refusal();
+    cr_assert(choice.choose(at(1301)) == state_source::store);
+}
+
+// Guards against a server that leaves unnoticed because the holder itself does not reach the store.
+Test(source_choice, turns_to_the_store_when_the_holder_is_cut_off_from_it)
+{
+    source_choice choice;
+    choice.on_reply(at(0), milliseconds{1400});
+    cr_assert(choice.choose(at(1)) == state_source::store);
+    choice.on_reply(at(500), milliseconds{200});
+    cr_assert(choice.choose(at(501)) == state_source::holder);
+}
+
+// Guards against a holder that follows itself.
+Test(source_choice, holder_follows_the_store)
+{
+    source_choice choice;
+    choice.on_reply(at(0), duration{0});
+    choice.on_lease(true);
+    choice.on_reply(at(1), duration{0});
+    cr_assert(choice.choose(at(2)) == state_source::store);
+    choice.on_lease(false);
+    choice.on_reply(at(3), duration{0});
+    cr_assert(choice.choose(at(4)) == state_source::holder);
+}
--- a/tests/platform/edge_process_test.cpp
+++ b/tests/platform/edge_process_test.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <functional>
 #include <future>
+#include <memory>
 #include <set>
 #include <string>
 #include <thread>
@@ -187,6 +188,70 @@
     cr_assert_eq(holders.size(), 1);
 }
 
+// Guards against store calls that grow with the fleet: instances follow the lease holder, and a change that
+// only the holder reads from the store reaches them all.
+Test(edge_process, instances_follow_the_lease_holder)
+{
+    small_fleet fleet;
+    std::vector<std::unique_ptr<edge_child>> others;
+    for (int i = 2; i < 6; ++i)
+    {
+        others.push_back(std::make_unique<edge_child>("edge-" + std::to_string(i), fleet.store.address()));
+    }
+    auto const follow = [&]
+    {
+        unsigned followers = fleet.edge.log_text().find("source=holder") != std::string::npos ? 1 : 0;
+        for (auto const& each : others)
+        {
+            followers += each->log_text().find("source=holder") != std::string::npos ? 1 : 0;
+        }
+        return followers == 4;
+    };
+    cr_assert(eventually(follow));
+    std::this_thread::sleep_for(milliseconds{500});
+    unsigned const before = fleet.store.server_reads();
+    std::this_thread::sleep_for(seconds{7});
+    // The holder's watch waits 3 s; five instances that watch the store themselves make ten calls or more.
+    unsigned const reads = fleet.store.server_reads() - before;
+    cr_assert_leq(reads, 4, "%u reads", reads);
+    fleet.plain_1.announce("draining");
+    std::this_thread::sleep_for(milliseconds{1500});
+    unsigned const runs = fleet.plain_1.total_runs();
+    auto changed = example_config(5);
+    changed["routes"][0]["path_prefix"] = "/new/";
+    fleet.store.write("config", "main", changed);
+    for (auto const& each : others)
+    {
+        for (int i = 0; i < 4; ++i)
+        {
+            cr_assert(each->call("GET", "/again/1", "r")->status == 200);
+        }
+        cr_assert(
+            eventually([&each] { return each->call("POST", "/new/1", "n")->status == 200; }, seconds{2}));
+    }
+    cr_assert_eq(fleet.plain_1.total_runs(), runs);
+}
+
+// Guards against instances that go on with the old state when the holder is suspended.
+Test(edge_process, instances_turn_to_the_store_when_the_holder_stops)
+{
+    small_fleet fleet;
+    cr_assert(eventually([&fleet]
+                         { return fleet.edge.log_text().find("event=lease_gained") != std::string::npos; }));
+    edge_child const other("edge-2", fleet.store.address());
+    cr_assert(eventually([&other] { return other.log_text().find("source=holder") != std::string::npos; }));
+    fleet.edge.process().send(SIGSTOP);
+    fleet.plain_1.announce("draining");
+    std::this_thread::sleep_for(milliseconds{2500});
+    unsigned const runs = fleet.plain_1.total_runs();
+    for (int i = 0; i < 4; ++i)
+    {
+        cr_assert(other.call("GET", "/again/1", "r" + std::to_string(i))->status == 200);
+    }
+    cr_assert_eq(fleet.plain_1.total_runs(), runs);
+    fleet.edge.process().send(SIGCONT);
+}
+
 // Guards against new work for a server that leaves.
 Test(edge_process, leaving_server_gets_nothing_new)
 {
--- a/tests/wire/store_standin.cpp
+++ b/tests/wire/store_standin.cpp
@@ -89,6 +89,12 @@
     changed_.notify_all();
 }
 
+unsigned store_standin::server_reads()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return server_reads_;
+}
+
 json store_standin::spec_of(std::string const& kind, std::string const& name)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -118,6 +124,11 @@
     std::size_t const slash = rest.find('/');
     std::string const kind = rest.substr(0, slash);
     std::string const name = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
+    if (kind == "servers" && name.empty())
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        ++server_reads_;
+    }
     if (exchange.method() == "POST" || exchange.method() == "PUT")
     {
         put(exchange, kind, name, exchange.method() == "POST");
--- a/tests/wire/store_standin.hpp
+++ b/tests/wire/store_standin.hpp
@@ -38,6 +38,8 @@
     void set_mode(mode value);
     /// Drops the history, so that every watch of an older revision is answered 410.
     void forget_history();
+    /// Lists and watches of the servers' entries so far.
+    unsigned server_reads();
     nlohmann::json spec_of(std::string const& kind, std::string const& name);
 
 private:
@@ -69,6 +71,7 @@
     std::uint64_t forgotten_ = 0; ///< Changes up to this revision are no longer known.
     mode mode_{mode::up};
     bool stopping_ = false;
+    unsigned server_reads_ = 0;
     http_server server_;
 };
 
