Harm links in the soak: delays, resets and cuts in one direction

Change: the relay in front of each server and between each instance and the store delays what passes, resets its connections, or loses what one side sends; some harm lasts beside the next faults. A connection that has lost data forwards nothing more and is reset when its link is healed, as bytes that a partition held up are lost.

--- a/tests/adapters/tcp_relay.hpp
+++ b/tests/adapters/tcp_relay.hpp
@@ -16,8 +16,8 @@
 namespace siskinusher
 {
 
-/// Forwards TCP connections to a port of this machine, records what the openers send, and can make the open
-/// connections silent without closing them.
+/// Forwards TCP connections to a port of this machine and records what the openers send. It can make the open
+/// connections silent without closing them, reset them, delay what passes, and cut one direction.
 class tcp_relay
 {
 public:
@@ -52,6 +52,19 @@
     }
     /// Stops forwarding on the connections that exist now; later ones are forwarded.
     void silence() { silent_below_ = connections(); }
+    /// Resets the connections that exist now.
+    void reset() { reset_below_ = connections(); }
+    /// Holds back each piece of data for this long, in both directions; zero ends it.
+    void delay(std::chrono::milliseconds span) { delay_ = span; }
+    /// Drops all that the openers send, or all that is sent to them, until heal is called. A connection that
+    /// has lost data forwards nothing more and is reset when the link is healed.
+    void cut(bool from_openers) { (from_openers ? cut_out_ : cut_back_) = true; }
+    void heal()
+    {
+        cut_out_ = false;
+        cut_back_ = false;
+        delay_ = std::chrono::milliseconds{0};
+    }
 
 private:
     void accept()
@@ -78,14 +91,22 @@
         try
         {
             Poco::Net::StreamSocket target(Poco::Net::SocketAddress("127.0.0.1", target_));
+            bool torn = false;
             while (!stopping_)
             {
+                if (index < reset_below_ || (torn && !cut_out_ && !cut_back_))
+                {
+                    reset_ends(opener, target);
+                    return;
+                }
                 if (index < silent_below_)
                 {
                     std::this_thread::sleep_for(std::chrono::milliseconds{5});
                     continue;
                 }
-                if (!forward(opener, target, index, true) || !forward(target, opener, index, false))
+                bool const open = torn || cut_out_ ? drop(opener, torn) : forward(opener, target, index, true);
+                bool const back = torn || cut_back_ ? drop(target, torn) : forward(target, opener, index, false);
+                if (!open || !back)
                 {
                     return;
                 }
@@ -97,6 +118,29 @@
         }
     }
 
+    // An end of the connection that is closed without the usual handshake sends a reset.
+    static void reset_ends(Poco::Net::StreamSocket& opener, Poco::Net::StreamSocket& target)
+    {
+        for (Poco::Net::StreamSocket* const end : {&opener, &target})
+        {
+            end->setLinger(true, 0);
+            end->close();
+        }
+    }
+
+    // Reads and forgets, so that the sender does not notice; `torn` says that something was lost.
+    bool drop(Poco::Net::StreamSocket& from, bool& torn) const
+    {
+        std::array<char, 4096> buffer{};
+        if (!from.poll(Poco::Timespan(0, 1000), Poco::Net::Socket::SELECT_READ))
+        {
+            return true;
+        }
+        int const count = from.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        torn = torn || count > 0;
+        return count > 0 || torn;
+    }
+
     bool forward(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, std::size_t index, bool record)
     {
         std::array<char, 4096> buffer{};
@@ -109,6 +153,10 @@
         {
             return false;
         }
+        if (delay_.load() > std::chrono::milliseconds{0})
+        {
+            std::this_thread::sleep_for(delay_.load());
+        }
         if (record)
         {
             std::lock_guard<std::mutex> const lock(mutex_);
@@ -126,6 +174,10 @@
     std::mutex mutex_;
     std::vector<std::string> sent_;
     std::atomic<std::size_t> silent_below_{0};
+    std::atomic<std::size_t> reset_below_{0};
+    std::atomic<std::chrono::milliseconds> delay_{std::chrono::milliseconds{0}};
+    std::atomic<bool> cut_out_{false};  ///< What the openers send is lost.
+    std::atomic<bool> cut_back_{false}; ///< What is sent to the openers is lost.
     std::atomic<bool> stopping_{false};
     std::vector<std::thread> pairs_;
     std::thread thread_;
--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -36,6 +36,8 @@
 constexpr unsigned holder_gap_ms = 1000;
 // Orders on their way when their sender loses the lease; a signal may stop it just before the write.
 constexpr milliseconds order_slack{50};
+// Orders may be on their way for as long as a claimant allows for, 300 ms in both directions together.
+constexpr milliseconds longest_link_delay{120};
 constexpr seconds settle_time{12};
 
 /// What a caller has seen of one request.
@@ -57,6 +59,11 @@
     explicit soak_run(std::uint64_t seed) : seed_(seed), faults_(seed)
     {
         store_.write("config", "main", example_config(1));
+        for (auto const& backend : backends_)
+        {
+            backend_links_.push_back(std::make_unique<tcp_relay>(port_of(backend->address())));
+            backend->publish_at(backend_links_.back()->address());
+        }
         for (unsigned i = 0; i < FLAGS_instances; ++i)
         {
             store_links_.push_back(std::make_unique<tcp_relay>(port_of(store_.address())));
@@ -109,7 +116,7 @@
     {
         auto const index = static_cast<std::size_t>(faults_.below(edges_.size()));
         edge_child& edge = *edges_[index];
-        switch (faults_.below(10))
+        switch (faults_.below(13))
         {
         case 0:
             note("kill", index);
@@ -154,6 +161,16 @@
             note("silence", index);
             store_links_[index]->silence();
             break;
+        case 8:
+            harm_link("storelink", *store_links_[index], index);
+            break;
+        case 9:
+        case 10:
+        {
+            std::size_t const backend = faults_.below(backend_links_.size());
+            harm_link("link", *backend_links_[backend], backend);
+            break;
+        }
         default:
             note("backend", index);
             backends_[faults_.below(backends_.size())]->set_fault(
@@ -162,6 +179,30 @@
         }
     }
 
+    // A link is slow, loses its connections, or loses what one side sends; for a while, beside other faults.
+    void harm_link(char const* name, tcp_relay& link, std::size_t index)
+    {
+        auto const kind = faults_.below(4);
+        note((std::string(name) + "-" + std::to_string(kind) + "-").c_str(), index);
+        switch (kind)
+        {
+        case 0:
+            link.delay(longest_link_delay);
+            break;
+        case 1:
+            link.reset();
+            break;
+        default:
+            link.cut(kind == 2);
+            break;
+        }
+        if (faults_.below(2) == 0)
+        {
+            std::this_thread::sleep_for(milliseconds{faults_.below(3000)});
+            link.heal();
+        }
+    }
+
     void note(char const* fault, std::size_t index)
     {
         history_ += std::string(fault) + std::to_string(index) + " ";
@@ -170,6 +211,13 @@
     void heal()
     {
         store_.set_mode(store_standin::mode::up);
+        for (auto const* const links : {&store_links_, &backend_links_})
+        {
+            for (auto const& link : *links)
+            {
+                link->heal();
+            }
+        }
         for (auto const& backend : backends_)
         {
             backend->set_fault(backend_fault::none);
@@ -292,6 +340,7 @@
     random_source faults_;
     store_standin store_;
     std::vector<std::unique_ptr<backend_standin>> backends_ = make_backends(store_);
+    std::vector<std::unique_ptr<tcp_relay>> backend_links_; ///< In front of each server.
     std::vector<std::unique_ptr<tcp_relay>> store_links_; ///< Between each instance and the store.
     std::vector<std::unique_ptr<edge_child>> edges_;
     std::mutex mutex_;
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -40,8 +40,9 @@
 void backend_standin::announce(std::string const& state)
 {
     std::unique_lock<std::mutex> lock(mutex_);
+    std::string const address = published_address_.empty() ? server_.address() : published_address_;
     json entry{{"service", service_},
-               {"address", server_.address()},
+               {"address", address},
                {"zone", "here"},
                {"version", "v1"},
                {"slots", 8},
@@ -56,6 +57,14 @@
     store_.write("servers", name_, entry);
 }
 
+void backend_standin::publish_at(std::string address)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    published_address_ = std::move(address);
+    lock.unlock();
+    announce();
+}
+
 std::map<std::string, unsigned> backend_standin::runs()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -48,6 +48,9 @@
     backend_standin& operator=(backend_standin const&) = delete;
 
     void announce(std::string const& state = "ready");
+    /// Names another address, for example that of a relay, in the entry.
+    void publish_at(std::string address);
+    std::string address() const { return server_.address(); }
     void set_fault(backend_fault value) { fault_ = value; }
     void set_work(std::chrono::milliseconds value) { work_ms_ = value.count(); }
     void set_events(unsigned count) { events_ = count; }
@@ -75,6 +78,7 @@
     std::string const service_;
     bool const engine_;
     std::mutex mutex_;
+    std::string published_address_; ///< Empty: the server's own.
     std::set<std::string> models_;
     std::map<std::string, unsigned> runs_;
     std::vector<order_mark> orders_;
