Call a store that is away less often

A lost read of the lease also began its observation anew and so put off a takeover.

A claim is a conditional write, so that a lost read proves nothing and takes nothing away.

Test: lost_reads_are_rare_and_delay_no_takeover.

--- a/decision/order_lease.cpp
+++ b/decision/order_lease.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-// After a call without a clear answer the next one waits this long.
+// After a call without a clear answer the holder waits this long for the next one. The others wait for as
+// long as between two reads, so that a fleet does not press on a store that is away.
 constexpr duration retry_pause = milliseconds{200};
 
 } // namespace
@@ -58,12 +59,14 @@
         pending = lease_write{revision, next_record(claim)};
         sent_at = now;
         busy = true;
+        writing = true;
         return *pending;
     }
 
     lease_step start_read()
     {
         busy = true;
+        writing = false;
         return lease_read{};
     }
 
@@ -81,6 +84,7 @@
     std::optional<lease_write> pending;
     steady_time sent_at;
     bool busy = false;
+    bool writing = false; ///< The call under way, or the last one, is a write.
     bool retired = false;
 };
 
@@ -168,8 +172,9 @@
 {
     implementation& it = *impl_;
     it.busy = false;
-    it.known = false;
-    it.next_call = now + retry_pause;
+    // A lost read changes nothing: what was seen before still stands, and a claim is a conditional write.
+    it.known = it.known && !it.writing;
+    it.next_call = now + (it.is_holder() || !it.known ? retry_pause : it.times.read_every);
 }
 
 bool order_lease::may_order(steady_time now) const
--- a/tests/decision/order_lease_test.cpp
+++ b/tests/decision/order_lease_test.cpp
@@ -81,6 +81,35 @@
     cr_assert_eq(a->record()->peer_key, b->record()->peer_key);
 }
 
+// Guards against a fleet that presses on a store that is away, and against a takeover that is put off by each
+// read without an answer.
+Test(order_lease, lost_reads_are_rare_and_delay_no_takeover)
+{
+    lease_store store;
+    auto a = make("a");
+    auto b = make("b");
+    run_step(*a, store, at(0));
+    run_step(*a, store, at(50));
+    run_step(*b, store, at(100));
+    unsigned calls = 0;
+    for (std::int64_t ms = 150; ms < 4800; ms += 50)
+    {
+        if (b->step(at(ms)))
+        {
+            ++calls;
+            b->on_call_lost(at(ms));
+        }
+    }
+    cr_assert_leq(calls, 6, "%u calls in 4.7 s", calls);
+    std::int64_t taken = 0;
+    for (std::int64_t ms = 4800; ms < 9000 && taken == 0; ms += 50)
+    {
+        run_step(*b, store, at(ms));
+        taken = b->may_order(at(ms)) ? ms : 0;
+    }
+    cr_assert(taken > 0 && taken < 6500, "taken over at %ld ms", static_cast<long>(taken));
+}
+
 // Guards against a holder that orders on after its machine was suspended: the lease ends on a clock that
 // counts the suspension.
 Test(order_lease, suspended_holder_stops_and_the_next_waits_for_the_gap)
