Give engines with few places more replicas of a busy model

Cause: a further replica came at 16 requests of a model at one engine.

Change: a replica counts as full at 16 requests or at half of the engine's places, whichever is less. News of loaded adapters lives 2.5 s instead of 5 s: entries now reach instances with their next report.

Test: engines_with_few_places_get_more_replicas.

--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -25,8 +25,10 @@
 constexpr duration conflict_pause = milliseconds{120};
 // An entry is written within a heartbeat, 1.2 s, of the change it shows.
 constexpr duration entry_lag = seconds{2};
-// Requests of one model at one engine beyond which a further replica is worth its place.
+// Requests of one model at one engine beyond which a further replica is worth its place; on engines with few
+// places half of these.
 constexpr double replica_load = 16.0;
+constexpr double replica_share = 0.5;
 // From this rate on, a model has two replicas, so that a lost engine does not stop it.
 constexpr double two_replica_rate = 0.8;
 // Requests a second of one model at one engine. Each request's prompt is read between the tokens of the
@@ -51,8 +53,9 @@
 constexpr double announced_rate = 0.5;
 // Instances report, and learn what leaves, every 500 ms.
 constexpr duration announcement = milliseconds{600};
-// An engine writes its adapters with its next heartbeat, and instances gather the changes of entries.
-constexpr duration adapter_news_life = seconds{5};
+// An engine writes its adapters with its next heartbeat, 1.2 s, and instances learn of the entry with their
+// next report.
+constexpr duration adapter_news_life = milliseconds{2500};
 // Instances report an unreachable engine again while they find it so; a crashed one is back in seconds.
 constexpr duration down_time = milliseconds{1200};
 // Entries reach all instances within this time.
@@ -99,12 +102,15 @@
     {
         replicas.clear();
         at_hand.clear();
+        places.clear();
         for (auto const& [name, engine] : engines)
         {
             if (engine.entry.leaving || now < engine.down_until)
             {
                 continue;
             }
+            unsigned& most = places[engine.entry.service];
+            most = std::max(most, engine.entry.places);
             for (std::string const& model : engine.serving())
             {
                 ++replicas[model];
@@ -121,11 +127,28 @@
         return found == replicas.end() ? 0 : found->second;
     }
 
-    unsigned desired(demand_sum const& sum) const
+    // Places of the engines of the model's service.
+    unsigned places_for(std::string const& model) const
+    {
+        for (auto const& [name, service] : services)
+        {
+            auto const found = places.find(name);
+            if (service.find(model) != nullptr && found != places.end())
+            {
+                return found->second;
+            }
+        }
+        return 0;
+    }
+
+    unsigned desired(std::string const& model, demand_sum const& sum) const
     {
         unsigned count = sum.running + sum.waiting > 0 ? 1 : 0;
         count = sum.rate >= two_replica_rate ? 2 : count;
-        auto const by_load = static_cast<unsigned>((sum.running + sum.waiting) / replica_load) + 1;
+        unsigned const per_engine = places_for(model);
+        double const most =
+            per_engine == 0 ? replica_load : std::min(replica_load, per_engine * replica_share);
+        auto const by_load = static_cast<unsigned>((sum.running + sum.waiting) / most) + 1;
         auto const by_rate = static_cast<unsigned>(std::ceil(sum.rate / rate_per_replica));
         count = std::max({count, sum.running > 0 ? by_load : 0, sum.rate >= two_replica_rate ? by_rate : 0});
         return std::min(count, most_replicas);
@@ -136,7 +159,7 @@
     {
         demand_sum const sum = demand.of_model(model);
         unsigned const held = std::max(replicas_of(model), 1U);
-        if (held > std::max(desired(sum), 1U))
+        if (held > std::max(desired(model, sum), 1U))
         {
             return sum.rate / held;
         }
@@ -153,9 +176,9 @@
             // Models with two or three replicas were busy before; those with more have some to spare.
             bool const spare = held <= 1 || held > kept_idle_replicas;
             return sum.waiting == 0 && sum.running == 0 && spare &&
-                   (sum.rate < idle_rate || held > desired(sum));
+                   (sum.rate < idle_rate || held > desired(model, sum));
         }
-        return held > std::max(desired(sum), 1U) || (sum.running == 0 && sum.waiting == 0);
+        return held > std::max(desired(model, sum), 1U) || (sum.running == 0 && sum.waiting == 0);
     }
 
     unsigned store_loads_running() const
@@ -386,7 +409,7 @@
             {
                 list.push_back({which.first, "requests wait", total.priority, total.waiting_since, false});
             }
-            else if (held > 0 && held < desired(total))
+            else if (held > 0 && held < desired(which.first, total))
             {
                 list.push_back({which.first, "demand rises", total.priority + 1, now, false});
             }
@@ -540,7 +563,8 @@
     std::map<backend_name, engine_rotation> engines;
     demand_table demand;
     std::map<std::string, unsigned> replicas;
-    std::set<std::string> at_hand; ///< Models of which some engine has a copy.
+    std::map<std::string, unsigned> places; ///< The most that an engine of a service has.
+    std::set<std::string> at_hand;          ///< Models of which some engine has a copy.
     std::deque<steady_time> store_loads;
     std::map<std::string, backend_name>
         fetched_by; ///< Which engine loaded a model from the weight store last.
--- a/tests/decision/rotation_planner_test.cpp
+++ b/tests/decision/rotation_planner_test.cpp
@@ -125,6 +125,30 @@
     cr_assert(replicas >= 2, "%u replicas at 10 requests a second", replicas);
 }
 
+// Load: many requests of one model on engines with few places. Guards against one engine whose queue grows
+// while others are idle.
+Test(rotation_planner, engines_with_few_places_get_more_replicas)
+{
+    rotation_world world(1, 6, 3);
+    for (auto& [name, each] : world.all)
+    {
+        each.entry.places = 12;
+        world.publish(each);
+    }
+    cr_assert(time_to_hold(world, "m1", 9000) >= 0);
+    for (int i = 0; i < 60; ++i)
+    {
+        world.planner.on_demand(world.now(), {"i", "i:1", {{"llm", "m1", "", 0, 0, 15, 1}}, {}});
+        world.advance(500);
+    }
+    unsigned replicas = 0;
+    for (auto const& [name, each] : world.all)
+    {
+        replicas += each.models.count("m1") > 0 ? 1 : 0;
+    }
+    cr_assert(replicas >= 3, "%u replicas for 15 requests at 12 places", replicas);
+}
+
 // Guards against an order that is sent again although the first one may be carried out: whatever is lost,
 // late or restarted, no engine ever holds more than fits, and wishes are served afterwards.
 Test(rotation_planner, random_faults_never_overcommit)
