Tell every instance what all of them run at each engine

Cause: each of 90 instances sends one or two requests a second to an engine and knows of no others there, so that all in a data centre choose the same nearest engine.

Change: demand reports carry the instance's requests at each engine; the holder sums them (decision/fleet_load) and its replies carry the sums, which the choice of a server counts like an engine's own load header.

With it comes a bound on the holder's traffic. So replies to reports that are sent early, because requests wait, leave out the sums; and the delay before a claim grows with the square of the scarcity of processor, so that the smallest come last even if processes start 300 ms apart.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -131,14 +131,46 @@
     return server;
 }
 
+// The rows as one list of names and one of numbers, which is not mistaken for an object.
+json encode_running(std::vector<engine_requests> const& rows)
+{
+    json names = json::array();
+    json counts = json::array();
+    for (engine_requests const& each : rows)
+    {
+        names.push_back(each.engine);
+        counts.push_back(each.running);
+    }
+    return json::array({names, counts});
+}
+
+std::optional<std::vector<engine_requests>> decode_running(json const& value)
+{
+    if (!value.is_array() || value.size() != 2 || !is_text_list(value[0]) ||
+        !is_row(value[1], 0, value[0].size()))
+    {
+        return std::nullopt;
+    }
+    std::vector<engine_requests> rows;
+    for (std::size_t i = 0; i < value[0].size(); ++i)
+    {
+        rows.push_back({value[0][i].get<std::string>(), value[1][i].get<unsigned>()});
+    }
+    return rows;
+}
+
 std::optional<placement_news> decode_news(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 2);
-    if (!value || !(*value)[0].is_number_unsigned() || !(*value)[1].is_array())
+    auto const value = list_of(bytes, 3);
+    bool const with_running = value && !(*value)[2].is_null();
+    auto running = with_running ? decode_running((*value)[2]) : std::nullopt;
+    if (!value || with_running != running.has_value() || !(*value)[0].is_number_unsigned() ||
+        !(*value)[1].is_array())
     {
         return std::nullopt;
     }
     placement_news news;
+    news.running = std::move(running);
     news.instances = (*value)[0].get<unsigned>();
     for (json const& row : (*value)[1])
     {
@@ -189,14 +221,17 @@
                         each.arrivals});
     }
     json const who = json::array({report.instance, report.peer_address});
-    return to_bytes(json::array({who, report.unreachable, rows, encode_position(report.known_servers)}));
+    return to_bytes(json::array({who, report.unreachable, rows, encode_running(report.running),
+                                 report.hurried, encode_position(report.known_servers)}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 4);
-    auto position = value ? decode_position((*value)[3]) : std::nullopt;
-    if (!position || !is_row((*value)[0], 2, 0) || !is_text_list((*value)[1]) || !(*value)[2].is_array())
+    auto const value = list_of(bytes, 6);
+    auto running = value ? decode_running((*value)[3]) : std::nullopt;
+    auto position = value ? decode_position((*value)[5]) : std::nullopt;
+    if (!position || !running || !(*value)[4].is_boolean() || !is_row((*value)[0], 2, 0) ||
+        !is_text_list((*value)[1]) || !(*value)[2].is_array())
     {
         return std::nullopt;
     }
@@ -204,6 +239,8 @@
     report.instance = (*value)[0][0].get<std::string>();
     report.peer_address = (*value)[0][1].get<std::string>();
     report.unreachable = (*value)[1].get<std::vector<backend_name>>();
+    report.running = std::move(*running);
+    report.hurried = (*value)[4].get<bool>();
     report.known_servers = std::move(*position);
     for (json const& row : (*value)[2])
     {
@@ -225,7 +262,8 @@
     {
         rows.push_back({each.engine, each.model, each.adapter, each.leaving ? 1U : 0U});
     }
-    return to_bytes(json::array({news.instances, rows}));
+    return to_bytes(
+        json::array({news.instances, rows, news.running ? encode_running(*news.running) : json()}));
 }
 
 std::string encode_update(backend_update const& update)
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -35,9 +35,12 @@
 constexpr duration stop_margin = milliseconds{400};
 // Of one event; 42 requests a second with two lines each stay below.
 constexpr unsigned log_lines_per_second = 200;
-// For an instance with a whole core; one with an eighth of a core waits eight times as long.
-constexpr duration least_claim_delay = milliseconds{30};
-constexpr double most_claim_delays = 10.0;
+// An instance with a quarter of a core waits this long before it claims the lease. The delay grows with the
+// square of the scarcity, so that one with an eighth of a core comes after all larger ones: all processes
+// start within 300 ms of each other.
+constexpr double usual_share = 0.25;
+constexpr duration usual_claim_delay = milliseconds{120};
+constexpr double most_claim_delays = 5.0;
 constexpr duration stop_poll = milliseconds{100};
 // Descriptors for files and for connections to servers, the store and peers.
 constexpr std::size_t reserved_descriptors = 1000;
@@ -78,8 +81,9 @@
     result.peer_address = settings.peer_address;
     result.fresh_key = random_key();
     result.lease.turn_gap = settings.holder_gap;
+    double const scarcity = usual_share / settings.cpu_share;
     result.lease.claim_delay = std::chrono::duration_cast<duration>(
-        least_claim_delay * std::min(1.0 / settings.cpu_share, most_claim_delays));
+        usual_claim_delay * std::min(scarcity * scarcity, most_claim_delays));
     result.rotation.window_s = settings.load_window_s;
     return result;
 }
@@ -123,6 +127,8 @@
                                        settings.peer_address,
                                        requests.take_demand(),
                                        requests.unreachable(boot_now()),
+                                       requests.running_at_engines(),
+                                       false,
                                        {}};
               },
               [this](placement_news const& news) { on_news(news); }),
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -17,6 +17,7 @@
 #include <openssl/crypto.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <map>
 #include <unordered_map>
@@ -184,7 +185,10 @@
     void report(steady_time now)
     {
         demand_report own = demand();
+
         own.known_servers = state.position();
+        own.hurried = now < next_full_report;
+        next_full_report = own.hurried ? next_full_report : now + report_interval;
         bool const waits = std::any_of(own.models.begin(), own.models.end(),
                                        [](model_demand const& each) { return each.waiting > 0; });
         // The holder's work grows with the reports, so that more instances report less often.
@@ -193,8 +197,9 @@
         next_report = now + (waits ? std::min(waiting_interval, report_interval) : report_interval);
         if (lease.may_order(now))
         {
+            load.on_report(now, own);
             planner.on_demand(now, own);
-            placement_news const news = planner.news(now);
+            placement_news const news = news_of(now, false);
             instances = news.instances;
             on_news(news);
             return;
@@ -238,21 +243,37 @@
         }
     }
 
+    placement_news news_of(steady_time now, bool hurried) const
+    {
+        placement_news news = planner.news(now);
+        if (!hurried)
+        {
+            news.running = load.totals(now);
+        }
+        return news;
+    }
+
     // Hundreds of instances ask within the same moment, and most of them are at the same position.
-    std::string encoded_reply(steady_time now, update_position const& known)
+    std::string encoded_reply(steady_time now, demand_report const& report)
     {
         if (now - news_at >= least_plan_interval)
         {
             news_at = now;
-            news_bytes = encode_news(planner.news(now));
+            news_bytes = {};
             update_bytes.clear();
         }
+        std::string& news = news_bytes[report.hurried ? 1 : 0];
+        if (news.empty())
+        {
+            news = encode_news(news_of(now, report.hurried));
+        }
+        update_position const& known = report.known_servers;
         std::string& update = update_bytes[known.source + "/" + std::to_string(known.sequence)];
         if (update.empty())
         {
             update = encode_update(state.servers_since(known));
         }
-        return encode_reply(news_bytes, update, state.config_revision(), now - lease.confirmed_at());
+        return encode_reply(news, update, state.config_revision(), now - lease.confirmed_at());
     }
 
     void plan(steady_time now)
@@ -364,12 +385,13 @@
             return;
         }
         peers[report->peer_address] = now;
+        load.on_report(now, *report);
         planner.on_demand(now, *report);
         if (now - planned_at >= least_plan_interval)
         {
             plan(now);
         }
-        call->answer(200, "Content-Type: application/cbor\r\n", encoded_reply(now, report->known_servers));
+        call->answer(200, "Content-Type: application/cbor\r\n", encoded_reply(now, *report));
     }
 
     // Makes a store call for a peer that does not reach the store.
@@ -427,10 +449,12 @@
     boost::asio::steady_timer timer;
     order_lease lease;
     rotation_planner planner;
+    fleet_load load;
     steady_time next_report;
+    steady_time next_full_report;
     steady_time planned_at;
     steady_time news_at;
-    std::string news_bytes;
+    std::array<std::string, 2> news_bytes;                     ///< For full and for hurried reports.
     std::unordered_map<std::string, std::string> update_bytes; ///< By the position that they start from.
     unsigned instances = 0;                                    ///< That the holder has heard of.
     bool reporting = false;
--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -123,6 +123,40 @@
             backend->absent_until.erase(key);
         }
     }
+    if (news.running)
+    {
+        on_fleet_load(now, *news.running);
+    }
+}
+
+void backend_state_table::on_fleet_load(steady_time now, std::vector<engine_requests> const& running)
+{
+    std::map<backend_name, unsigned> totals;
+    for (engine_requests const& each : running)
+    {
+        totals[each.engine] = each.running;
+    }
+    for (auto const& [name, backend] : backends_)
+    {
+        if (backend->entry.engine)
+        {
+            auto const found = totals.find(name);
+            on_load(now, name, {found == totals.end() ? 0 : found->second, 0, backend->entry.places});
+        }
+    }
+}
+
+std::vector<engine_requests> backend_state_table::running_at_engines() const
+{
+    std::vector<engine_requests> rows;
+    for (auto const& [name, backend] : backends_)
+    {
+        if (backend->entry.engine && backend->own > 0)
+        {
+            rows.push_back({name, backend->own});
+        }
+    }
+    return rows;
 }
 
 void backend_state_table::on_load(steady_time now, backend_name const& name, backend_load const& load)
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -48,6 +48,8 @@
     void on_backend_gone(backend_name const& name);
     void on_placements(steady_time now, placement_news const& news);
     void on_load(steady_time now, backend_name const& name, backend_load const& load);
+    /// What all instances run at the engines; those that are not listed run nothing.
+    void on_fleet_load(steady_time now, std::vector<engine_requests> const& running);
     void on_failure(steady_time now, known_backend& backend);
     void on_success(known_backend& backend);
     /// The server answered that it failed, which is normal for some calls.
@@ -60,6 +62,7 @@
     /// Servers of the service that hold the model and adapter and are not leaving.
     std::vector<known_backend*> candidates(steady_time now, std::string const& service,
                                            placement_key const& key);
+    std::vector<engine_requests> running_at_engines() const;
     std::vector<backend_name> unreachable(steady_time now) const;
     bool any_of_service(std::string const& service) const;
 
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -442,6 +442,11 @@
     return impl_->new_wish;
 }
 
+std::vector<engine_requests> dispatcher::running_at_engines() const
+{
+    return impl_->table.running_at_engines();
+}
+
 std::vector<backend_name> dispatcher::unreachable(steady_time now) const
 {
     return impl_->table.unreachable(now);
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -92,6 +92,9 @@
     /// True when a request began to wait for a model or adapter since the last call of take_demand.
     bool has_new_wish() const;
 
+    /// This instance's requests at engines.
+    std::vector<engine_requests> running_at_engines() const;
+
     /// Servers at whose address nothing listened a moment ago.
     std::vector<backend_name> unreachable(steady_time now) const;
 
--- a/domain/placement_exchange.cpp
+++ b/domain/placement_exchange.cpp
@@ -12,10 +12,16 @@
     return fields(a) == fields(b);
 }
 
+bool operator==(engine_requests const& a, engine_requests const& b)
+{
+    return std::tie(a.engine, a.running) == std::tie(b.engine, b.running);
+}
+
 bool operator==(demand_report const& a, demand_report const& b)
 {
-    return std::tie(a.instance, a.peer_address, a.models, a.unreachable, a.known_servers) ==
-           std::tie(b.instance, b.peer_address, b.models, b.unreachable, b.known_servers);
+    return std::tie(a.instance, a.peer_address, a.models, a.unreachable, a.running, a.hurried,
+                    a.known_servers) == std::tie(b.instance, b.peer_address, b.models, b.unreachable,
+                                                 b.running, b.hurried, b.known_servers);
 }
 
 bool operator==(recent_placement const& a, recent_placement const& b)
@@ -26,7 +32,7 @@
 
 bool operator==(placement_news const& a, placement_news const& b)
 {
-    return a.placements == b.placements && a.instances == b.instances;
+    return std::tie(a.placements, a.instances, a.running) == std::tie(b.placements, b.instances, b.running);
 }
 
 bool operator==(holder_reply const& a, holder_reply const& b)
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,14 +25,23 @@
     unsigned arrivals = 0; ///< Requests since the previous report.
 };
 
+/// Requests that run at an engine, of one instance or of all.
+struct engine_requests
+{
+    backend_name engine;
+    unsigned running = 0;
+};
+
 /// Sent by every instance to the lease holder.
 struct demand_report
 {
     std::string instance;
     std::string peer_address; ///< Where the instance takes calls of its peers.
     std::vector<model_demand> models;
-    std::vector<backend_name> unreachable; ///< Engines at whose address nothing listens.
-    update_position known_servers{};       ///< Place in the holder's changes up to which they are known.
+    std::vector<backend_name> unreachable;  ///< Engines at whose address nothing listens.
+    std::vector<engine_requests> running{}; ///< This instance's requests; engines without any are left out.
+    bool hurried = false; ///< Sent early, because requests wait: the reply leaves out what is not urgent.
+    update_position known_servers{}; ///< Place in the holder's changes up to which they are known.
 };
 
 /// An adapter or a model that the lease holder had loaded lately and that entries may not show yet.
@@ -48,6 +58,8 @@
 {
     std::vector<recent_placement> placements;
     unsigned instances = 0; ///< That the holder has heard of lately; zero when unknown.
+    /// Of all instances; engines without any are left out. Empty in the reply to a hurried report.
+    std::optional<std::vector<engine_requests>> running{};
 };
 
 /// All that the lease holder replies to a demand report.
@@ -59,6 +71,7 @@
     duration age{0}; ///< Since the sending of the holder's last call that the store answered.
 };
 
+bool operator==(engine_requests const& a, engine_requests const& b);
 bool operator==(model_demand const& a, model_demand const& b);
 bool operator==(demand_report const& a, demand_report const& b);
 bool operator==(recent_placement const& a, recent_placement const& b);
--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -14,6 +14,7 @@
     holder_reply reply;
     reply.news.instances = 9;
     reply.news.placements = {{"e1", "m0", "a1", false}, {"e2", "m1", "", true}};
+    reply.news.running = std::vector<engine_requests>{{"e1", 7}, {"e2", 0}};
     reply.servers.position = {"h1-77", 12};
     reply.servers.complete = true;
     reply.servers.store_revision = 400;
@@ -48,8 +49,8 @@
     holder_reply const reply = example_reply();
     auto const decoded = decode_reply(encode(reply));
     cr_assert(decoded && *decoded == reply);
-    demand_report const report{
-        "i1", "10.0.0.9:7000", {{"llm", "m0", "a1", 2, 3, 4, 5}}, {"e4"}, {"h1-77", 12}};
+    demand_report const report{"i1", "10.0.0.9:7000", {{"llm", "m0", "a1", 2, 3, 4, 5}}, {"e4"}, {{"e1", 3}},
+                               true, {"h1-77", 12}};
     auto const read = decode_demand(encode_demand(report));
     cr_assert(read && *read == report);
 }
@@ -60,7 +61,7 @@
     random_source random(20261204);
     std::string const reply = encode(example_reply());
     std::string const demand =
-        encode_demand({"i1", "10.0.0.9:7000", {{"llm", "m0", "", 1, 2, 3, 4}}, {}, {}});
+        encode_demand({"i1", "10.0.0.9:7000", {{"llm", "m0", "", 1, 2, 3, 4}}, {}, {}, false, {}});
     for (std::string const& whole : {reply, demand})
     {
         for (std::size_t size = 0; size < whole.size(); ++size)
--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -103,6 +103,29 @@
     cr_assert_eq(other, 0);
 }
 
+// Load: many instances that each send few requests. Guards against all of them choosing the nearest engine,
+// which none of them knows to be full.
+Test(dispatcher, load_of_other_instances_counts)
+{
+    dispatcher requests(settings());
+    requests.on_backend(engine("near", "m"));
+    backend_entry distant = engine("other", "m");
+    distant.data_centre = "far";
+    requests.on_backend(distant);
+    requests.submit(at(0), request(1, "m"));
+    cr_assert_eq(assigned(requests.step(at(0)), 1), "near");
+    cr_assert_eq(requests.running_at_engines().size(), 1);
+    placement_news news;
+    news.running = std::vector<engine_requests>{{"near", 11}, {"other", 2}};
+    requests.on_placements(at(500), news);
+    requests.submit(at(501), request(2, "m"));
+    cr_assert_eq(assigned(requests.step(at(501)), 2), "other");
+    news.running = std::vector<engine_requests>{{"other", 9}};
+    requests.on_placements(at(1000), news);
+    requests.submit(at(1001), request(3, "m"));
+    cr_assert_eq(assigned(requests.step(at(1001)), 3), "near", "an engine that is not listed runs nothing");
+}
+
 // Guards against a request that is held without a prospect: it is refused when its patience is over, as not
 // run and with a time to come back.
 Test(dispatcher, request_without_a_server_is_refused_in_time)
@@ -133,7 +156,7 @@
     cr_assert_eq(demand.size(), 1);
     cr_assert_eq(demand[0].model, "m");
     cr_assert_eq(demand[0].waiting, 1);
-    requests.on_placements(at(500), {{{"e", "m", "", false}}, 9});
+    requests.on_placements(at(500), {{{"e", "m", "", false}}, 9, {}});
     cr_assert_eq(assigned(requests.step(at(500)), 1), "e");
 }
 
@@ -145,7 +168,7 @@
     leaving.leaving = true;
     requests.on_backend(leaving);
     requests.on_backend(engine("e", "m"));
-    requests.on_placements(at(0), {{{"e", "m", "", true}}, 9});
+    requests.on_placements(at(0), {{{"e", "m", "", true}}, 9, {}});
     requests.submit(at(0), request(1, "m"));
     requests.submit(at(0), request(2));
     auto const steps = requests.step(at(0));
