Leave time for other work between plans; look for fetches ahead four times a second

The holder plans after every report, up to 66 times a second, and each plan lists every copy in the fleet.

Change: after a plan the next one waits for four times as long as the plan took (15 ms at least); the copies are only listed for the search for models to fetch ahead, every 250 ms.

--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -36,6 +36,8 @@
 constexpr duration waiting_report_interval = milliseconds{20}; // Times the root of the number of instances.
 // Plans, and replies, are made anew at most so often; each one looks at every engine for every wish.
 constexpr duration least_plan_interval = milliseconds{15};
+// After a plan the processor is left to other work for so many times as long as the plan took.
+constexpr int idle_plan_share = 4;
 // An order is answered after a round trip between regions; more is an engine that does not answer.
 constexpr duration order_limit = milliseconds{700};
 constexpr duration report_limit = milliseconds{400};
@@ -92,7 +94,10 @@
         {
             report(now);
         }
-        plan(now);
+        if (now >= next_plan)
+        {
+            plan(now);
+        }
         timer.expires_after(tick_interval);
         timer.async_wait(
             [weak = weak_from_this()](boost::system::error_code error)
@@ -282,7 +287,7 @@
         {
             return;
         }
-        planned_at = now;
+        next_plan = now + least_plan_interval;
         for (rotation_step const& step : planner.plan(now))
         {
             if (auto const* const order = std::get_if<rotation_order>(&step))
@@ -294,6 +299,9 @@
                 inquire(std::get<engine_inquiry>(step));
             }
         }
+        // On a small instance a plan takes long; the other work needs its share of the time.
+        steady_time const end = boot_now();
+        next_plan = std::max(next_plan, end + (end - now) * idle_plan_share);
     }
 
     void send(rotation_order const& order)
@@ -323,7 +331,7 @@
                       {"took_ms",
                        std::to_string(std::chrono::duration_cast<milliseconds>(now - sent_at).count())}}});
                 self->planner.on_order_result(now, order, result);
-                if (now - self->planned_at >= least_plan_interval)
+                if (now >= self->next_plan)
                 {
                     self->plan(now);
                 }
@@ -387,7 +395,7 @@
         peers[report->peer_address] = now;
         load.on_report(now, *report);
         planner.on_demand(now, *report);
-        if (now - planned_at >= least_plan_interval)
+        if (now >= next_plan)
         {
             plan(now);
         }
@@ -452,7 +460,7 @@
     fleet_load load;
     steady_time next_report;
     steady_time next_full_report;
-    steady_time planned_at;
+    steady_time next_plan; ///< The next plan is not made before.
     steady_time news_at;
     std::array<std::string, 2> news_bytes;                     ///< For full and for hurried reports.
     std::unordered_map<std::string, std::string> update_bytes; ///< By the position that they start from.
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -45,6 +45,8 @@
 // Below this rate a model makes room for one that is fetched ahead.
 constexpr double idle_rate = 0.3;
 constexpr unsigned kept_idle_replicas = 3;
+// A load from the weight store takes seconds, and the search for the next one looks at every copy in the fleet.
+constexpr duration prefetch_interval = milliseconds{250};
 // A model with requests leaves only when they have ended; meanwhile the engine takes no other order.
 constexpr double unload_wait_ms = 1500.0;
 // Adapters on their way to one engine at the same time.
@@ -101,7 +103,6 @@
     void count_replicas(steady_time now)
     {
         replicas.clear();
-        at_hand.clear();
         places.clear();
         for (auto const& [name, engine] : engines)
         {
@@ -114,13 +115,29 @@
             for (std::string const& model : engine.serving())
             {
                 ++replicas[model];
-                at_hand.insert(model);
             }
-            at_hand.insert(engine.entry.copies_on_disk.begin(), engine.entry.copies_on_disk.end());
-            at_hand.insert(engine.entry.copies_in_memory.begin(), engine.entry.copies_in_memory.end());
         }
     }
 
+    // Models that some engine holds, loads or has a copy of.
+    std::set<std::string> models_at_hand(steady_time now) const
+    {
+        std::set<std::string> at_hand;
+        for (auto const& [name, engine] : engines)
+        {
+            if (engine.entry.leaving || now < engine.down_until)
+            {
+                continue;
+            }
+            for (auto const& models :
+                 {engine.serving(), engine.entry.copies_on_disk, engine.entry.copies_in_memory})
+            {
+                at_hand.insert(models.begin(), models.end());
+            }
+        }
+        return at_hand;
+    }
+
     unsigned replicas_of(std::string const& model) const
     {
         auto const found = replicas.find(model);
@@ -425,13 +442,18 @@
     bool may_fetch_ahead(std::string const& model) const
     {
         auto const loaded = fetched_by.find(model);
-        return at_hand.count(model) == 0 &&
-               (loaded == fetched_by.end() || engines.count(loaded->second) == 0);
+        return loaded == fetched_by.end() || engines.count(loaded->second) == 0;
     }
 
     // Fetches one model that no engine has a copy of, when the weight store has nothing better to do.
     void prefetch(steady_time now, std::vector<rotation_step>& steps)
     {
+        if (now < next_prefetch)
+        {
+            return;
+        }
+        next_prefetch = now + prefetch_interval;
+        std::set<std::string> const at_hand = models_at_hand(now);
         for (service_profile const& service : config->services)
         {
             if (!service.engine || !store_load_allowed(now, *service.engine))
@@ -440,10 +462,9 @@
             }
             for (model_profile const& model : service.engine->models)
             {
-                if (may_fetch_ahead(model.name) &&
+                if (at_hand.count(model.name) == 0 && may_fetch_ahead(model.name) &&
                     place(now, {model.name, "no copy at any engine", 9, now, true}, steps))
                 {
-                    at_hand.insert(model.name);
                     return;
                 }
             }
@@ -564,7 +585,7 @@
     demand_table demand;
     std::map<std::string, unsigned> replicas;
     std::map<std::string, unsigned> places; ///< The most that an engine of a service has.
-    std::set<std::string> at_hand;          ///< Models of which some engine has a copy.
+    steady_time next_prefetch;
     std::deque<steady_time> store_loads;
     std::map<std::string, backend_name>
         fetched_by; ///< Which engine loaded a model from the weight store last.
