Let what an engine itself told go before the sums of all instances

Cause: the sums lag by the interval of reports, 500 ms and more; on nine instances, which each hear from every engine all the time, they replace newer figures.

Change: sums count for an engine only when it has not told its own load for 500 ms. Test: own_word_of_an_engine_goes_before_the_sums.

--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -10,6 +10,8 @@
 {
 
 // A load report older than this says nothing: most requests have ended since.
+// The sums of all instances lag behind by the interval of reports, 500 ms; what the engine itself told is newer.
+constexpr duration own_word_life = milliseconds{500};
 constexpr duration load_report_life = seconds{2};
 // The lease holder repeats a placement with each reply, every 500 ms; entries follow within a heartbeat.
 constexpr duration placement_life = seconds{5};
@@ -138,10 +140,12 @@
     }
     for (auto const& [name, backend] : backends_)
     {
-        if (backend->entry.engine)
+        if (backend->entry.engine && now - backend->told_at >= own_word_life)
         {
             auto const found = totals.find(name);
-            on_load(now, name, {found == totals.end() ? 0 : found->second, 0, backend->entry.places});
+            unsigned const total = found == totals.end() ? 0 : found->second;
+            backend->others = total > backend->own ? total - backend->own : 0;
+            backend->load_at = now;
         }
     }
 }
@@ -169,6 +173,7 @@
     unsigned const total = load.running + load.waiting;
     backend->others = total > backend->own ? total - backend->own : 0;
     backend->load_at = now;
+    backend->told_at = now;
 }
 
 double backend_state_table::failure_rate(steady_time now, known_backend const& backend)
--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -126,6 +126,25 @@
     cr_assert_eq(assigned(requests.step(at(1001)), 3), "near", "an engine that is not listed runs nothing");
 }
 
+// Guards against the sums of all instances, which lag, replacing what an engine itself has just told.
+Test(dispatcher, own_word_of_an_engine_goes_before_the_sums)
+{
+    dispatcher requests(settings());
+    requests.on_backend(engine("near", "m"));
+    backend_entry distant = engine("other", "m");
+    distant.data_centre = "far";
+    requests.on_backend(distant);
+    placement_news news;
+    news.running = std::vector<engine_requests>{{"near", 2}};
+    requests.on_load(at(1000), "near", {20, 0, 64});
+    requests.on_placements(at(1100), news);
+    requests.submit(at(1101), request(1, "m"));
+    cr_assert_eq(assigned(requests.step(at(1101)), 1), "other");
+    requests.on_placements(at(1600), news);
+    requests.submit(at(1601), request(2, "m"));
+    cr_assert_eq(assigned(requests.step(at(1601)), 2), "near");
+}
+
 // Guards against a request that is held without a prospect: it is refused when its patience is over, as not
 // run and with a time to come back.
 Test(dispatcher, request_without_a_server_is_refused_in_time)
