Release the order lease only while it is valid

The holder is told to stop at 19.0 s while the store is away; when the store returns at 26 s, the stopping process writes its release, 5 s after the lease has run out. The write is a new revision, and the others wait for the gap between two holders from it: they order at 30.0 s.

Change: a lease that has run out is not released. Test: lease_that_has_run_out_is_not_released. Also formats what the linter named.

--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -10,7 +10,8 @@
 {
 
 // A load report older than this says nothing: most requests have ended since.
-// The sums of all instances lag behind by the interval of reports, 500 ms; what the engine itself told is newer.
+// The sums of all instances lag behind by the interval of reports, 500 ms; what the engine itself told is
+// newer.
 constexpr duration own_word_life = milliseconds{500};
 constexpr duration load_report_life = seconds{2};
 // The lease holder repeats a placement with each reply, every 500 ms; entries follow within a heartbeat.
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -25,7 +25,7 @@
     backend_entry entry;
     unsigned own = 0;          ///< Requests of this instance at the server.
     unsigned others = 0;       ///< Requests of other instances, at the last load report.
-    steady_time told_at; ///< When the server itself told its load.
+    steady_time told_at;       ///< When the server itself told its load.
     steady_time load_at;       ///< When the load was told; the epoch when never.
     double failure_rate = 0.0; ///< Moving average over this instance's attempts, 0 to 1.
     steady_time failed_at;     ///< Of the last failure.
--- a/decision/order_lease.cpp
+++ b/decision/order_lease.cpp
@@ -113,7 +113,8 @@
     }
     if (it.retired)
     {
-        if (it.is_holder() && it.claimed)
+        // A lease that has run out needs no release: the write would only make the others wait anew.
+        if (it.is_holder() && it.claimed && now < it.valid_until)
         {
             return it.start_write(now, false);
         }
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -45,7 +45,8 @@
 // Below this rate a model makes room for one that is fetched ahead.
 constexpr double idle_rate = 0.3;
 constexpr unsigned kept_idle_replicas = 3;
-// A load from the weight store takes seconds, and the search for the next one looks at every copy in the fleet.
+// A load from the weight store takes seconds, and the search for the next one looks at every copy in the
+// fleet.
 constexpr duration prefetch_interval = milliseconds{250};
 // A model with requests leaves only when they have ended; meanwhile the engine takes no other order.
 constexpr double unload_wait_ms = 1500.0;
--- a/tests/adapters/tcp_relay.hpp
+++ b/tests/adapters/tcp_relay.hpp
@@ -104,8 +104,10 @@
                     std::this_thread::sleep_for(std::chrono::milliseconds{5});
                     continue;
                 }
-                bool const open = torn || cut_out_ ? drop(opener, torn) : forward(opener, target, index, true);
-                bool const back = torn || cut_back_ ? drop(target, torn) : forward(target, opener, index, false);
+                bool const open =
+                    torn || cut_out_ ? drop(opener, torn) : forward(opener, target, index, true);
+                bool const back =
+                    torn || cut_back_ ? drop(target, torn) : forward(target, opener, index, false);
                 if (!open || !back)
                 {
                     return;
--- a/tests/decision/order_lease_test.cpp
+++ b/tests/decision/order_lease_test.cpp
@@ -143,6 +143,18 @@
     cr_assert(taken > 0 && taken <= back + 1500, "taken over at %ld ms", static_cast<long>(taken));
 }
 
+// Guards against a release that comes after the lease has run out, and that makes the others wait once more.
+Test(order_lease, lease_that_has_run_out_is_not_released)
+{
+    lease_store store;
+    auto a = make("a");
+    run_step(*a, store, at(0));
+    run_step(*a, store, at(50));
+    a->retire();
+    cr_assert_not(a->step(at(9000)).has_value());
+    cr_assert(a->released(at(9000)));
+}
+
 // Guards against a holder that orders on after its machine was suspended: the lease ends on a clock that
 // counts the suspension.
 Test(order_lease, suspended_holder_stops_and_the_next_waits_for_the_gap)
--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -341,7 +341,7 @@
     store_standin store_;
     std::vector<std::unique_ptr<backend_standin>> backends_ = make_backends(store_);
     std::vector<std::unique_ptr<tcp_relay>> backend_links_; ///< In front of each server.
-    std::vector<std::unique_ptr<tcp_relay>> store_links_; ///< Between each instance and the store.
+    std::vector<std::unique_ptr<tcp_relay>> store_links_;   ///< Between each instance and the store.
     std::vector<std::unique_ptr<edge_child>> edges_;
     std::mutex mutex_;
     std::map<std::string, caller_record> records_;
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -41,13 +41,8 @@
 {
     std::unique_lock<std::mutex> lock(mutex_);
     std::string const address = published_address_.empty() ? server_.address() : published_address_;
-    json entry{{"service", service_},
-               {"address", address},
-               {"zone", "here"},
-               {"version", "v1"},
-               {"slots", 8},
-               {"state", state},
-               {"born", 1}};
+    json entry{{"service", service_}, {"address", address}, {"zone", "here"}, {"version", "v1"},
+               {"slots", 8},          {"state", state},     {"born", 1}};
     if (engine_)
     {
         entry["models"] = model_list();
