--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -193,7 +193,6 @@
     void report(steady_time now)
     {
         demand_report own = demand();
-
         own.known_servers = state.position();
         own.hurried = now < next_full_report;
         next_full_report = own.hurried ? next_full_report : now + report_interval;
@@ -237,7 +236,8 @@
         {
             holder_reached = reply.has_value();
             log.write({holder_reached ? "holder_reached" : "holder_lost",
-                       {{"status", std::to_string(outcome.status)}, {"why", outcome.why}}});
+                       {{"status", std::to_string(outcome.status)},
+                        {"why", outcome.status == 200 && !reply ? "unreadable reply" : outcome.why}}});
         }
         if (reply)
         {
--- a/decision/rotation_planner.cpp
+++ b/decision/rotation_planner.cpp
@@ -2,10 +2,10 @@
 
 #include "decision/demand_table.hpp"
 #include "decision/engine_rotation_impl.hpp"
+#include "decision/replica_policy.hpp"
 #include "decision/service_index.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <deque>
 #include <map>
 #include <optional>
@@ -25,26 +25,6 @@
 constexpr duration conflict_pause = milliseconds{120};
 // An entry is written within a heartbeat, 1.2 s, of the change it shows.
 constexpr duration entry_lag = seconds{2};
-// Requests of one model at one engine beyond which a further replica is worth its place; on engines with few
-// places half of these.
-constexpr double replica_load = 16.0;
-constexpr double replica_share = 0.5;
-// From this rate on, a model has two replicas, so that a lost engine does not stop it.
-constexpr double two_replica_rate = 0.8;
-// Requests a second of one model at one engine. Each request's prompt is read between the tokens of the
-// others: at this rate and 900 tokens a prompt that takes a tenth of the engine's time, so that pauses stay
-// short.
-constexpr double rate_per_replica = 4.0;
-constexpr unsigned most_replicas = 8;
-// A model asked for once a second is kept as if its next load cost this much more.
-constexpr double keep_ms_per_rate = 2500.0;
-// Requests of the first priority are late after 400 ms, less than any load from disk takes.
-constexpr double most_urgent_weight = 4.0;
-// Among models that nobody asks for, those with a further replica leave first.
-constexpr double last_replica_ms = 20.0;
-// Below this rate a model makes room for one that is fetched ahead.
-constexpr double idle_rate = 0.3;
-constexpr unsigned kept_idle_replicas = 3;
 // A load from the weight store takes seconds, and the search for the next one looks at every copy in the
 // fleet.
 constexpr duration prefetch_interval = milliseconds{250};
@@ -104,18 +84,11 @@
     void count_replicas(steady_time now)
     {
         replicas.clear();
-        places.clear();
         for (auto const& [name, engine] : engines)
         {
-            if (engine.entry.leaving || now < engine.down_until)
-            {
-                continue;
-            }
-            unsigned& most = places[engine.entry.service];
-            most = std::max(most, engine.entry.places);
-            for (std::string const& model : engine.serving())
+            if (!engine.entry.leaving && now >= engine.down_until)
             {
-                ++replicas[model];
+                replicas.add(engine.serving(), engine.entry.places);
             }
         }
     }
@@ -139,66 +112,6 @@
         return at_hand;
     }
 
-    unsigned replicas_of(std::string const& model) const
-    {
-        auto const found = replicas.find(model);
-        return found == replicas.end() ? 0 : found->second;
-    }
-
-    // Places of the engines of the model's service.
-    unsigned places_for(std::string const& model) const
-    {
-        for (auto const& [name, service] : services)
-        {
-            auto const found = places.find(name);
-            if (service.find(model) != nullptr && found != places.end())
-            {
-                return found->second;
-            }
-        }
-        return 0;
-    }
-
-    unsigned desired(std::string const& model, demand_sum const& sum) const
-    {
-        unsigned count = sum.running + sum.waiting > 0 ? 1 : 0;
-        count = sum.rate >= two_replica_rate ? 2 : count;
-        unsigned const per_engine = places_for(model);
-        double const most =
-            per_engine == 0 ? replica_load : std::min(replica_load, per_engine * replica_share);
-        auto const by_load = static_cast<unsigned>((sum.running + sum.waiting) / most) + 1;
-        auto const by_rate = static_cast<unsigned>(std::ceil(sum.rate / rate_per_replica));
-        count = std::max({count, sum.running > 0 ? by_load : 0, sum.rate >= two_replica_rate ? by_rate : 0});
-        return std::min(count, most_replicas);
-    }
-
-    // What the model's leaving would cost, in milliseconds of load time.
-    double keep_ms(std::string const& model) const
-    {
-        demand_sum const sum = demand.of_model(model);
-        unsigned const held = std::max(replicas_of(model), 1U);
-        if (held > std::max(desired(model, sum), 1U))
-        {
-            return sum.rate / held;
-        }
-        double const urgency = sum.priority == 0 ? most_urgent_weight : 1.0;
-        return sum.rate * urgency * keep_ms_per_rate / held + (held == 1 ? last_replica_ms : 0.0);
-    }
-
-    bool may_leave(std::string const& model, bool only_if_idle) const
-    {
-        demand_sum const sum = demand.of_model(model);
-        unsigned const held = replicas_of(model);
-        if (only_if_idle)
-        {
-            // Models with two or three replicas were busy before; those with more have some to spare.
-            bool const spare = held <= 1 || held > kept_idle_replicas;
-            return sum.waiting == 0 && sum.running == 0 && spare &&
-                   (sum.rate < idle_rate || held > desired(model, sum));
-        }
-        return held > std::max(desired(model, sum), 1U) || (sum.running == 0 && sum.waiting == 0);
-    }
-
     unsigned store_loads_running() const
     {
         unsigned count = 0;
@@ -235,10 +148,10 @@
         std::vector<std::pair<double, std::string>> order;
         for (resident_model const& model : engine.entry.models)
         {
-            if (may_leave(model.name, only_if_idle))
+            if (replicas.may_leave(model.name, only_if_idle))
             {
                 bool const runs = demand.of_model(model.name).running > 0;
-                order.emplace_back(keep_ms(model.name) + (runs ? unload_wait_ms : 0.0), model.name);
+                order.emplace_back(replicas.keep_ms(model.name) + (runs ? unload_wait_ms : 0.0), model.name);
             }
         }
         std::sort(order.begin(), order.end());
@@ -422,12 +335,12 @@
                 continue;
             }
             demand_sum const total = demand.of_model(which.first);
-            unsigned const held = replicas_of(which.first);
+            unsigned const held = replicas.held(which.first);
             if (held == 0 && total.waiting > 0)
             {
                 list.push_back({which.first, "requests wait", total.priority, total.waiting_since, false});
             }
-            else if (held > 0 && held < desired(which.first, total))
+            else if (held > 0 && held < replicas.desired(which.first))
             {
                 list.push_back({which.first, "demand rises", total.priority + 1, now, false});
             }
@@ -584,8 +497,7 @@
     std::unordered_map<std::string, service_index> services;
     std::map<backend_name, engine_rotation> engines;
     demand_table demand;
-    std::map<std::string, unsigned> replicas;
-    std::map<std::string, unsigned> places; ///< The most that an engine of a service has.
+    replica_policy replicas{demand};
     steady_time next_prefetch;
     std::deque<steady_time> store_loads;
     std::map<std::string, backend_name>
