Satisfy the linter

Two findings of the linter on the new files: a vector that is filled in a loop without reserving, and a size that is tested in place of emptiness.

--- a/decision/fleet_load.cpp
+++ b/decision/fleet_load.cpp
@@ -36,6 +36,7 @@
         }
     }
     std::vector<engine_requests> rows;
+    rows.reserve(sums.size());
     for (auto const& [engine, running] : sums)
     {
         rows.push_back({engine, running});
--- a/tests/decision/backend_directory_test.cpp
+++ b/tests/decision/backend_directory_test.cpp
@@ -49,7 +49,7 @@
     backend_update const first = holder.since({}, 6);
     cr_assert(first.complete);
     cr_assert_eq(changed_names(peer.merge(first)), (names{"e1", "e2"}));
-    cr_assert_not(first.changed[0].entry.copies_on_disk.size(), "copies are left out");
+    cr_assert(first.changed[0].entry.copies_on_disk.empty(), "copies are left out");
     holder.put(server("e2", true), 8);
     holder.remove("e1");
     backend_update const second = holder.since(first.position, 9);
