Find the examples in the test by a build definition

fleet_text_reader/accepts_the_examples derived the source directory from __FILE__, which is relative when the compiler cache rewrites paths; it then failed unless it was started in the build directory. The build passes the directory now; the test passes when started in /.

--- a/tests/adapters/fleet_text_reader_test.cpp
+++ b/tests/adapters/fleet_text_reader_test.cpp
@@ -124,7 +124,7 @@
 // Guards against examples that the current checks refuse or that shrink below the deployments' size.
 Test(fleet_text_reader, accepts_the_examples)
 {
-    std::string const directory = std::string(__FILE__).substr(0, std::string(__FILE__).rfind("/tests/"));
+    std::string const directory = SISKIN_SOURCE_DIRECTORY;
     struct expected
     {
         char const* file;
