Log who ended an attempt, and count ended attempts by reason

Each attempt without a complete answer now has one line with ended_by, silent_ms, events and left_ms; the final line has allowed_ms and the configuration at arrival; siskin_attempts_ended_total counts by reason. The lines move into request_log. No decision changes. The new test edge_process/log_tells_who_ended_an_attempt fails without the new fields.

--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -31,6 +31,7 @@
     std::shared_ptr<caller_exchange> caller;
     platform::caller_request request;
     route_rule route;
+    std::uint64_t config_version = 0; ///< Of the configuration that the route was taken from.
     std::string service;
     steady_time deadline;
     boost::asio::steady_timer deadline_timer;
@@ -51,6 +52,7 @@
     unsigned backends_run = 0;
     bool may_have_run = false;
     bool answer_started = false;
+    unsigned events_forwarded = 0;
     std::optional<std::uint64_t> last_event; ///< The last event that was forwarded to the caller.
     bool events_without_id = false;
     std::string last_failure;
--- /dev/null
+++ b/apps/request_log.cpp
@@ -0,0 +1,130 @@
+#include "apps/request_log.hpp"
+
+#include "adapters/boot_clock.hpp"
+#include "adapters/ports.hpp"
+
+#include <algorithm>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+std::string ms_text(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
+}
+
+} // namespace
+
+char const* to_string(attempt_ender ender)
+{
+    switch (ender)
+    {
+    case attempt_ender::server:
+        return "server";
+    case attempt_ender::instance:
+        return "instance";
+    case attempt_ender::caller:
+        return "caller";
+    }
+    return "unknown";
+}
+
+request_log::request_log(log_port& log, metric_port& metrics, latency_port& latencies)
+    : log_(log), metrics_(metrics), latencies_(latencies)
+{
+}
+
+void request_log::refused_unrouted(open_exchange const& open, int status, std::string const& reason,
+                                   std::uint64_t config_version)
+{
+    metrics_.add("siskin_refusals_total", reason, 1);
+    log_.write({"refused",
+                {{"request", open.request.request_id},
+                 {"reason", reason},
+                 {"status", std::to_string(status)},
+                 {"execution", "not_run"},
+                 {"host", open.request.host},
+                 {"path", open.request.target},
+                 {"config", std::to_string(config_version)}}});
+}
+
+void request_log::no_server(open_exchange const& open, reject_request const& step, std::size_t known_servers)
+{
+    log_.write({"no_server",
+                {{"request", open.request.request_id},
+                 {"reason", std::string(to_string(step.answer.reason))},
+                 {"service", open.service},
+                 {"model", open.request.model},
+                 {"adapter", open.request.adapter},
+                 {"candidates", std::to_string(step.basis.candidates)},
+                 {"known_servers", std::to_string(known_servers)},
+                 {"waited_ms", ms_text(step.basis.waited)},
+                 {"retry_after_ms", ms_text(step.answer.retry_after)}}});
+}
+
+void request_log::attempt_started(open_exchange const& open, assign_request const& step)
+{
+    log_.write({"attempt",
+                {{"request", open.request.request_id},
+                 {"service", open.service},
+                 {"model", open.request.model},
+                 {"backend", step.target.backend},
+                 {"candidates", std::to_string(step.basis.candidates)},
+                 {"in_use", std::to_string(step.basis.in_use)},
+                 {"load_age_ms", ms_text(step.basis.load_age)},
+                 {"waited_ms", ms_text(step.basis.waited)},
+                 {"send", std::to_string(open.times_sent + 1)}}});
+}
+
+void request_log::attempt_ended(open_exchange const& open, std::string const& why, attempt_ender ender,
+                                std::string const& next)
+{
+    metrics_.add("siskin_attempts_ended_total", why, 1);
+    steady_time const now = boot_now();
+    log_.write({"attempt_failed",
+                {{"request", open.request.request_id},
+                 {"backend", open.target.backend},
+                 {"why", why},
+                 {"ended_by", to_string(ender)},
+                 {"after_ms", ms_text(now - open.sent_at)},
+                 {"silent_ms", ms_text(now - std::max(open.sent_at, open.last_event_at))},
+                 {"events", std::to_string(open.events_forwarded)},
+                 {"left_ms", ms_text(open.deadline - now)},
+                 {"next", next}}});
+}
+
+void request_log::request_ended(open_exchange const& open, std::string const& outcome, int status,
+                                std::uint64_t config_version)
+{
+    metrics_.add("siskin_requests_total", outcome, 1);
+    std::string const priority = std::to_string(open.route.priority);
+    duration const total = boot_now() - open.caller->arrived();
+    latencies_.observe("siskin_answer_seconds", priority, total);
+    if (open.first_event_after > duration{0})
+    {
+        latencies_.observe("siskin_first_event_seconds", priority, open.first_event_after);
+    }
+    log_.write(
+        {"request",
+         {{"request", open.request.request_id},
+          {"outcome", outcome},
+          {"status", std::to_string(status)},
+          {"route", open.route.name},
+          {"service", open.service},
+          {"model", open.request.model + (open.request.adapter.empty() ? "" : "/" + open.request.adapter)},
+          {"backend", open.target.backend},
+          {"attempts", std::to_string(open.attempts)},
+          {"last_failure", open.last_failure},
+          {"first_event_ms", ms_text(open.first_event_after)},
+          {"longest_pause_ms", ms_text(open.longest_pause)},
+          {"events", std::to_string(open.events_forwarded)},
+          {"total_ms", ms_text(total)},
+          {"allowed_ms", ms_text(open.deadline - open.caller->arrived())},
+          {"config", std::to_string(config_version)},
+          {"config_at_arrival", std::to_string(open.config_version)}}});
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/apps/request_log.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "apps/open_exchange_impl.hpp"
+#include "decision/dispatcher.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace siskinusher
+{
+
+struct log_port;
+struct latency_port;
+struct metric_port;
+
+/// Who ended an attempt: the side whose action made it impossible to go on.
+enum class attempt_ender
+{
+    server,   ///< It closed the connection, refused, or answered with a failure.
+    instance, ///< This instance gave up: a limit passed, or the answer was faulty.
+    caller,   ///< The caller closed its connection.
+};
+
+char const* to_string(attempt_ender ender);
+
+/// Writes one log line for each decision on a request, and counts final answers and ended attempts.
+class request_log
+{
+public:
+    /// All references must outlive the object.
+    request_log(log_port& log, metric_port& metrics, latency_port& latencies);
+
+    /// A request that is refused before it has a route. `config_version` is 0 before the first configuration.
+    void refused_unrouted(open_exchange const& open, int status, std::string const& reason,
+                          std::uint64_t config_version);
+    void no_server(open_exchange const& open, reject_request const& step, std::size_t known_servers);
+    void attempt_started(open_exchange const& open, assign_request const& step);
+    /// `next` names what follows, for example "send_again" or "end".
+    void attempt_ended(open_exchange const& open, std::string const& why, attempt_ender ender,
+                       std::string const& next);
+    /// `status` is 0 if the answer was broken off or the caller has left.
+    void request_ended(open_exchange const& open, std::string const& outcome, int status,
+                       std::uint64_t config_version);
+
+private:
+    log_port& log_;
+    metric_port& metrics_;
+    latency_port& latencies_;
+};
+
+} // namespace siskinusher
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -4,6 +4,7 @@
 #include "adapters/outbound_pool.hpp"
 #include "adapters/ports.hpp"
 #include "apps/open_exchange_impl.hpp"
+#include "apps/request_log.hpp"
 #include "core/random_source.hpp"
 #include "decision/attempt_policy.hpp"
 #include "decision/route_table.hpp"
@@ -46,11 +47,6 @@
 // streams end within the rest of the stop time.
 constexpr duration stopping_stream_accept_time = milliseconds{2800};
 
-std::string ms_text(duration value)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
-}
-
 std::chrono::microseconds span_until(steady_time when)
 {
     return std::max<duration>(when - boot_now(), duration{0});
@@ -75,6 +71,20 @@
     return attempt_result::silent;
 }
 
+attempt_ender ender_of(attempt_result result)
+{
+    switch (result)
+    {
+    case attempt_result::silent:
+    case attempt_result::bad_answer:
+        return attempt_ender::instance;
+    case attempt_result::caller_gone:
+        return attempt_ender::caller;
+    default:
+        return attempt_ender::server;
+    }
+}
+
 bool is_success(int status)
 {
     return status >= 200 && status < 300;
@@ -90,8 +100,8 @@
     implementation(boost::asio::io_context& loop_in, outbound_pool& pool_in, dispatcher& requests_in,
                    service_retry_budget& retries_in, log_port& log_in, metric_port& metrics_in,
                    latency_port& latencies_in, std::uint64_t seed)
-        : loop(loop_in), pool(pool_in), requests(requests_in), retries(retries_in), log(log_in),
-          metrics(metrics_in), latencies(latencies_in), random(seed), dispatch_timer(loop_in)
+        : loop(loop_in), pool(pool_in), requests(requests_in), retries(retries_in),
+          log(log_in, metrics_in, latencies_in), metrics(metrics_in), random(seed), dispatch_timer(loop_in)
     {
     }
 
@@ -122,6 +132,7 @@
             return;
         }
         open->route = *route;
+        open->config_version = config_version();
         open->service = choose_target(*route, random.next());
         open->last_event = open->request.resume_after;
         duration const allowed =
@@ -142,17 +153,11 @@
                 ? platform::encode_retry_after(stop_end ? stopping_retry_after : unconfigured_retry_after)
                 : std::string();
         open.caller->answer(status, lines, "");
-        metrics.add("siskin_refusals_total", reason, 1);
-        log.write({"refused",
-                   {{"request", open.request.request_id},
-                    {"reason", reason},
-                    {"status", std::to_string(status)},
-                    {"execution", "not_run"},
-                    {"host", open.request.host},
-                    {"path", open.request.target},
-                    {"config", std::to_string(routes ? routes->config().version : 0)}}});
+        log.refused_unrouted(open, status, reason, config_version());
     }
 
+    std::uint64_t config_version() const { return routes ? routes->config().version : 0; }
+
     bool must_refuse(route_rule const& route) const
     {
         if (!stop_end)
@@ -225,16 +230,7 @@
         }
         open_pointer const open = found->second;
         open->last_failure = std::string(to_string(step.answer.reason));
-        log.write({"no_server",
-                   {{"request", open->request.request_id},
-                    {"reason", open->last_failure},
-                    {"service", open->service},
-                    {"model", open->request.model},
-                    {"adapter", open->request.adapter},
-                    {"candidates", std::to_string(step.basis.candidates)},
-                    {"known_servers", std::to_string(requests.backends())},
-                    {"waited_ms", ms_text(step.basis.waited)},
-                    {"retry_after_ms", ms_text(step.answer.retry_after)}}});
+        log.no_server(*open, step, requests.backends());
         if (open->failed_facts && !open->answer_started)
         {
             forward_server_failure(*open);
@@ -284,16 +280,7 @@
         request.time_limit = std::max<duration>(headers.time_left, milliseconds{1});
         request.connect_limit = std::min(request.connect_limit, request.time_limit / 2);
         request.fresh_connection = false;
-        log.write({"attempt",
-                   {{"request", open->request.request_id},
-                    {"service", open->service},
-                    {"model", open->request.model},
-                    {"backend", step.target.backend},
-                    {"candidates", std::to_string(step.basis.candidates)},
-                    {"in_use", std::to_string(step.basis.in_use)},
-                    {"load_age_ms", ms_text(step.basis.load_age)},
-                    {"waited_ms", ms_text(step.basis.waited)},
-                    {"send", std::to_string(open->times_sent + 1)}}});
+        log.attempt_started(*open, step);
         exchange_handlers handlers;
         auto const self = shared_from_this();
         handlers.on_head = [self, open](Poco::Net::HTTPResponse const& head)
@@ -441,6 +428,7 @@
         steady_time const now = boot_now();
         report_stream_progress(*open, now);
         open->last_event_at = now;
+        ++open->events_forwarded;
         open->caller->write(event.bytes);
         return true;
     }
@@ -530,12 +518,8 @@
                    : open->may_have_run ? attempt_step::fail_may_have_run
                                         : attempt_step::refuse_not_run;
         }
-        log.write({"attempt_failed",
-                   {{"request", open->request.request_id},
-                    {"backend", open->target.backend},
-                    {"why", why},
-                    {"after_ms", ms_text(boot_now() - open->sent_at)},
-                    {"next", step == attempt_step::send_again ? "send_again" : "end"}}});
+        log.attempt_ended(*open, why, ender_of(result),
+                          step == attempt_step::send_again ? "send_again" : "end");
         if (step == attempt_step::send_again)
         {
             metrics.add("siskin_retries_total", why, 1);
@@ -610,6 +594,7 @@
         bool const sent = open->attempt && open->attempt->sent();
         if (open->attempt)
         {
+            log.attempt_ended(*open, "deadline", attempt_ender::instance, "end");
             open->attempt->cancel();
             report_end(open, sent ? attempt_result::silent : attempt_result::not_sent, false);
         }
@@ -643,6 +628,7 @@
         open_pointer const open = found->second;
         if (open->attempt)
         {
+            log.attempt_ended(*open, "caller_gone", attempt_ender::caller, "end");
             open->attempt->cancel();
             report_end(open, attempt_result::caller_gone, false);
         }
@@ -659,28 +645,7 @@
         boost::system::error_code ignored;
         open.deadline_timer.cancel(ignored);
         open.progress_timer.cancel(ignored);
-        metrics.add("siskin_requests_total", outcome, 1);
-        std::string const priority = std::to_string(open.route.priority);
-        latencies.observe("siskin_answer_seconds", priority, boot_now() - open.caller->arrived());
-        if (open.first_event_after > duration{0})
-        {
-            latencies.observe("siskin_first_event_seconds", priority, open.first_event_after);
-        }
-        log.write({"request",
-                   {{"request", open.request.request_id},
-                    {"outcome", outcome},
-                    {"status", std::to_string(status)},
-                    {"route", open.route.name},
-                    {"service", open.service},
-                    {"model",
-                     open.request.model + (open.request.adapter.empty() ? "" : "/" + open.request.adapter)},
-                    {"backend", open.target.backend},
-                    {"attempts", std::to_string(open.attempts)},
-                    {"last_failure", open.last_failure},
-                    {"first_event_ms", ms_text(open.first_event_after)},
-                    {"longest_pause_ms", ms_text(open.longest_pause)},
-                    {"total_ms", ms_text(boot_now() - open.caller->arrived())},
-                    {"config", std::to_string(routes ? routes->config().version : 0)}}});
+        log.request_ended(open, outcome, status, config_version());
         exchanges.erase(open.number);
     }
 
@@ -688,9 +653,8 @@
     outbound_pool& pool;
     dispatcher& requests;
     service_retry_budget& retries;
-    log_port& log;
+    request_log log;
     metric_port& metrics;
-    latency_port& latencies;
     random_source random;
     boost::asio::steady_timer dispatch_timer;
     std::optional<route_table> routes;
--- a/tests/platform/edge_process_test.cpp
+++ b/tests/platform/edge_process_test.cpp
@@ -427,3 +427,33 @@
     cr_assert(has(line("attempt_failed", "broken"), "next=end"));
     cr_assert(has(line("request", "broken"), "outcome=broken_off"));
 }
+
+// Guards against a log that does not tell whether the server, the instance or the caller ended an attempt.
+Test(edge_process, log_tells_who_ended_an_attempt)
+{
+    small_fleet fleet;
+    auto const ended = [&fleet](std::string const& id, std::string const& why, std::string const& ender)
+    {
+        return eventually(
+            [&]
+            {
+                std::string const text = fleet.edge.log_text();
+                std::size_t const at = text.find("event=attempt_failed request=" + id + " ");
+                return at != std::string::npos &&
+                       text.substr(at, text.find('\n', at) - at).find("why=" + why + " ended_by=" + ender) !=
+                           std::string::npos;
+            },
+            seconds{3});
+    };
+    fleet.engine_1.set_work_time(milliseconds{300});
+    fleet.engine_2.set_work_time(milliseconds{300});
+    (void)fleet.edge.call("POST", "/stream-once/1", "late", {{"Model", "m0"}, {"Deadline-Ms", "700"}});
+    cr_assert(ended("late", "deadline", "instance"), "%s", fleet.edge.log_text().c_str());
+    (void)http_call(fleet.edge.caller_address(), "POST", "/stream-once/1", "body",
+                    {{"Host", "h"}, {"Attempt-Id", "left"}, {"Model", "m0"}}, milliseconds{120});
+    cr_assert(ended("left", "caller_gone", "caller"));
+    fleet.plain_1.set_fault(backend_fault::lost_answer);
+    fleet.plain_2.set_fault(backend_fault::lost_answer);
+    (void)fleet.edge.call("POST", "/once/1", "lost");
+    cr_assert(ended("lost", "lost", "server"));
+}
