Keep the handlers of a cancelled exchange until they have returned

A stream with an event out of order, or a caller that leaves while an event is written to it, cancels the exchange from within its own body handler. cancel() destroyed that handler while it ran, and request_service went on with the pointer captured in it: a use of freed memory that callers may see as a crash of the instance and the loss of all its open answers.

--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -180,7 +180,8 @@
 
     void cancel() override
     {
-        handlers_ = {};
+        // A handler may cancel its own exchange; it must not be destroyed while it runs.
+        boost::asio::post(socket_.get_executor(), [kept = std::exchange(handlers_, {})] {});
         stop();
     }
 
