--- a/tests/platform/edge_process_test.cpp
+++ b/tests/platform/edge_process_test.cpp
@@ -1,13 +1,10 @@
-#include "tests/wire/backend_standin.hpp"
-#include "tests/wire/edge_child.hpp"
-#include "tests/wire/store_standin.hpp"
+#include "tests/wire/small_fleet.hpp"
 
 #include <Poco/Net/StreamSocket.h>
 
 #include <criterion/criterion.h>
 
 #include <csignal>
-#include <functional>
 #include <future>
 #include <memory>
 #include <set>
@@ -23,48 +20,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A store with a configuration, two plain servers and two engines, and one siskin-edge process.
-struct small_fleet
-{
-    small_fleet()
-    {
-        store.write("config", "main", example_config(1));
-        cr_assert(edge.wait_ready(), "%s", edge.log_text().c_str());
-    }
-
-    store_standin store;
-    backend_standin plain_1{store, "p1", "plain"};
-    backend_standin plain_2{store, "p2", "plain"};
-    backend_standin engine_1{store, "e1", "llm", {"m0"}};
-    backend_standin engine_2{store, "e2", "llm", {"m0"}};
-    edge_child edge{"edge-1", store.address()};
-};
-
-bool eventually(std::function<bool()> const& condition, milliseconds limit = seconds{15})
-{
-    auto const until = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < until)
-    {
-        if (condition())
-        {
-            return true;
-        }
-        std::this_thread::sleep_for(milliseconds{20});
-    }
-    return false;
-}
-
-// Ids of the events in a stream's body.
-std::string event_ids(std::string const& body)
-{
-    std::string ids;
-    for (std::size_t at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1))
-    {
-        ids += body.substr(at + 4, body.find('\n', at) - at - 4) + " ";
-    }
-    return ids;
-}
-
 } // namespace
 
 // Guards against failures of routes, answers, streams and unknown paths while there is no fault.
