Keep a silent server until another server has accepted the request

Cause: when a server made no progress for the route's silence limit (0.9 s for order-summary there), the instance cancelled the attempt first and then looked for another server. If no other engine held the model or had a place within 0.45 of the time left, the answer was broken off. The engines were only busy with more urgent streams: in the record they served others during each silence, and all 19 ended attempts have why=silent, none why=lost.

Change: silence starts a search while the attempt goes on. The dispatcher never chooses the server that works on the request, and for a stream that has begun it takes a place in a queue only after twice the silence. The new attempt takes the place of the old one when its server answers without rejecting it, or 200 ms after it was sent; until then a rejection, a failed connection or a missing retry budget changes nothing, and progress of the old server withdraws it. The retry budget is taken when it is sent.

Why it works: an attempt is now given up only for one that is under way, so that silence alone no longer ends an answer before its time limit.

Ruled out: new time limits applied to open requests (the test beside a change of the configuration; cuts go on 4 s after the change), a failed second connection (no second attempt line in any case that ended overloaded).

--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -19,6 +19,19 @@
 namespace siskinusher
 {
 
+/// One sending of a request to a backend server.
+struct server_attempt
+{
+    request_number number = 0; ///< Names the attempt in the dispatcher.
+    dispatch_target target;
+    steady_time begun_at;
+    std::shared_ptr<outbound_exchange> exchange; ///< Null once the attempt has ended.
+    std::optional<platform::answer_info> facts;
+    std::string body; ///< Body of an answer that is forwarded as a whole.
+    event_splitter events;
+    bool withdrawn = false; ///< Not sent, for a reason that says nothing about the server.
+};
+
 /// State of one request in the request service, from its arrival to its final answer.
 struct open_exchange
 {
@@ -27,6 +40,8 @@
     {
     }
 
+    bool is_running() const { return current && current->exchange; }
+
     request_number number = 0;
     std::shared_ptr<caller_exchange> caller;
     platform::caller_request request;
@@ -37,13 +52,12 @@
     boost::asio::steady_timer deadline_timer;
     boost::asio::steady_timer progress_timer; ///< Ends an attempt whose server makes no progress.
 
-    // The current attempt, if any.
-    std::shared_ptr<outbound_exchange> attempt;
-    dispatch_target target;
-    steady_time sent_at;
-    std::optional<platform::answer_info> facts;
-    std::string body; ///< Body of an answer that is forwarded as a whole.
-    event_splitter events;
+    /// Number under which the request waits for a server in the dispatcher, if it does.
+    std::optional<request_number> awaited;
+    std::shared_ptr<server_attempt> current; ///< The latest attempt; null before the first.
+    /// Attempt at another server while `current` makes no progress. It takes the place of `current` unless
+    /// its server rejects the request or `current` goes on.
+    std::shared_ptr<server_attempt> replacement;
 
     // Results of earlier attempts.
     std::vector<backend_name> failed_servers;
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -76,26 +76,41 @@
                  {"in_use", std::to_string(step.basis.in_use)},
                  {"load_age_ms", ms_text(step.basis.load_age)},
                  {"waited_ms", ms_text(step.basis.waited)},
-                 {"send", std::to_string(open.times_sent + 1)}}});
+                 {"send", std::to_string(open.times_sent + 1)},
+                 {"replaces", open.is_running() ? open.current->target.backend : backend_name()}}});
 }
 
-void request_log::attempt_ended(open_exchange const& open, std::string const& why, attempt_ender ender,
-                                std::string const& next)
+void request_log::attempt_ended(open_exchange const& open, server_attempt const& attempt,
+                                std::string const& why, attempt_ender ender, std::string const& next)
 {
     metrics_.add("siskin_attempts_ended_total", why, 1);
     steady_time const now = boot_now();
     log_.write({"attempt_failed",
                 {{"request", open.request.request_id},
-                 {"backend", open.target.backend},
+                 {"backend", attempt.target.backend},
                  {"why", why},
                  {"ended_by", to_string(ender)},
-                 {"after_ms", ms_text(now - open.sent_at)},
-                 {"silent_ms", ms_text(now - std::max(open.sent_at, open.last_event_at))},
+                 {"after_ms", ms_text(now - attempt.begun_at)},
+                 {"silent_ms", ms_text(now - std::max(attempt.begun_at, open.last_event_at))},
                  {"events", std::to_string(open.events_forwarded)},
                  {"left_ms", ms_text(open.deadline - now)},
                  {"next", next}}});
 }
 
+void request_log::server_silent(open_exchange const& open, std::string const& next, std::string const& reason)
+{
+    metrics_.add("siskin_silent_servers_total", next, 1);
+    steady_time const now = boot_now();
+    log_.write({"server_silent",
+                {{"request", open.request.request_id},
+                 {"backend", open.current->target.backend},
+                 {"silent_ms", ms_text(now - std::max(open.current->begun_at, open.last_event_at))},
+                 {"events", std::to_string(open.events_forwarded)},
+                 {"left_ms", ms_text(open.deadline - now)},
+                 {"next", next},
+                 {"reason", reason}}});
+}
+
 void request_log::request_ended(open_exchange const& open, std::string const& outcome, int status,
                                 std::uint64_t config_version)
 {
@@ -115,7 +130,7 @@
           {"route", open.route.name},
           {"service", open.service},
           {"model", open.request.model + (open.request.adapter.empty() ? "" : "/" + open.request.adapter)},
-          {"backend", open.target.backend},
+          {"backend", open.current ? open.current->target.backend : backend_name()},
           {"attempts", std::to_string(open.attempts)},
           {"last_failure", open.last_failure},
           {"first_event_ms", ms_text(open.first_event_after)},
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -37,8 +37,11 @@
     void no_server(open_exchange const& open, reject_request const& step, std::size_t known_servers);
     void attempt_started(open_exchange const& open, assign_request const& step);
     /// `next` names what follows, for example "send_again" or "end".
-    void attempt_ended(open_exchange const& open, std::string const& why, attempt_ender ender,
-                       std::string const& next);
+    void attempt_ended(open_exchange const& open, server_attempt const& attempt, std::string const& why,
+                       attempt_ender ender, std::string const& next);
+    /// The server of the current attempt makes no progress. `next` is "look_elsewhere" or "keep"; `reason`
+    /// tells why the attempt is kept.
+    void server_silent(open_exchange const& open, std::string const& next, std::string const& reason);
     /// `status` is 0 if the answer was broken off or the caller has left.
     void request_ended(open_exchange const& open, std::string const& outcome, int status,
                        std::uint64_t config_version);
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -33,6 +33,9 @@
 constexpr duration min_silence_limit = milliseconds{500};
 // A resumable stream without an event for this many times max_event_gap is continued on another server.
 constexpr double stall_limit_in_event_gaps = 3.0;
+// For this long a server without progress and its replacement may both work on a request: the replacement may
+// still reject it. Shorter than the 400 ms after which two runs of one request count as a double run.
+constexpr duration max_overlap = milliseconds{200};
 // Event gaps below this share of max_event_gap are normal in a healthy batch and are not reported.
 constexpr double min_reported_pause_share = 0.4;
 // The final answer is due at the route's time limit; this part of it is kept for sending the answer.
@@ -85,6 +88,11 @@
     }
 }
 
+char const* reason_not_run(platform::answer_info const& facts)
+{
+    return facts.status == 421 ? "not_there" : "full";
+}
+
 bool is_success(int status)
 {
     return status >= 200 && status < 300;
@@ -142,7 +150,7 @@
         retries.on_request(boot_now(), open->service);
         open->caller->on_gone([self = shared_from_this(), number = open->number] { self->on_gone(number); });
         arm_deadline(open);
-        submit(*open);
+        submit(open);
         run_dispatcher();
     }
 
@@ -181,20 +189,59 @@
         return std::chrono::duration_cast<duration>(limit * max_wait_share);
     }
 
-    void submit(open_exchange& open)
+    // Lets the request wait for a server. While it is running, it waits for another one to go on there.
+    void submit(open_pointer const& open)
     {
         dispatch_request request;
-        request.number = open.number;
-        request.service = open.service;
-        request.model = open.request.model;
-        request.adapter = open.request.adapter;
-        request.priority = open.route.priority;
-        request.arrived = open.caller->arrived();
-        request.deadline = open.deadline;
-        request.max_wait = max_wait(open);
-        request.prompt = open.request.prompt;
-        request.failed_servers = open.failed_servers;
-        requests.submit(boot_now(), std::move(request));
+        request.number = ++last_number;
+        request.service = open->service;
+        request.model = open->request.model;
+        request.adapter = open->request.adapter;
+        request.priority = open->route.priority;
+        request.arrived = open->caller->arrived();
+        request.deadline = open->deadline;
+        request.prompt = open->request.prompt;
+        request.failed_servers = open->failed_servers;
+        steady_time const now = boot_now();
+        request.max_wait = max_wait(*open);
+        if (open->is_running())
+        {
+            request.max_wait = open->deadline - now;
+            request.running_at = open->current->target.backend;
+            request.queue_from = open->answer_started ? now + silence_limit(*open) : now;
+        }
+        open->awaited = request.number;
+        waiting[request.number] = open;
+        requests.submit(now, std::move(request));
+    }
+
+    // Ends the wait for a server, and the attempt at another server beside the current one.
+    void stop_looking(open_exchange& open, std::string const& why)
+    {
+        if (open.awaited)
+        {
+            requests.withdraw(*open.awaited);
+            waiting.erase(*open.awaited);
+            open.awaited.reset();
+        }
+        if (open.replacement)
+        {
+            open.replacement->exchange->cancel();
+            end_replacement(open, attempt_result::caller_gone, why);
+        }
+    }
+
+    // Ends the attempt beside the current one, which goes on. `result` tells what it showed about its server.
+    void end_replacement(open_exchange& open, attempt_result result, std::string const& why)
+    {
+        std::shared_ptr<server_attempt> const ended = std::exchange(open.replacement, nullptr);
+        bool const sent = ended->exchange->sent();
+        report_end(*ended, result);
+        if (sent || result != attempt_result::caller_gone)
+        {
+            count_attempt(open, *ended, sent ? result : attempt_result::not_sent);
+        }
+        log.attempt_ended(open, *ended, why, ender_of(result), "keep");
     }
 
     void run_dispatcher()
@@ -223,12 +270,16 @@
 
     void carry_out(reject_request const& step)
     {
-        auto const found = exchanges.find(step.number);
-        if (found == exchanges.end())
+        open_pointer const open = take_waiting(step.number);
+        if (!open)
         {
             return;
         }
-        open_pointer const open = found->second;
+        if (open->is_running())
+        {
+            log.server_silent(*open, "keep", std::string(to_string(step.answer.reason)));
+            return;
+        }
         open->last_failure = std::string(to_string(step.answer.reason));
         log.no_server(*open, step, requests.backends());
         if (open->failed_facts && !open->answer_started)
@@ -246,51 +297,139 @@
 
     void carry_out(assign_request const& step)
     {
-        auto const found = exchanges.find(step.number);
-        if (found == exchanges.end())
+        open_pointer const open = take_waiting(step.number);
+        if (!open)
         {
             requests.on_attempt_end(
                 boot_now(),
                 {step.number, step.target.backend, attempt_result::caller_gone, false, false, {}});
             return;
         }
-        start_attempt(found->second, step);
+        start_attempt(open, step);
+    }
+
+    open_pointer take_waiting(request_number number)
+    {
+        auto const found = waiting.find(number);
+        if (found == waiting.end())
+        {
+            return nullptr;
+        }
+        open_pointer open = std::move(found->second);
+        waiting.erase(found);
+        open->awaited.reset();
+        return open;
     }
 
     void start_attempt(open_pointer const& open, assign_request const& step)
     {
-        steady_time const now = boot_now();
-        open->target = step.target;
-        open->sent_at = now;
+        auto const attempt = std::make_shared<server_attempt>();
+        attempt->number = step.number;
+        attempt->target = step.target;
+        attempt->begun_at = boot_now();
+        log.attempt_started(*open, step);
         ++open->attempts;
-        open->facts.reset();
-        open->body.clear();
-        open->events = event_splitter{};
-        backend_entry const* const entry = requests.find_backend(step.target.backend);
+        exchange_handlers handlers;
+        auto const self = shared_from_this();
+        bool const replaces = open->is_running();
+        if (replaces)
+        {
+            handlers.may_send = [self, open] { return self->may_send_replacement(open); };
+        }
+        handlers.on_head = [self, open, attempt](Poco::Net::HTTPResponse const& head)
+        { return self->on_head(open, attempt, head); };
+        handlers.on_body = [self, open, attempt](std::string const& part)
+        {
+            if (attempt == open->current) // The body of a rejection by a replacement is not needed.
+            {
+                self->on_body(open, part);
+            }
+        };
+        handlers.on_end = [self, open, attempt](exchange_end end)
+        { attempt == open->current ? self->on_end(open, end) : self->on_replacement_end(open, end); };
+        (replaces ? open->replacement : open->current) = attempt;
+        attempt->exchange = pool.start(make_outbound_request(*open, *attempt), std::move(handlers));
+        if (!replaces)
+        {
+            watch_progress(open, first_answer_limit(*open));
+        }
+    }
+
+    outbound_request make_outbound_request(open_exchange const& open, server_attempt const& attempt) const
+    {
+        backend_entry const* const entry = requests.find_backend(attempt.target.backend);
         platform::attempt_headers headers;
-        headers.time_left = open->deadline - now;
-        headers.backend = step.target.backend;
-        headers.priority = open->route.priority;
+        headers.time_left = open.deadline - attempt.begun_at;
+        headers.backend = attempt.target.backend;
+        headers.priority = open.route.priority;
         headers.is_engine = entry != nullptr && entry->is_engine;
-        headers.resume_after = open->last_event;
+        headers.resume_after = open.last_event;
         outbound_request request;
-        request.address = step.target.address;
-        request.method = open->request.method;
-        request.bytes = platform::encode_attempt(open->request, open->caller->body(), headers);
+        request.address = attempt.target.address;
+        request.method = open.request.method;
+        request.bytes = platform::encode_attempt(open.request, open.caller->body(), headers);
         request.time_limit = std::max<duration>(headers.time_left, milliseconds{1});
         request.connect_limit = std::min(request.connect_limit, request.time_limit / 2);
         request.fresh_connection = false;
-        log.attempt_started(*open, step);
-        exchange_handlers handlers;
-        auto const self = shared_from_this();
-        handlers.on_head = [self, open](Poco::Net::HTTPResponse const& head)
-        { return self->on_head(open, head); };
-        handlers.on_body = [self, open](std::string const& part) { self->on_body(open, part); };
-        handlers.on_end = [self, open](exchange_end end) { self->on_end(open, end); };
-        open->attempt = pool.start(std::move(request), std::move(handlers));
+        return request;
+    }
+
+    bool may_send_replacement(open_pointer const& open)
+    {
+        bool const is_retry = open->times_sent > 0 || open->current->exchange->sent();
+        if (is_retry && !retries.try_take(boot_now(), open->service))
+        {
+            metrics.add("siskin_retries_refused_total", "budget", 1);
+            open->replacement->withdrawn = true;
+            return false;
+        }
+        arm_progress_timer(open, max_overlap, &implementation::take_over);
+        return true;
+    }
+
+    // Ends the current attempt, whose server makes no progress, and goes on with its replacement.
+    void take_over(open_pointer const& open)
+    {
+        bool const sent = open->current->exchange->sent();
+        open->current->exchange->cancel();
+        log.attempt_ended(*open, *open->current, "silent", attempt_ender::instance, "replaced");
+        // The silence itself has been reported to the dispatcher already.
+        report_end(*open->current, attempt_result::caller_gone);
+        count_attempt(*open, *open->current, sent ? attempt_result::silent : attempt_result::not_sent);
+        use_replacement(open, "silent");
+    }
+
+    // `why` tells how the attempt before it ended.
+    void use_replacement(open_pointer const& open, std::string const& why)
+    {
+        open->last_failure = why;
+        metrics.add("siskin_retries_total", why, 1);
+        open->current = std::exchange(open->replacement, nullptr);
         watch_progress(open, first_answer_limit(*open));
     }
 
+    void on_replacement_end(open_pointer const& open, exchange_end end)
+    {
+        server_attempt const& attempt = *open->replacement;
+        if (attempt.withdrawn)
+        {
+            end_replacement(*open, attempt_result::caller_gone, "no_retry_budget");
+        }
+        else if (end != exchange_end::complete)
+        {
+            end_replacement(*open, result_of(end), to_string(end));
+        }
+        else
+        {
+            // Any other answer has made it the current attempt.
+            bool const not_run = attempt.facts->not_run;
+            end_replacement(*open, not_run ? attempt_result::refused_not_run : attempt_result::bad_answer,
+                            not_run ? reason_not_run(*attempt.facts) : "server_error");
+        }
+        watch_progress(open, silence_limit(*open));
+        run_dispatcher();
+    }
+
     // Time within which a server has to answer, or to begin its stream, before another server is tried; zero,
     // which means no limit, for requests that cannot be sent to another server.
     duration first_answer_limit(open_exchange const& open) const
@@ -305,37 +444,73 @@
         return std::max(limit, min_silence_limit);
     }
 
+    // The longest silence of the current attempt before another server is looked for; zero for no limit.
+    duration silence_limit(open_exchange const& open) const
+    {
+        if (!open.answer_started)
+        {
+            return first_answer_limit(open);
+        }
+        bool const resumable = open.route.repeat == repeat_rule::resumable_stream &&
+                               open.backends_run + 1 < open.route.max_backends && !open.events_without_id;
+        auto const stall_limit =
+            std::chrono::duration_cast<duration>(open.route.max_event_gap * stall_limit_in_event_gaps);
+        return resumable ? std::max(stall_limit, min_silence_limit) : duration{0};
+    }
+
+    // Looks for another server when the current attempt makes no progress for `limit`; zero for no limit.
     void watch_progress(open_pointer const& open, duration limit)
     {
         boost::system::error_code ignored;
         open->progress_timer.cancel(ignored);
-        if (limit == duration{0})
+        if (limit > duration{0})
         {
-            return;
+            arm_progress_timer(open, limit, &implementation::on_silence);
         }
+    }
+
+    void arm_progress_timer(open_pointer const& open, duration limit,
+                            void (implementation::*action)(open_pointer const&))
+    {
         open->progress_timer.expires_after(limit);
         open->progress_timer.async_wait(
-            [self = shared_from_this(), open, watched = open->attempt](boost::system::error_code error)
+            [self = shared_from_this(), open, action, watched = open->current,
+             beside = open->replacement](boost::system::error_code error)
             {
-                // The attempt may have ended by itself at the moment when the timer expired.
-                if (!error && open->attempt && open->attempt == watched)
+                // The attempts may have ended by themselves at the moment when the timer expired.
+                if (!error && open->is_running() && open->current == watched && open->replacement == beside)
                 {
-                    bool const sent = open->attempt->sent();
-                    open->attempt->cancel();
-                    self->end_attempt(open, sent ? attempt_result::silent : attempt_result::not_sent,
-                                      "silent");
+                    (self.get()->*action)(open);
                 }
             });
     }
 
+    // The attempt goes on until another server is ready to take the request: a server that is only slow may
+    // still answer, and without another one that is the best that the caller can get.
+    void on_silence(open_pointer const& open)
+    {
+        requests.on_silence(boot_now(), open->current->target.backend);
+        attempt_result const result =
+            open->current->exchange->sent() ? attempt_result::silent : attempt_result::not_sent;
+        if (next_attempt_step(facts_after(*open, result)) != attempt_step::send_again)
+        {
+            log.server_silent(*open, "keep", "attempts");
+            return;
+        }
+        log.server_silent(*open, "look_elsewhere", "");
+        submit(open);
+        run_dispatcher();
+    }
+
     // Returns false to end the exchange in the connection pool; the attempt is then ended by the posted task.
-    bool on_head(open_pointer const& open, Poco::Net::HTTPResponse const& head)
+    bool on_head(open_pointer const& open, std::shared_ptr<server_attempt> const& attempt,
+                 Poco::Net::HTTPResponse const& head)
     {
-        open->facts = platform::decode_answer(head, open->request.request_id, open->target.backend);
-        platform::answer_info const& facts = *open->facts;
+        attempt->facts = platform::decode_answer(head, open->request.request_id, attempt->target.backend);
+        platform::answer_info const& facts = *attempt->facts;
         if (facts.load)
         {
-            requests.on_load(boot_now(), open->target.backend, *facts.load);
+            requests.on_load(boot_now(), attempt->target.backend, *facts.load);
         }
         char const* fault = nullptr;
         if (facts.wrong_request_id)
@@ -348,48 +523,64 @@
         }
         if (fault != nullptr)
         {
-            boost::asio::post(loop, [self = shared_from_this(), open, fault]
-                              { self->end_attempt(open, attempt_result::bad_answer, fault); });
+            boost::asio::post(loop, [self = shared_from_this(), open, attempt, fault]
+                              { self->on_faulty_answer(open, attempt, fault); });
             return false;
         }
+        if (attempt == open->replacement && !facts.not_run && facts.status < 500)
+        {
+            take_over(open);
+        }
         return true;
     }
 
+    void on_faulty_answer(open_pointer const& open, std::shared_ptr<server_attempt> const& attempt,
+                          char const* fault)
+    {
+        if (attempt == open->replacement)
+        {
+            end_replacement(*open, attempt_result::bad_answer, fault);
+            watch_progress(open, silence_limit(*open));
+            run_dispatcher();
+        }
+        else if (attempt == open->current && open->is_running())
+        {
+            end_attempt(open, attempt_result::bad_answer, fault);
+        }
+    }
+
     void on_body(open_pointer const& open, std::string const& part)
     {
-        if (!open->route.streaming || !is_success(open->facts->status))
+        server_attempt& attempt = *open->current;
+        if (!open->route.streaming || !is_success(attempt.facts->status))
         {
-            open->body.append(part);
+            attempt.body.append(part);
             return;
         }
-        for (stream_event const& event : open->events.feed(part))
+        stop_looking(*open, "server_resumed");
+        for (stream_event const& event : attempt.events.feed(part))
         {
             bool const in_order = forward_event(open, event);
-            if (!open->attempt)
+            if (!open->is_running())
             {
                 return; // The caller disconnected while the event was written.
             }
             if (!in_order)
             {
-                open->attempt->cancel();
+                attempt.exchange->cancel();
                 end_attempt(open, attempt_result::bad_answer, "event_out_of_order");
                 return;
             }
         }
-        bool const resumable = open->route.repeat == repeat_rule::resumable_stream &&
-                               open->backends_run + 1 < open->route.max_backends && !open->events_without_id;
-        auto const stall_limit =
-            std::chrono::duration_cast<duration>(open->route.max_event_gap * stall_limit_in_event_gaps);
-        watch_progress(open, resumable && open->answer_started ? std::max(stall_limit, min_silence_limit)
-                                                               : duration{0});
+        watch_progress(open, open->answer_started ? silence_limit(*open) : duration{0});
     }
 
     // Reports the first event of a stream, and long pauses after it, to the dispatcher.
     void report_stream_progress(open_exchange& open, steady_time now)
     {
-        if (open.last_event_at <= open.sent_at)
+        if (open.last_event_at <= open.current->begun_at)
         {
-            requests.on_first_event(open.number);
+            requests.on_first_event(open.current->number);
             return;
         }
         duration const pause = now - open.last_event_at;
@@ -399,7 +590,7 @@
             double const share = std::chrono::duration<double>(pause) / open.route.max_event_gap;
             if (share >= min_reported_pause_share)
             {
-                requests.on_pause(now, open.target.backend, share);
+                requests.on_pause(now, open.current->target.backend, share);
             }
         }
     }
@@ -423,7 +614,7 @@
         {
             open->answer_started = true;
             open->first_event_after = boot_now() - open->caller->arrived();
-            open->caller->begin(open->facts->status, open->facts->header_lines);
+            open->caller->begin(open->current->facts->status, open->current->facts->header_lines);
         }
         steady_time const now = boot_now();
         report_stream_progress(*open, now);
@@ -440,20 +631,20 @@
             end_attempt(open, result_of(end), to_string(end));
             return;
         }
-        platform::answer_info const& facts = *open->facts;
+        platform::answer_info const& facts = *open->current->facts;
         if (facts.not_run)
         {
-            end_attempt(open, attempt_result::refused_not_run, facts.status == 421 ? "not_there" : "full");
+            end_attempt(open, attempt_result::refused_not_run, reason_not_run(facts));
             return;
         }
         if (open->route.streaming && is_success(facts.status))
         {
-            if (open->events.in_event())
+            if (open->current->events.in_event())
             {
                 end_attempt(open, attempt_result::bad_answer, "stream_ends_in_event");
                 return;
             }
-            report_end(open, attempt_result::answered, false);
+            report_end(*open->current, attempt_result::answered);
             if (!open->answer_started)
             {
                 open->caller->begin(facts.status, facts.header_lines);
@@ -465,23 +656,46 @@
         if (facts.status >= 500)
         {
             open->failed_facts = facts;
-            open->failed_body = open->body;
+            open->failed_body = open->current->body;
             end_attempt(open, attempt_result::answered, "server_error");
             return;
         }
-        report_end(open, attempt_result::answered, false);
-        open->caller->answer(facts.status, facts.header_lines, open->body);
+        report_end(*open->current, attempt_result::answered);
+        open->caller->answer(facts.status, facts.header_lines, open->current->body);
         close(*open, "served", facts.status);
     }
 
-    void report_end(open_pointer const& open, attempt_result result, bool server_error)
+    void report_end(server_attempt& attempt, attempt_result result, bool server_error = false)
     {
-        boost::system::error_code ignored;
-        open->progress_timer.cancel(ignored);
-        open->attempt.reset();
-        bool const absent = open->facts && open->facts->status == 421 && !open->facts->from_other_server;
-        requests.on_attempt_end(boot_now(), {open->number, open->target.backend, result, server_error, absent,
-                                             boot_now() - open->sent_at});
+        attempt.exchange.reset();
+        bool const absent =
+            attempt.facts && attempt.facts->status == 421 && !attempt.facts->from_other_server;
+        requests.on_attempt_end(boot_now(), {attempt.number, attempt.target.backend, result, server_error,
+                                             absent, boot_now() - attempt.begun_at});
+    }
+
+    // What is known about the request if its current attempt ends with `result`.
+    attempt_facts facts_after(open_exchange const& open, attempt_result result) const
+    {
+        attempt_facts facts;
+        facts.repeat = open.route.repeat;
+        facts.result = result;
+        facts.may_have_run_before = open.may_have_run;
+        facts.backends_run = open.backends_run + (may_have_run(result) ? 1 : 0);
+        facts.max_backends = open.route.max_backends;
+        facts.times_sent = open.times_sent + (result == attempt_result::not_sent ? 0 : 1);
+        facts.answer_started = open.answer_started;
+        facts.resume_point_known = !open.events_without_id && open.last_event.has_value();
+        facts.time_left = open.deadline - boot_now();
+        return facts;
+    }
+
+    void count_attempt(open_exchange& open, server_attempt const& attempt, attempt_result result)
+    {
+        open.times_sent += result == attempt_result::not_sent ? 0 : 1;
+        open.backends_run += may_have_run(result) ? 1 : 0;
+        open.may_have_run = open.may_have_run || may_have_run(result);
+        open.failed_servers.push_back(attempt.target.backend);
     }
 
     // Decides what follows an attempt that gave no complete answer, or one that the server answered with a
@@ -492,24 +706,18 @@
         {
             return;
         }
-        bool const server_error = result == attempt_result::answered;
-        report_end(open, result, server_error);
+        attempt_step step = next_attempt_step(facts_after(*open, result));
+        report_end(*open->current, result, result == attempt_result::answered);
+        count_attempt(*open, *open->current, result);
+        if (open->replacement && open->replacement->exchange->sent())
+        {
+            log.attempt_ended(*open, *open->current, why, ender_of(result), "replaced");
+            use_replacement(open, why);
+            run_dispatcher();
+            return;
+        }
+        stop_looking(*open, "server_ended");
         open->last_failure = why;
-        open->times_sent += result == attempt_result::not_sent ? 0 : 1;
-        open->backends_run += may_have_run(result) ? 1 : 0;
-        attempt_facts facts;
-        facts.repeat = open->route.repeat;
-        facts.result = result;
-        facts.may_have_run_before = open->may_have_run;
-        facts.backends_run = open->backends_run;
-        facts.max_backends = open->route.max_backends;
-        facts.times_sent = open->times_sent;
-        facts.answer_started = open->answer_started;
-        facts.resume_point_known = !open->events_without_id && open->last_event.has_value();
-        facts.time_left = open->deadline - boot_now();
-        open->may_have_run = open->may_have_run || may_have_run(result);
-        open->failed_servers.push_back(open->target.backend);
-        attempt_step step = next_attempt_step(facts);
         bool const needs_budget = open->times_sent > 0;
         if (step == attempt_step::send_again && needs_budget && !retries.try_take(boot_now(), open->service))
         {
@@ -518,12 +726,12 @@
                    : open->may_have_run ? attempt_step::fail_may_have_run
                                         : attempt_step::refuse_not_run;
         }
-        log.attempt_ended(*open, why, ender_of(result),
+        log.attempt_ended(*open, *open->current, why, ender_of(result),
                           step == attempt_step::send_again ? "send_again" : "end");
         if (step == attempt_step::send_again)
         {
             metrics.add("siskin_retries_total", why, 1);
-            submit(*open);
+            submit(open);
             run_dispatcher();
             return;
         }
@@ -591,16 +799,13 @@
         {
             return;
         }
-        bool const sent = open->attempt && open->attempt->sent();
-        if (open->attempt)
-        {
-            log.attempt_ended(*open, "deadline", attempt_ender::instance, "end");
-            open->attempt->cancel();
-            report_end(open, sent ? attempt_result::silent : attempt_result::not_sent, false);
-        }
-        else
+        bool const sent = open->is_running() && open->current->exchange->sent();
+        stop_looking(*open, "deadline");
+        if (open->is_running())
         {
-            requests.withdraw(open->number);
+            log.attempt_ended(*open, *open->current, "deadline", attempt_ender::instance, "end");
+            open->current->exchange->cancel();
+            report_end(*open->current, sent ? attempt_result::silent : attempt_result::not_sent);
         }
         open->may_have_run = open->may_have_run || sent;
         if (open->failed_facts && !open->answer_started)
@@ -626,15 +831,12 @@
             return;
         }
         open_pointer const open = found->second;
-        if (open->attempt)
-        {
-            log.attempt_ended(*open, "caller_gone", attempt_ender::caller, "end");
-            open->attempt->cancel();
-            report_end(open, attempt_result::caller_gone, false);
-        }
-        else
+        stop_looking(*open, "caller_gone");
+        if (open->is_running())
         {
-            requests.withdraw(number);
+            log.attempt_ended(*open, *open->current, "caller_gone", attempt_ender::caller, "end");
+            open->current->exchange->cancel();
+            report_end(*open->current, attempt_result::caller_gone);
         }
         close(*open, "caller_gone", 0);
         run_dispatcher();
@@ -642,6 +844,7 @@
 
     void close(open_exchange& open, char const* outcome, int status)
     {
+        stop_looking(open, "answered");
         boost::system::error_code ignored;
         open.deadline_timer.cancel(ignored);
         open.progress_timer.cancel(ignored);
@@ -659,6 +862,8 @@
     boost::asio::steady_timer dispatch_timer;
     std::optional<route_table> routes;
     std::unordered_map<request_number, open_pointer> exchanges;
+    // Requests that wait for a server, by the number of the attempt that will follow.
+    std::unordered_map<request_number, open_pointer> waiting;
     std::function<void()> missing_model_handler;
     request_number last_number = 0;
     steady_time stop_begun;
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -129,9 +129,11 @@
                backend_state_table::pause_level(now, backend) * pausing_server_ms;
     }
 
-    bool has_place(steady_time now, known_backend const& backend) const
+    bool has_place(steady_time now, dispatch_request const& request, known_backend const& backend) const
     {
-        return backend_state_table::in_use(now, backend) < backend.entry.places + allowed_queue;
+        unsigned const queue = now < request.queue_from ? 0 : allowed_queue;
+        return backend.entry.name != request.running_at &&
+               backend_state_table::in_use(now, backend) < backend.entry.places + queue;
     }
 
     // Returns the server with the lowest cost; one that failed this request only when there is no other. A
@@ -146,7 +148,7 @@
         std::pair<bool, double> best_cost{true, 0.0};
         for (known_backend* const backend : found)
         {
-            if (now < backend->avoid_until || !has_place(now, *backend))
+            if (now < backend->avoid_until || !has_place(now, request, *backend))
             {
                 continue;
             }
@@ -373,6 +375,14 @@
     impl_->drop_unread_tokens(number);
 }
 
+void dispatcher::on_silence(steady_time now, backend_name const& backend)
+{
+    if (known_backend* const known = impl_->table.find(backend))
+    {
+        impl_->table.on_failure(now, *known);
+    }
+}
+
 void dispatcher::on_pause(steady_time now, backend_name const& backend, double share)
 {
     if (known_backend* const known = impl_->table.find(backend))
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -54,8 +54,9 @@
 ///
 /// It is designed for these loads: bursts of one kind of request (the more urgent are served first, then
 /// those with the nearer deadline), requests for models that no engine holds (they wait up to their max_wait
-/// while the lease holder loads the model), slow and failing servers (they are avoided for a while), and
-/// services without servers (their requests are refused at once after a short start-up time).
+/// while the lease holder loads the model), slow and failing servers (they are avoided for a while, and a
+/// request that runs at one first looks for a free place elsewhere), and services without servers (their
+/// requests are refused at once after a short start-up time).
 class dispatcher
 {
 public:
@@ -80,6 +81,9 @@
 
     /// Called when the first event of a request's stream has arrived, so its prompt has been read.
     void on_first_event(request_number number);
+    /// A request has waited for the server for longer than its route allows, and goes on waiting. The server
+    /// is avoided for a while, as after a failed attempt.
+    void on_silence(steady_time now, backend_name const& backend);
     /// A stream of the server paused; `share` is the pause as a share of the longest one allowed.
     void on_pause(steady_time now, backend_name const& backend, double share);
 
--- a/domain/dispatch_request.hpp
+++ b/domain/dispatch_request.hpp
@@ -32,6 +32,11 @@
     std::vector<prompt_part> prompt;
     /// Servers that failed this request: chosen only if there is no other.
     std::vector<backend_name> failed_servers;
+    /// Server that works on the request meanwhile and is never chosen; empty for none.
+    backend_name running_at;
+    /// Before this time only a server with a free place is chosen: in a queue, a request that another server
+    /// works on would lose what is done already.
+    steady_time queue_from;
 };
 
 /// Where a request is sent.
--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -84,6 +84,39 @@
 
 } // namespace
 
+// Guards against a request leaving the server that works on it for a queue, where it would start anew.
+Test(dispatcher, running_request_first_looks_for_a_free_place)
+{
+    dispatcher requests(settings());
+    requests.on_backend(server("slow", "here", 4));
+    dispatch_request moving = request(1);
+    moving.running_at = "slow";
+    moving.queue_from = at(500);
+    requests.submit(at(0), moving);
+    cr_assert(requests.step(at(0)).empty(), "the server that works on it is not another one");
+    requests.on_backend(server("other", "far", 1));
+    requests.on_load(at(1), "other", {1, 0, 1});
+    cr_assert(requests.step(at(499)).empty(), "the other server has only a place in its queue");
+    cr_assert_eq(assigned(requests.step(at(500)), 1), "other");
+    moving.number = 2;
+    moving.queue_from = at(9999);
+    requests.submit(at(501), moving);
+    requests.on_load(at(501), "other", {1, 0, 4});
+    requests.on_backend(server("other", "far", 4));
+    cr_assert_eq(assigned(requests.step(at(501)), 2), "other");
+}
+
+// Guards against new requests for a server that has just kept another request waiting too long.
+Test(dispatcher, silent_server_is_avoided_for_a_while)
+{
+    dispatcher requests(settings());
+    requests.on_backend(server("a", "here"));
+    requests.on_backend(server("b", "far"));
+    requests.on_silence(at(0), "a");
+    requests.submit(at(1), request(1));
+    cr_assert_eq(assigned(requests.step(at(1)), 1), "b");
+}
+
 // Guards against less urgent requests taking the places in a burst that exceeds all places: the more urgent
 // ones go first, whatever the order of arrival.
 Test(dispatcher, urgent_requests_of_a_burst_go_first)
--- a/tests/platform/silent_server_test.cpp
+++ b/tests/platform/silent_server_test.cpp
@@ -123,8 +123,7 @@
 
 } // namespace
 
-// Guards against giving up an engine that is silent for a while when no other engine holds the model: the
-// stream would be broken off although it would have gone on.
+// Guards against giving up an engine that pauses when no other engine holds the model.
 Test(silent_server, pausing_stream_of_the_only_engine_completes)
 {
     single_server_fleet fleet;
@@ -140,8 +139,7 @@
     expect_streams_survive_a_pause(fleet, [] {});
 }
 
-// Guards against breaking off open streams when new time limits arrive, which are shorter than the pause: a
-// request keeps the limits of its arrival.
+// Guards against breaking off open streams when new time limits arrive: a request keeps those of its arrival.
 Test(silent_server, many_pausing_streams_complete_beside_new_time_limits)
 {
     single_server_fleet fleet;
@@ -164,8 +162,7 @@
         });
 }
 
-// Guards against giving up an engine that is silent for a while when the other engine with the model accepts
-// nothing.
+// Guards against giving up an engine that pauses before another one has accepted the stream.
 Test(silent_server, pausing_stream_completes_when_the_other_engine_rejects)
 {
     small_fleet fleet;
@@ -180,8 +177,22 @@
     expect_one_run_each(at_first ? fleet.engine_1 : fleet.engine_2, 1);
 }
 
-// Guards against giving up a slow server of repeatable requests when there is no other: callers would get
-// errors although the server would have answered.
+// Guards against giving up an engine that pauses when the other one cannot be reached.
+Test(silent_server, pausing_stream_completes_when_the_other_engine_is_unreachable)
+{
+    small_fleet fleet;
+    fleet.engine_1.set_pause(2, long_pause);
+    fleet.engine_2.set_pause(2, long_pause);
+    auto stream = begin_stream(fleet.edge, "r0");
+    cr_assert(eventually([&fleet] { return fleet.engine_1.pausing() + fleet.engine_2.pausing() == 1; },
+                         seconds{1}));
+    bool const at_first = fleet.engine_1.pausing() == 1;
+    (at_first ? fleet.engine_2 : fleet.engine_1).publish_address("127.0.0.1:1");
+    expect_whole_stream(fleet.edge, "r0", stream.get());
+    expect_one_run_each(at_first ? fleet.engine_1 : fleet.engine_2, 1);
+}
+
+// Guards against giving up a slow server of repeatable requests when there is no other.
 Test(silent_server, slow_answers_of_the_only_server_arrive)
 {
     single_server_fleet fleet;
