Send no body in a streamed answer to HEAD

A caller that sent HEAD to a streaming route got the closing chunk, and the chunks of events written before it, after the head of the answer. On a kept connection it took them for the start of its next answer. caller_connection::write_part and end() did not check head_only_, which only send_whole read.

Through caller_server, the bytes after the head began with "9\r\ndata: 1\n\n" instead of "HTTP/1.1 200 OK", both for a request sent after the answer and for a pipelined one. Through siskin-edge and a server that answers HEAD with 200 text/event-stream, they began with "0\r\n\r\n".

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -246,7 +246,7 @@
 
 void caller_connection::write_part(std::string_view part)
 {
-    if (phase_ != phase::serving || part.empty())
+    if (phase_ != phase::serving || part.empty() || head_only_)
     {
         return;
     }
@@ -263,7 +263,10 @@
     {
         return;
     }
-    enqueue("0\r\n\r\n");
+    if (!head_only_)
+    {
+        enqueue("0\r\n\r\n");
+    }
     after_answer();
 }
 
--- /dev/null
+++ b/tests/adapters/caller_server_test.cpp
@@ -0,0 +1,241 @@
+#include "adapters/caller_server.hpp"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace siskinusher;
+
+namespace
+{
+
+using exchange_pointer = std::shared_ptr<caller_exchange>;
+
+constexpr char const* event_stream = "Content-Type: text/event-stream\r\n";
+
+std::string free_address()
+{
+    return Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)).address().toString();
+}
+
+// A caller_server on a free port, whose event loop has a thread of its own.
+class running_server
+{
+public:
+    explicit running_server(caller_server::handler handle, caller_limits const& limits = {})
+        : address_(free_address()), server_(std::make_unique<caller_server>(
+                                        loop_, caller_server_settings{address_, 100}, std::move(handle)))
+    {
+        server_->set_limits(limits);
+        std::string const error = server_->start();
+        cr_assert(error.empty(), "%s", error.c_str());
+        thread_ = std::thread([this] { loop_.run(); });
+    }
+    ~running_server()
+    {
+        on_loop([this] { server_.reset(); });
+        work_.reset();
+        thread_.join();
+    }
+    running_server(running_server const&) = delete;
+    running_server& operator=(running_server const&) = delete;
+
+    std::string const& address() const { return address_; }
+    std::size_t open_requests()
+    {
+        std::size_t count = 0;
+        on_loop([&] { count = server_->open_requests(); });
+        return count;
+    }
+    std::size_t connections()
+    {
+        std::size_t count = 0;
+        on_loop([&] { count = server_->connections(); });
+        return count;
+    }
+    /// Runs a task on the thread of the event loop and waits for its end.
+    void on_loop(std::function<void()> const& task)
+    {
+        std::promise<void> done;
+        boost::asio::post(loop_,
+                          [&]
+                          {
+                              task();
+                              done.set_value();
+                          });
+        done.get_future().wait();
+    }
+
+private:
+    boost::asio::io_context loop_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{loop_.get_executor()};
+    std::string const address_;
+    std::unique_ptr<caller_server> server_;
+    std::thread thread_;
+};
+
+enum class connection_end
+{
+    open, ///< Not closed within the time.
+    closed,
+    reset,
+};
+
+// A connection to a server that sends and receives bytes as they are.
+class raw_caller
+{
+public:
+    explicit raw_caller(std::string const& address, int receive_buffer = 0)
+    {
+        socket_.init(AF_INET);
+        if (receive_buffer > 0)
+        {
+            socket_.setReceiveBufferSize(receive_buffer);
+        }
+        socket_.connect(Poco::Net::SocketAddress(address));
+        socket_.setReceiveTimeout(Poco::Timespan(3, 0));
+    }
+
+    // Returns false when the server has closed the connection before all bytes were sent.
+    bool send(std::string const& bytes)
+    {
+        try
+        {
+            std::size_t sent = 0;
+            while (sent < bytes.size())
+            {
+                sent += static_cast<std::size_t>(
+                    socket_.sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent)));
+            }
+            return true;
+        }
+        catch (Poco::Exception const&)
+        {
+            return false;
+        }
+    }
+
+    // Receives until the bytes contain `end`, the connection ends or 3 s pass without a byte.
+    std::string const& receive_until(std::string_view end)
+    {
+        while (received_.find(end) == std::string::npos && receive_some())
+        {
+        }
+        return received_;
+    }
+
+    connection_end receive_all()
+    {
+        while (receive_some())
+        {
+        }
+        return end_;
+    }
+
+    std::string const& received() const { return received_; }
+    void forget_received() { received_.clear(); }
+
+private:
+    bool receive_some()
+    {
+        std::vector<char> buffer(65536);
+        try
+        {
+            int const count = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            received_.append(buffer.data(), static_cast<std::size_t>(std::max(count, 0)));
+            end_ = count > 0 ? connection_end::open : connection_end::closed;
+            return count > 0;
+        }
+        catch (Poco::TimeoutException const&)
+        {
+            end_ = connection_end::open;
+        }
+        catch (Poco::Exception const&)
+        {
+            end_ = connection_end::reset;
+        }
+        return false;
+    }
+
+    Poco::Net::StreamSocket socket_;
+    std::string received_;
+    connection_end end_{connection_end::open};
+};
+
+std::string request(std::string const& line, std::string const& headers = {})
+{
+    return line + "\r\nHost: h\r\n" + headers + "\r\n";
+}
+
+bool contains(std::string const& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+// The bytes after the first head.
+std::string after_head(std::string const& bytes)
+{
+    std::size_t const end = bytes.find("\r\n\r\n");
+    return end == std::string::npos ? "no complete head" : bytes.substr(end + 4);
+}
+
+// Answers /stream with two parts and all other requests with a whole body that names the path.
+void answer_by_path(exchange_pointer const& exchange)
+{
+    std::string const path = exchange->head().getURI();
+    if (path == "/stream")
+    {
+        exchange->begin(200, event_stream);
+        exchange->write("data: 1\n\n");
+        exchange->write("data: 2\n\n");
+        exchange->end();
+        return;
+    }
+    exchange->answer(200, "", "body of " + path);
+}
+
+} // namespace
+
+// Guards against chunks after the head of a streamed answer to HEAD: the caller takes them for the start of
+// its next answer on the kept connection.
+Test(caller_server, streamed_answer_to_head_has_no_body)
+{
+    running_server const server(answer_by_path);
+    raw_caller caller(server.address());
+    cr_assert(caller.send(request("HEAD /stream HTTP/1.1")));
+    std::string const head = caller.receive_until("\r\n\r\n");
+    cr_assert(contains(head, "HTTP/1.1 200 OK\r\n"), "%s", head.c_str());
+    cr_assert(caller.send(request("GET /next HTTP/1.1")));
+    std::string const next = after_head(caller.receive_until("body of /next"));
+    cr_assert_eq(next.find("HTTP/1.1 200 OK\r\n"), 0, "%s", next.c_str());
+}
+
+// Guards against the same when the next request is sent before the answer to HEAD has arrived.
+Test(caller_server, request_pipelined_behind_head_gets_its_own_answer)
+{
+    running_server const server(answer_by_path);
+    raw_caller caller(server.address());
+    cr_assert(caller.send(request("HEAD /stream HTTP/1.1") + request("HEAD /whole HTTP/1.1") +
+                          request("GET /next HTTP/1.1")));
+    std::string const second = after_head(caller.receive_until("body of /next"));
+    cr_assert_eq(second.find("HTTP/1.1 200 OK\r\n"), 0, "%s", second.c_str());
+    std::string const third = after_head(second);
+    cr_assert_eq(third.find("HTTP/1.1 200 OK\r\n"), 0, "%s", third.c_str());
+    cr_assert_eq(after_head(third), "body of /next");
+}
--- a/tests/platform/edge_process_test.cpp
+++ b/tests/platform/edge_process_test.cpp
@@ -382,6 +382,34 @@
                          seconds{3}));
 }
 
+// Guards against body bytes after the answer to HEAD on a streaming route: the caller takes them for the
+// start of its next answer on the kept connection.
+Test(edge_process, head_on_a_streaming_route_leaves_the_connection_usable)
+{
+    small_fleet fleet;
+    Poco::Net::StreamSocket caller;
+    caller.connect(Poco::Net::SocketAddress(fleet.edge.caller_address()));
+    caller.setReceiveTimeout(Poco::Timespan(5, 0));
+    std::string received;
+    auto const exchange = [&](std::string const& request, std::string const& end)
+    {
+        caller.sendBytes(request.data(), static_cast<int>(request.size()));
+        std::vector<char> buffer(65536);
+        while (received.find(end) == std::string::npos)
+        {
+            int const count = caller.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            cr_assert(count > 0, "closed after: %s", received.c_str());
+            received.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+    };
+    exchange("HEAD /stream/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\nModel: m0\r\n\r\n", "\r\n\r\n");
+    cr_assert_eq(received.find("HTTP/1.1 200 OK\r\n"), 0, "%s", received.c_str());
+    cr_assert(received.find("text/event-stream") != std::string::npos, "%s", received.c_str());
+    exchange("GET /again/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: r2\r\n\r\n", "body of r2");
+    std::string const next = received.substr(received.find("\r\n\r\n") + 4);
+    cr_assert_eq(next.find("HTTP/1.1 200 OK\r\n"), 0, "%s", next.c_str());
+}
+
 // Guards against bad input being passed on, or ending the process.
 Test(edge_process, bad_requests_get_a_clear_error)
 {
