Send no chunk framing to callers that speak HTTP/1.0

A caller that speaks HTTP/1.0 got "Transfer-Encoding: chunked" and the chunk sizes as a part of the body of every streamed answer, because caller_connection::begin() did not look at the version. It now gets a body that ends with the connection. An orderly close would make a broken-off answer look complete, so close() resets the connection (SO_LINGER with zero) as long as such a body is not written to its end. The flag chunked_, which was set and never read, is gone.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -65,6 +65,11 @@
     phase_ = phase::closed;
     boost::system::error_code ignored;
     timer_.cancel(ignored);
+    if (answer_framing_ == body_kind::until_close)
+    {
+        // An orderly close would mark the end of the body, which is incomplete.
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     socket_.close(ignored);
     if (was_serving)
     {
@@ -240,14 +245,23 @@
     {
         return;
     }
-    chunked_ = true;
-    enqueue(status_line(status, header_lines) + "Transfer-Encoding: chunked\r\n\r\n");
+    bool const knows_chunks = head_->getVersion() == "HTTP/1.1";
+    answer_framing_ = head_only_     ? body_kind::none
+                      : knows_chunks ? body_kind::chunked
+                                     : body_kind::until_close;
+    enqueue(status_line(status, header_lines) +
+            (knows_chunks ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
 }
 
 void caller_connection::write_part(std::string_view part)
 {
-    if (phase_ != phase::serving || part.empty() || head_only_)
+    if (phase_ != phase::serving || part.empty() || answer_framing_ == body_kind::none)
+    {
+        return;
+    }
+    if (answer_framing_ == body_kind::until_close)
     {
+        enqueue(part);
         return;
     }
     std::array<char, 24> size{};
@@ -263,7 +277,7 @@
     {
         return;
     }
-    if (!head_only_)
+    if (answer_framing_ == body_kind::chunked)
     {
         enqueue("0\r\n\r\n");
     }
@@ -312,6 +326,7 @@
         {
             boost::system::error_code ignored;
             socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+            answer_framing_ = body_kind::none;
             close();
         }
         return;
--- a/adapters/caller_connection_impl.hpp
+++ b/adapters/caller_connection_impl.hpp
@@ -80,8 +80,9 @@
     bool reading_ = false;
     bool close_after_write_ = false;
     bool keep_alive_ = true;
-    bool chunked_ = false;
     bool head_only_ = false;
+    /// Framing of the body that follows begin(); until_close until the whole body has been written.
+    body_kind answer_framing_{body_kind::none};
     std::optional<Poco::Net::HTTPRequest> head_;
     std::optional<body_decoder> decoder_;
     std::string body_;
--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -42,7 +42,7 @@
 
     /// Sends a complete answer. Each line of `header_lines` ends with CRLF.
     void answer(int status, std::string_view header_lines, std::string_view body);
-    /// Begins an answer whose body follows in parts.
+    /// Begins an answer whose body follows in parts. HTTP/1.0 gets a body that ends with the connection.
     void begin(int status, std::string_view header_lines);
     void write(std::string_view part);
     /// Ends an answer started by begin(); without this call the caller sees that the answer is incomplete.
@@ -65,8 +65,8 @@
     std::size_t max_connections = 3000;
 };
 
-/// Serves HTTP/1.1 on one address from the event loop, without a thread for each connection. At the limit
-/// on connections, the one that has been idle longest is closed to admit a new caller.
+/// Serves HTTP/1.1 and HTTP/1.0 on one address from the event loop, without a thread for each connection. At
+/// the limit on connections, the one that has been idle longest is closed to admit a new caller.
 class caller_server
 {
 public:
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -210,6 +210,28 @@
     exchange->answer(200, "", "body of " + path);
 }
 
+// Keeps each exchange in `held`, with the first event of its answer written.
+caller_server::handler hold_after_first_event(exchange_pointer& held)
+{
+    return [&held](exchange_pointer const& exchange)
+    {
+        held = exchange;
+        exchange->begin(200, event_stream);
+        exchange->write("data: 1\n\n");
+    };
+}
+
+// Sends a request for a stream, breaks the answer off after its first event has arrived, and returns how the
+// connection ends.
+connection_end break_off_stream(raw_caller& caller, std::string const& line, running_server& server,
+                                exchange_pointer& held)
+{
+    cr_assert(caller.send(request(line)));
+    caller.receive_until("data: 1\n\n");
+    server.on_loop([&held] { std::exchange(held, nullptr)->abort(); });
+    return caller.receive_all();
+}
+
 } // namespace
 
 // Guards against chunks after the head of a streamed answer to HEAD: the caller takes them for the start of
@@ -239,3 +261,55 @@
     cr_assert_eq(third.find("HTTP/1.1 200 OK\r\n"), 0, "%s", third.c_str());
     cr_assert_eq(after_head(third), "body of /next");
 }
+
+// Guards against chunk framing in an answer to HTTP/1.0, which does not know it: the caller would take the
+// sizes of the chunks for a part of the body.
+Test(caller_server, streamed_answer_to_http_1_0_ends_with_the_connection)
+{
+    running_server const server(answer_by_path);
+    raw_caller caller(server.address());
+    cr_assert(caller.send(request("GET /stream HTTP/1.0")));
+    cr_assert_eq(caller.receive_all(), connection_end::closed);
+    std::string const answer = caller.received();
+    cr_assert_not(contains(answer, "Transfer-Encoding"), "%s", answer.c_str());
+    cr_assert(contains(answer, "Connection: close\r\n"), "%s", answer.c_str());
+    cr_assert_eq(after_head(answer), "data: 1\n\ndata: 2\n\n", "%s", answer.c_str());
+}
+
+// Guards against a broken-off answer that looks complete to HTTP/1.0, where an orderly close ends the body.
+Test(caller_server, broken_off_answer_to_http_1_0_is_reset)
+{
+    exchange_pointer held;
+    running_server server(hold_after_first_event(held));
+    raw_caller caller(server.address());
+    cr_assert_eq(break_off_stream(caller, "GET /stream HTTP/1.0", server, held), connection_end::reset);
+}
+
+// Guards against an answer that looks complete to HTTP/1.0 because the process stops while a part of it is
+// still unsent.
+Test(caller_server, unsent_answer_to_http_1_0_is_reset_when_the_server_stops)
+{
+    auto server = std::make_unique<running_server>(
+        [](exchange_pointer const& exchange)
+        {
+            exchange->begin(200, event_stream);
+            exchange->write(std::string(8U << 20U, 'x')); // More than the kernel's buffers take.
+            exchange->end();
+        });
+    raw_caller caller(server->address(), 4096);
+    cr_assert(caller.send(request("GET /stream HTTP/1.0")));
+    caller.receive_until("\r\n\r\n");
+    server.reset();
+    cr_assert_eq(caller.receive_all(), connection_end::reset, "%zu bytes", caller.received().size());
+}
+
+// Guards against a closing chunk, or a reset that loses events already sent, when an answer to HTTP/1.1 is
+// broken off: the missing closing chunk shows that the answer is incomplete.
+Test(caller_server, broken_off_answer_to_http_1_1_has_no_closing_chunk)
+{
+    exchange_pointer held;
+    running_server server(hold_after_first_event(held));
+    raw_caller caller(server.address());
+    cr_assert_eq(break_off_stream(caller, "GET /stream HTTP/1.1", server, held), connection_end::closed);
+    cr_assert_eq(after_head(caller.received()), "9\r\ndata: 1\n\n\r\n", "%s", caller.received().c_str());
+}
