Claim no length of zero in answers to HEAD

A caller that asked with HEAD for the size of a resource got "Content-Length: 0", because the server's answer to HEAD has no body and caller_connection::send_whole wrote the length of what it was given. The header must have the length of the body that GET would get, or be absent. It is absent now when there is no body to measure.

The new test failed before the change: the answer to HEAD with an empty body contained "Content-Length: 0". It passes now. It also shows that an answer with a known body keeps its length of 10, without the body, and that a GET pipelined behind it gets its own answer; this was right before.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -230,7 +230,12 @@
         return;
     }
     std::string text = status_line(status, header_lines);
-    text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+    // The server's answer to HEAD has no body, so the length of the body that GET would get is unknown.
+    if (!head_only_ || !body.empty())
+    {
+        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    }
+    text.append("\r\n");
     if (!head_only_)
     {
         text.append(body);
@@ -288,6 +293,7 @@
 {
     --server_->open_requests;
     gone_handler_ = nullptr;
+    head_only_ = false; // A refusal may follow for a request whose head is not known.
     phase_ = phase::head;
     idle_since_ = boot_now();
     if (!keep_alive_ || server_->draining)
--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -40,7 +40,8 @@
     /// Called once if the caller closes the connection before its answer has ended.
     void on_gone(std::function<void()> handler);
 
-    /// Sends a complete answer. Each line of `header_lines` ends with CRLF.
+    /// Sends a complete answer. Each line of `header_lines` ends with CRLF. To HEAD only the head is sent,
+    /// with the length of `body` unless that is empty.
     void answer(int status, std::string_view header_lines, std::string_view body);
     /// Begins an answer whose body follows in parts. HTTP/1.0 gets a body that ends with the connection.
     void begin(int status, std::string_view header_lines);
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -313,3 +313,27 @@
     cr_assert_eq(break_off_stream(caller, "GET /stream HTTP/1.1", server, held), connection_end::closed);
     cr_assert_eq(after_head(caller.received()), "9\r\ndata: 1\n\n\r\n", "%s", caller.received().c_str());
 }
+
+// Guards against "Content-Length: 0" in an answer to HEAD whose body was left out by the server: the value
+// must be the length of the body that GET would get, which is unknown here.
+Test(caller_server, whole_answer_to_head_claims_no_wrong_length)
+{
+    running_server const server(
+        [](exchange_pointer const& exchange)
+        { exchange->answer(200, "", exchange->head().getURI() == "/known" ? "known body" : ""); });
+    raw_caller caller(server.address());
+    cr_assert(caller.send(request("HEAD /unknown HTTP/1.1")));
+    std::string const unknown = caller.receive_until("\r\n\r\n");
+    cr_assert(contains(unknown, "HTTP/1.1 200 OK\r\n"), "%s", unknown.c_str());
+    cr_assert_not(contains(unknown, "Content-Length"), "%s", unknown.c_str());
+    caller.forget_received();
+    cr_assert(caller.send(request("HEAD /known HTTP/1.1") + request("GET /known HTTP/1.1")));
+    std::string const known = caller.receive_until("known body");
+    cr_assert(contains(known, "Content-Length: 10\r\n"), "%s", known.c_str());
+    cr_assert_eq(after_head(known).find("HTTP/1.1 200 OK\r\n"), 0, "%s", known.c_str());
+    caller.forget_received();
+    cr_assert(caller.send(request("HEAD /unknown HTTP/1.1") + "malformed\r\n\r\n"));
+    cr_assert_eq(caller.receive_all(), connection_end::closed);
+    std::string const refusal = after_head(caller.received());
+    cr_assert(contains(refusal, "Content-Length: 0\r\n"), "%s", refusal.c_str());
+}
