Send no body bytes and no length in answers 204 and 304

The rule of response_framing for these statuses is now the function status_has_body, which both sides use.

The new test failed before the change for /whole/204, /whole/304, /parts/204 and /parts/304, for example with "HTTP/1.1 204 No Content", "Content-Length: 4" and "bodyHTTP/1.1 200 OK". It passes now.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -231,12 +231,12 @@
     }
     std::string text = status_line(status, header_lines);
     // The server's answer to HEAD has no body, so the length of the body that GET would get is unknown.
-    if (!head_only_ || !body.empty())
+    if (status_has_body(status) && (!head_only_ || !body.empty()))
     {
         text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
     }
     text.append("\r\n");
-    if (!head_only_)
+    if (status_has_body(status) && !head_only_)
     {
         text.append(body);
     }
@@ -250,12 +250,14 @@
     {
         return;
     }
-    bool const knows_chunks = head_->getVersion() == "HTTP/1.1";
-    answer_framing_ = head_only_     ? body_kind::none
-                      : knows_chunks ? body_kind::chunked
-                                     : body_kind::until_close;
+    // A caller that speaks HTTP/1.0 does not know chunks.
+    body_kind const framing = !status_has_body(status)            ? body_kind::none
+                              : head_->getVersion() == "HTTP/1.1" ? body_kind::chunked
+                                                                  : body_kind::until_close;
+    answer_framing_ = head_only_ ? body_kind::none : framing;
+    // The head for HEAD is the same as for GET.
     enqueue(status_line(status, header_lines) +
-            (knows_chunks ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+            (framing == body_kind::chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
 }
 
 void caller_connection::write_part(std::string_view part)
--- a/adapters/http_message.cpp
+++ b/adapters/http_message.cpp
@@ -170,6 +170,11 @@
     return parse_head(head, response);
 }
 
+bool status_has_body(int status)
+{
+    return status != 204 && status != 304;
+}
+
 std::optional<body_framing> request_framing(Poco::Net::HTTPRequest const& request)
 {
     bool announced = false;
@@ -179,8 +184,7 @@
 std::optional<body_framing> response_framing(Poco::Net::HTTPResponse const& response,
                                              std::string const& method)
 {
-    int const status = response.getStatus();
-    if (method == "HEAD" || status == 204 || status == 304)
+    if (method == "HEAD" || !status_has_body(response.getStatus()))
     {
         return body_framing{};
     }
--- a/adapters/http_message.hpp
+++ b/adapters/http_message.hpp
@@ -35,6 +35,9 @@
 bool parse_request_head(std::string const& head, Poco::Net::HTTPRequest& request);
 bool parse_response_head(std::string const& head, Poco::Net::HTTPResponse& response);
 
+/// False for the statuses whose answers have no body, whatever the request: 204 and 304.
+bool status_has_body(int status);
+
 /// Framing of a request body; empty when the headers contradict each other, which would let two servers see
 /// different message ends.
 std::optional<body_framing> request_framing(Poco::Net::HTTPRequest const& request);
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -337,3 +337,39 @@
     std::string const refusal = after_head(caller.received());
     cr_assert(contains(refusal, "Content-Length: 0\r\n"), "%s", refusal.c_str());
 }
+
+// Guards against body bytes, a length or chunk framing in answers 204 and 304, which have no body: the caller
+// takes the bytes for the start of its next answer.
+Test(caller_server, answers_204_and_304_have_no_body)
+{
+    running_server const server(
+        [](exchange_pointer const& exchange)
+        {
+            std::string const target = exchange->head().getURI();
+            if (target == "/next")
+            {
+                exchange->answer(200, "", "next body");
+                return;
+            }
+            int const status = contains(target, "204") ? 204 : 304;
+            if (contains(target, "whole"))
+            {
+                exchange->answer(status, "", "body");
+                return;
+            }
+            exchange->begin(status, "");
+            exchange->write("body");
+            exchange->end();
+        });
+    for (std::string const target : {"/whole/204", "/whole/304", "/parts/204", "/parts/304"})
+    {
+        raw_caller caller(server.address());
+        cr_assert(caller.send(request("GET " + target + " HTTP/1.1") + request("GET /next HTTP/1.1")));
+        std::string const answers = caller.receive_until("next body");
+        std::string const head = answers.substr(0, answers.find("\r\n\r\n"));
+        cr_expect_not(contains(head, "Content-Length"), "%s: %s", target.c_str(), head.c_str());
+        cr_expect_not(contains(head, "Transfer-Encoding"), "%s: %s", target.c_str(), head.c_str());
+        cr_expect_eq(after_head(answers).find("HTTP/1.1 200 OK\r\n"), 0, "%s: %s", target.c_str(),
+                     answers.c_str());
+    }
+}
