Send no 408 behind the last answer of a connection

A caller that had sent some bytes behind its last request and read the answer slowly got "HTTP/1.1 408 Request Time-out" behind that answer, because on_timer took the bytes for the start of a late request although the connection was about to close. A caller that speaks HTTP/1.0 takes the 408 for the end of the body. Bytes behind the last request are now discarded as soon as its answer has ended, and those that arrive later are not kept.

The new test failed before the change: the body of 3900000 bytes was followed by "HTTP/1.1 408 Request Time-out", "Connection: close" and "Content-Length: 0". It passes now.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -107,6 +107,11 @@
         close();
         return;
     }
+    if (close_after_write_)
+    {
+        read_more(); // Bytes behind the last request are discarded.
+        return;
+    }
     bool const first_byte = phase_ == phase::head && received_.empty();
     received_.append(chunk_.data(), count);
     if (first_byte)
@@ -208,7 +213,6 @@
     keep_alive_ = false;
     phase_ = phase::serving;
     ++server_->open_requests;
-    received_.clear();
     send_whole(status, "", "");
 }
 
@@ -301,6 +305,7 @@
     if (!keep_alive_ || server_->draining)
     {
         close_after_write_ = true;
+        received_.clear();
     }
     start_timer(server_->limits.idle_timeout);
     flush();
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -10,6 +10,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <future>
@@ -373,3 +374,28 @@
                      answers.c_str());
     }
 }
+
+// Guards against a 408 behind the last answer of a connection, for bytes that the caller sent after its last
+// request: HTTP/1.0 takes it for the end of the body.
+Test(caller_server, nothing_follows_the_last_answer)
+{
+    constexpr std::size_t size = 3900000; // More than the kernel takes, less than the server keeps.
+    caller_limits limits;
+    limits.idle_timeout = milliseconds{200};
+    limits.head_timeout = milliseconds{200};
+    running_server const server(
+        [](exchange_pointer const& exchange)
+        {
+            exchange->begin(200, "");
+            exchange->write(std::string(size, 'x'));
+            exchange->end();
+        },
+        limits);
+    raw_caller caller(server.address(), 4096);
+    cr_assert(caller.send(request("GET /stream HTTP/1.0") + "GET /more"));
+    std::this_thread::sleep_for(milliseconds{600});
+    (void)caller.receive_all();
+    std::string const body = after_head(caller.received());
+    cr_assert_eq(body.size(), size, "the body ends with: %s",
+                 body.substr(std::min(size, body.size())).c_str());
+}
