Do not count a request twice when its caller does not read

A connection whose caller does not read is closed by enqueue() when too many bytes are unsent. send_whole() went on after that and reduced the number of open requests a second time, which made it wrap around, and set the closed connection back to reading requests, so that further pipelined requests were handled although nobody could get their answers. A stopping process that sees open requests waits until its stop time is over. take_head() went on likewise after "100 Continue". Both now end when enqueue() has closed the connection.

The new test failed before the change with open requests and 3 handled requests instead of at most 2, and with "Expect: 100-continue" with open requests and 3 handled instead of 1.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -169,6 +169,10 @@
     if (equal_ignoring_case(header_value(*head_, "Expect"), "100-continue"))
     {
         enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+        if (phase_ == phase::closed)
+        {
+            return false;
+        }
     }
     keep_alive_ = head_->getVersion() == "HTTP/1.1" &&
                   !equal_ignoring_case(header_value(*head_, "Connection"), "close");
@@ -300,6 +304,10 @@
 
 void caller_connection::after_answer()
 {
+    if (phase_ != phase::serving)
+    {
+        return; // Closed by enqueue(), because the caller does not read.
+    }
     --server_->open_requests;
     gone_handler_ = nullptr;
     head_only_ = false; // A refusal may follow for a request whose head is not known.
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -521,3 +521,32 @@
         cr_assert_leq(server.connections(), limit);
     }
 }
+
+// Guards against requests being counted twice, or handled, after their connection was closed because the
+// caller does not read: a stopping process would wait for them until its time is over.
+Test(caller_server, caller_that_does_not_read_leaves_no_open_request)
+{
+    std::atomic<unsigned> handled{0};
+    running_server server(
+        [&handled](exchange_pointer const& exchange)
+        {
+            ++handled;
+            exchange->answer(200, "", std::string(12U << 20U, 'x')); // Above the limit on unsent bytes.
+        });
+    for (std::string const headers : {"", "Expect: 100-continue\r\n"})
+    {
+        handled = 0;
+        raw_caller caller(server.address(), 4096);
+        cr_assert(caller.send(request("GET /1 HTTP/1.1") + request("GET /2 HTTP/1.1", headers) +
+                              request("GET /3 HTTP/1.1")));
+        auto const until = std::chrono::steady_clock::now() + seconds{3};
+        while ((handled == 0 || server.connections() > 0) && std::chrono::steady_clock::now() < until)
+        {
+            std::this_thread::sleep_for(milliseconds{10});
+        }
+        cr_expect_eq(server.connections(), 0, "'%s'", headers.c_str());
+        cr_expect_eq(server.open_requests(), 0, "'%s': %zu open requests", headers.c_str(),
+                     server.open_requests());
+        cr_expect_leq(handled, headers.empty() ? 2 : 1, "'%s': %u", headers.c_str(), handled.load());
+    }
+}
