Handle pipelined requests without a stack frame for each

Each answer that was sent at once called process() again from after_answer(), inside the process() that had handed the request over. process() now leaves such requests to the loop that is already running.

The new test failed before the change: 3000 pipelined requests, each answered at once, were handed over at stack addresses 1104000 bytes apart; the bound is 65536. It passes now.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -128,15 +128,21 @@
     }
 }
 
+// Handles requests until more bytes are needed or one is not answered at once.
 void caller_connection::process()
 {
-    while ((phase_ == phase::head && !close_after_write_ && take_head()) || phase_ == phase::body)
+    if (processing_)
     {
-        if (!take_body())
-        {
-            return;
-        }
+        return; // Called for an answer that was sent at once: the loop in progress goes on with the next
+                // request.
+    }
+    processing_ = true;
+    bool more = true;
+    while (more && ((phase_ == phase::head && !close_after_write_ && take_head()) || phase_ == phase::body))
+    {
+        more = take_body();
     }
+    processing_ = false;
 }
 
 // Returns true when it has consumed a valid head; the body follows.
--- a/adapters/caller_connection_impl.hpp
+++ b/adapters/caller_connection_impl.hpp
@@ -82,6 +82,7 @@
     std::string queued_;
     std::string writing_;
     bool reading_ = false;
+    bool processing_ = false;
     bool close_after_write_ = false;
     bool keep_alive_ = true;
     bool head_only_ = false;
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <future>
 #include <memory>
@@ -550,3 +551,44 @@
         cr_expect_leq(handled, headers.empty() ? 2 : 1, "'%s': %u", headers.c_str(), handled.load());
     }
 }
+
+// Guards against a stack that grows with the number of pipelined requests that are answered at once.
+Test(caller_server, pipelined_requests_use_no_stack_each)
+{
+    constexpr std::size_t count = 3000; // About as many as are read while the first one is being answered.
+    constexpr std::ptrdiff_t max_spread = 65536;
+    std::vector<exchange_pointer> held;
+    std::vector<char const*> frames;
+    running_server server(
+        [&held, &frames](exchange_pointer const& exchange)
+        {
+            frames.push_back(static_cast<char const*>(__builtin_frame_address(0)));
+            if (exchange->head().getURI() == "/first")
+            {
+                held.push_back(exchange);
+                return;
+            }
+            exchange->answer(200, "", "");
+        });
+    raw_caller caller(server.address());
+    std::string bytes = request("GET /first HTTP/1.1");
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        bytes += "GET / HTTP/1.1\r\nHost:h\r\n\r\n";
+    }
+    bytes += request("GET /end HTTP/1.1", "Connection: close\r\n");
+    cr_assert(caller.send(bytes));
+    std::this_thread::sleep_for(milliseconds{200});
+    server.on_loop(
+        [&held]
+        {
+            held.front()->answer(200, "", "");
+            held.clear();
+        });
+    cr_assert_eq(caller.receive_all(), connection_end::closed);
+    server.on_loop([] {}); // Orders the writes of the handler before the reads below.
+    cr_assert_eq(frames.size(), count + 2, "%zu requests", frames.size());
+    // The first request comes from another path through the event loop.
+    auto const [lowest, highest] = std::minmax_element(frames.begin() + 1, frames.end());
+    cr_assert_leq(*highest - *lowest, max_spread, "%td bytes of stack", *highest - *lowest);
+}
