Send no interim answer to callers that speak HTTP/1.0

A caller that sent "Expect: 100-continue" with HTTP/1.0 got "HTTP/1.1 100 Continue" before its answer, because take_head() did not look at the version. HTTP/1.0 has no interim answers, so that such a caller takes the 100 for the answer to its request and the real answer for its body. The expectation is ignored for HTTP/1.0 now.

The new test failed before the change: the received bytes began with "HTTP/1.1 100 Continue" instead of "HTTP/1.1 200 OK". It passes now, and shows that HTTP/1.1 still gets the interim answer.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -172,7 +172,9 @@
         refuse(413);
         return false;
     }
-    if (equal_ignoring_case(header_value(*head_, "Expect"), "100-continue"))
+    bool const is_http_1_1 = head_->getVersion() == "HTTP/1.1";
+    // HTTP/1.0 has no interim answers.
+    if (is_http_1_1 && equal_ignoring_case(header_value(*head_, "Expect"), "100-continue"))
     {
         enqueue("HTTP/1.1 100 Continue\r\n\r\n");
         if (phase_ == phase::closed)
@@ -180,8 +182,7 @@
             return false;
         }
     }
-    keep_alive_ = head_->getVersion() == "HTTP/1.1" &&
-                  !equal_ignoring_case(header_value(*head_, "Connection"), "close");
+    keep_alive_ = is_http_1_1 && !equal_ignoring_case(header_value(*head_, "Connection"), "close");
     head_only_ = head_->getMethod() == "HEAD";
     decoder_.emplace(*framing);
     body_.clear();
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -592,3 +592,18 @@
     auto const [lowest, highest] = std::minmax_element(frames.begin() + 1, frames.end());
     cr_assert_leq(*highest - *lowest, max_spread, "%td bytes of stack", *highest - *lowest);
 }
+
+// Guards against an interim answer to HTTP/1.0, which does not know interim answers: the caller would take it
+// for the answer to its request.
+Test(caller_server, http_1_0_gets_no_interim_answer)
+{
+    running_server const server(answer_by_path);
+    raw_caller caller(server.address());
+    cr_assert(caller.send(request("POST /whole HTTP/1.0", "Content-Length: 4\r\nExpect: 100-continue\r\n") +
+                          "body"));
+    cr_assert_eq(caller.receive_all(), connection_end::closed);
+    cr_assert_eq(caller.received().find("HTTP/1.1 200 OK\r\n"), 0, "%s", caller.received().c_str());
+    raw_caller newer(server.address());
+    cr_assert(newer.send(request("POST /whole HTTP/1.1", "Content-Length: 4\r\nExpect: 100-continue\r\n")));
+    cr_assert_eq(newer.receive_until("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+}
