Find "close" in a list of connection options

A caller that sent "Connection: TE, close" got an answer without "Connection: close" on a connection that stayed open until its idle time was over, because take_head() compared the whole header with "close".

The new test failed before the change for "TE, close", "close , TE" and "x,close": the answer had no "Connection: close". It passes now, and shows that "closed" does not end the connection.

--- a/adapters/http_message.cpp
+++ b/adapters/http_message.cpp
@@ -242,6 +242,24 @@
                       [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
+bool has_token(std::string_view list, std::string_view token)
+{
+    std::size_t start = 0;
+    while (start < list.size())
+    {
+        std::size_t const end = std::min(list.find(',', start), list.size());
+        std::string_view item = list.substr(start, end - start);
+        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
+        item = item.substr(0, item.find_last_not_of(" \t") + 1);
+        if (equal_ignoring_case(item, token))
+        {
+            return true;
+        }
+        start = end + 1;
+    }
+    return false;
+}
+
 std::optional<std::uint64_t> parse_number(std::string_view text)
 {
     std::uint64_t value = 0;
--- a/adapters/http_message.hpp
+++ b/adapters/http_message.hpp
@@ -75,6 +75,10 @@
 /// Compares header names and tokens without regard to case.
 bool equal_ignoring_case(std::string_view a, std::string_view b);
 
+/// True when a comma-separated list, such as the Connection header, contains the token without regard to
+/// case.
+bool has_token(std::string_view list, std::string_view token);
+
 /// Parses a text that consists of an unsigned decimal number only.
 std::optional<std::uint64_t> parse_number(std::string_view text);
 
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -607,3 +607,19 @@
     cr_assert(newer.send(request("POST /whole HTTP/1.1", "Content-Length: 4\r\nExpect: 100-continue\r\n")));
     cr_assert_eq(newer.receive_until("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
 }
+
+// Guards against a connection staying open although its caller asked for its end in a list of options.
+Test(caller_server, close_is_found_in_a_list_of_connection_options)
+{
+    running_server const server(answer_by_path);
+    for (std::string const value : {"close", "Close", "TE, close", "close , TE", "x,close"})
+    {
+        raw_caller caller(server.address());
+        cr_assert(caller.send(request("GET /last HTTP/1.1", "Connection: " + value + "\r\n")));
+        std::string const answer = caller.receive_until("body of /last");
+        cr_expect(contains(answer, "Connection: close\r\n"), "'%s': %s", value.c_str(), answer.c_str());
+    }
+    raw_caller caller(server.address());
+    cr_assert(caller.send(request("GET /1 HTTP/1.1", "Connection: closed\r\n") + request("GET /2 HTTP/1.1")));
+    cr_assert(contains(caller.receive_until("body of /2"), "body of /2"));
+}
