Test streams to HTTP/1.0 through the process

The framing of streams to callers that speak HTTP/1.0 was tested through caller_server only. The new test sends a stream request through siskin-edge, complete and broken off by the engine. A comment of process() stands above the function now, because the formatter broke its line.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -128,13 +128,13 @@
     }
 }
 
-// Handles requests until more bytes are needed or one is not answered at once.
+// Handles requests until more bytes are needed or one is not answered at once. A call for an answer that was
+// sent at once does nothing, because the loop in progress goes on with the next request.
 void caller_connection::process()
 {
     if (processing_)
     {
-        return; // Called for an answer that was sent at once: the loop in progress goes on with the next
-                // request.
+        return;
     }
     processing_ = true;
     bool more = true;
--- a/tests/platform/edge_process_test.cpp
+++ b/tests/platform/edge_process_test.cpp
@@ -2,10 +2,12 @@
 #include "tests/wire/edge_child.hpp"
 #include "tests/wire/store_standin.hpp"
 
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <future>
@@ -410,6 +412,50 @@
     cr_assert_eq(next.find("HTTP/1.1 200 OK\r\n"), 0, "%s", next.c_str());
 }
 
+// Guards against chunk framing in a stream to a caller that speaks HTTP/1.0, and against a broken stream that
+// looks complete to it.
+Test(edge_process, stream_to_http_1_0_ends_with_the_connection)
+{
+    small_fleet fleet;
+    // Returns the received bytes; sets `reset` when the connection ends with a reset.
+    auto const stream = [&fleet](std::string const& id, bool& reset)
+    {
+        Poco::Net::StreamSocket caller;
+        caller.connect(Poco::Net::SocketAddress(fleet.edge.caller_address()));
+        caller.setReceiveTimeout(Poco::Timespan(5, 0));
+        std::string const request =
+            "POST /stream-once/1 HTTP/1.0\r\nHost: h\r\nAttempt-Id: " + id + "\r\nModel: m0\r\n\r\n";
+        caller.sendBytes(request.data(), static_cast<int>(request.size()));
+        std::string received;
+        reset = false;
+        try
+        {
+            std::vector<char> buffer(65536);
+            for (int count = 1; count > 0;)
+            {
+                count = caller.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+                received.append(buffer.data(), static_cast<std::size_t>(std::max(count, 0)));
+            }
+        }
+        catch (Poco::Net::ConnectionResetException const&)
+        {
+            reset = true;
+        }
+        return received;
+    };
+    bool reset = false;
+    std::string const complete = stream("r1", reset);
+    cr_assert_not(reset);
+    cr_assert(complete.find("Transfer-Encoding") == std::string::npos, "%s", complete.c_str());
+    std::string const body = complete.substr(complete.find("\r\n\r\n") + 4);
+    cr_assert_eq(body.find("id: 1\n"), 0, "%s", complete.c_str());
+    cr_assert_eq(event_ids(body), "1 2 3 4 5 6 ");
+    fleet.engine_1.set_fault(backend_fault::breaks_stream);
+    fleet.engine_2.set_fault(backend_fault::breaks_stream);
+    std::string const broken = stream("r2", reset);
+    cr_assert(reset, "closed in order after: %s", broken.c_str());
+}
+
 // Guards against bad input being passed on, or ending the process.
 Test(edge_process, bad_requests_get_a_clear_error)
 {
