--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -182,7 +182,7 @@
             return false;
         }
     }
-    keep_alive_ = is_http_1_1 && !has_token(header_value(*head_, "Connection"), "close");
+    keep_alive_ = is_http_1_1 && !has_token(*head_, "Connection", "close");
     head_only_ = head_->getMethod() == "HEAD";
     decoder_.emplace(*framing);
     body_.clear();
--- a/adapters/http_message.cpp
+++ b/adapters/http_message.cpp
@@ -90,6 +90,25 @@
     }
 }
 
+// Searches a comma-separated list.
+bool list_contains(std::string_view list, std::string_view token)
+{
+    std::size_t start = 0;
+    while (start < list.size())
+    {
+        std::size_t const end = std::min(list.find(',', start), list.size());
+        std::string_view item = list.substr(start, end - start);
+        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
+        item = item.substr(0, item.find_last_not_of(" \t") + 1);
+        if (equal_ignoring_case(item, token))
+        {
+            return true;
+        }
+        start = end + 1;
+    }
+    return false;
+}
+
 // Sets `announced` when one of the two headers is present; without them the framing is that of no body.
 std::optional<body_framing> announced_framing(Poco::Net::HTTPMessage const& message, bool& announced)
 {
@@ -242,22 +261,13 @@
                       [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
-bool has_token(std::string_view list, std::string_view token)
+bool has_token(Poco::Net::MessageHeader const& headers, std::string_view name, std::string_view token)
 {
-    std::size_t start = 0;
-    while (start < list.size())
-    {
-        std::size_t const end = std::min(list.find(',', start), list.size());
-        std::string_view item = list.substr(start, end - start);
-        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
-        item = item.substr(0, item.find_last_not_of(" \t") + 1);
-        if (equal_ignoring_case(item, token))
-        {
-            return true;
-        }
-        start = end + 1;
-    }
-    return false;
+    return std::any_of(headers.begin(), headers.end(),
+                       [&](auto const& field) {
+                           return equal_ignoring_case(field.first, name) &&
+                                  list_contains(field.second, token);
+                       });
 }
 
 std::optional<std::uint64_t> parse_number(std::string_view text)
--- a/adapters/http_message.hpp
+++ b/adapters/http_message.hpp
@@ -75,9 +75,9 @@
 /// Compares header names and tokens without regard to case.
 bool equal_ignoring_case(std::string_view a, std::string_view b);
 
-/// True when a comma-separated list, such as the Connection header, contains the token without regard to
-/// case.
-bool has_token(std::string_view list, std::string_view token);
+/// True when a header whose value is a list, for example Connection, contains the token without regard to
+/// case. The list may be spread over several lines.
+bool has_token(Poco::Net::MessageHeader const& headers, std::string_view name, std::string_view token);
 
 /// Parses a text that consists of an unsigned decimal number only.
 std::optional<std::uint64_t> parse_number(std::string_view text);
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -612,7 +612,8 @@
 Test(caller_server, close_is_found_in_a_list_of_connection_options)
 {
     running_server const server(answer_by_path);
-    for (std::string const value : {"close", "Close", "TE, close", "close , TE", "x,close"})
+    for (std::string const value :
+         {"close", "Close", "TE, close", "close , TE", "x,close", "TE\r\nConnection: close"})
     {
         raw_caller caller(server.address());
         cr_assert(caller.send(request("GET /last HTTP/1.1", "Connection: " + value + "\r\n")));
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -114,6 +114,8 @@
     head.set("Deadline-Ms", "2000");
     head.set("Connection", "X-Hop");
     head.set("X-Hop", "1");
+    head.add("Connection", "te, X-Hop-2");
+    head.set("X-Hop-2", "1");
     head.set("X-Kept", "2");
     caller_request const request = decode_request(head);
     cr_assert_eq(request.model, "m");
@@ -126,6 +128,7 @@
     std::string const text = encode_attempt(request, "xyz", headers);
     cr_assert_not(contains(text, "from-caller"));
     cr_assert_not(contains(text, "X-Hop: 1"));
+    cr_assert_not(contains(text, "X-Hop-2: 1"));
     cr_assert(contains(text, "POST /a/b?c=d HTTP/1.1\r\n"));
     cr_assert(contains(text, "X-Kept: 2\r\n"));
     cr_assert(contains(text, "Attempt-Id: r1\r\n"));
