--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -40,9 +40,10 @@
     /// Called once if the caller closes the connection before its answer has ended.
     void on_gone(std::function<void()> handler);
 
-    /// Sends a complete answer. Each line of `header_lines` ends with CRLF.
+    /// Sends a complete answer. Each line of `header_lines` ends with CRLF. To HEAD only the head is sent,
+    /// with the length of `body` unless that is empty.
     void answer(int status, std::string_view header_lines, std::string_view body);
-    /// Begins an answer whose body follows in parts.
+    /// Begins an answer whose body follows in parts. HTTP/1.0 gets a body that ends with the connection.
     void begin(int status, std::string_view header_lines);
     void write(std::string_view part);
     /// Ends an answer started by begin(); without this call the caller sees that the answer is incomplete.
@@ -65,8 +66,8 @@
     std::size_t max_connections = 3000;
 };
 
-/// Serves HTTP/1.1 on one address from the event loop, without a thread for each connection. At the limit
-/// on connections, the one that has been idle longest is closed to admit a new caller.
+/// Serves HTTP/1.1 and HTTP/1.0 on one address from the event loop, without a thread for each connection. At
+/// the limit on connections, the one that has been idle longest is closed to admit a new caller.
 class caller_server
 {
 public:
--- a/adapters/http_message.cpp
+++ b/adapters/http_message.cpp
@@ -90,6 +90,25 @@
     }
 }
 
+// Searches a comma-separated list.
+bool list_contains(std::string_view list, std::string_view token)
+{
+    std::size_t start = 0;
+    while (start < list.size())
+    {
+        std::size_t const end = std::min(list.find(',', start), list.size());
+        std::string_view item = list.substr(start, end - start);
+        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
+        item = item.substr(0, item.find_last_not_of(" \t") + 1);
+        if (equal_ignoring_case(item, token))
+        {
+            return true;
+        }
+        start = end + 1;
+    }
+    return false;
+}
+
 // Sets `announced` when one of the two headers is present; without them the framing is that of no body.
 std::optional<body_framing> announced_framing(Poco::Net::HTTPMessage const& message, bool& announced)
 {
@@ -170,6 +189,11 @@
     return parse_head(head, response);
 }
 
+bool status_has_body(int status)
+{
+    return status != 204 && status != 304;
+}
+
 std::optional<body_framing> request_framing(Poco::Net::HTTPRequest const& request)
 {
     bool announced = false;
@@ -179,8 +203,7 @@
 std::optional<body_framing> response_framing(Poco::Net::HTTPResponse const& response,
                                              std::string const& method)
 {
-    int const status = response.getStatus();
-    if (method == "HEAD" || status == 204 || status == 304)
+    if (method == "HEAD" || !status_has_body(response.getStatus()))
     {
         return body_framing{};
     }
@@ -238,6 +261,15 @@
                       [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
+bool has_token(Poco::Net::MessageHeader const& headers, std::string_view name, std::string_view token)
+{
+    return std::any_of(headers.begin(), headers.end(),
+                       [&](auto const& field) {
+                           return equal_ignoring_case(field.first, name) &&
+                                  list_contains(field.second, token);
+                       });
+}
+
 std::optional<std::uint64_t> parse_number(std::string_view text)
 {
     std::uint64_t value = 0;
--- a/adapters/http_message.hpp
+++ b/adapters/http_message.hpp
@@ -35,6 +35,9 @@
 bool parse_request_head(std::string const& head, Poco::Net::HTTPRequest& request);
 bool parse_response_head(std::string const& head, Poco::Net::HTTPResponse& response);
 
+/// False for the statuses whose answers have no body, whatever the request: 204 and 304.
+bool status_has_body(int status);
+
 /// Framing of a request body; empty when the headers contradict each other, which would let two servers see
 /// different message ends.
 std::optional<body_framing> request_framing(Poco::Net::HTTPRequest const& request);
@@ -72,6 +75,10 @@
 /// Compares header names and tokens without regard to case.
 bool equal_ignoring_case(std::string_view a, std::string_view b);
 
+/// True when a header whose value is a list, for example Connection, contains the token without regard to
+/// case. The list may be spread over several lines.
+bool has_token(Poco::Net::MessageHeader const& headers, std::string_view name, std::string_view token);
+
 /// Parses a text that consists of an unsigned decimal number only.
 std::optional<std::uint64_t> parse_number(std::string_view text);
 
