Let a begun answer wait for a server as long as its caller does

Cause: the share of 0.45 exists so that a refused caller can come back; it was applied to answers that have begun as well, which cannot be refused.

Change: wait_limit in the attempt policy, a pure function, decides the wait: an answer that has begun waits until its deadline or until its caller leaves after the longest gap, whichever is first. The constants move with it. The new test begun_answer_waits_for_a_server_as_long_as_its_caller states both sides of the rule; there was no such function to test before.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -23,11 +23,6 @@
 namespace
 {
 
-// A caller abandons a stream after a gap of two seconds, four latency objectives or eight times
-// max_event_gap, whichever is longest. A request that could not start within max_wait_share of that gap is
-// refused, while the caller can still send it again.
-constexpr duration min_stream_gap = seconds{2};
-constexpr double max_wait_share = 0.45;
 // A repeatable request without an answer within this many latency objectives is sent to another server.
 constexpr double silence_limit_in_latency_objectives = 2.5;
 constexpr duration min_silence_limit = milliseconds{500};
@@ -179,14 +174,15 @@
 
     duration max_wait(open_exchange const& open) const
     {
-        duration const left = open.deadline - boot_now();
-        duration limit = left;
-        if (open.route.streaming)
-        {
-            limit = std::min(limit, std::max({min_stream_gap, open.route.latency_objective * 4,
-                                              open.route.max_event_gap * 8}));
-        }
-        return std::chrono::duration_cast<duration>(limit * max_wait_share);
+        steady_time const now = boot_now();
+        wait_facts facts;
+        facts.streaming = open.route.streaming;
+        facts.answer_started = open.answer_started;
+        facts.time_left = open.deadline - now;
+        facts.latency_objective = open.route.latency_objective;
+        facts.max_event_gap = open.route.max_event_gap;
+        facts.since_last_event = now - open.last_event_at;
+        return wait_limit(facts);
     }
 
     // Lets the request wait for a server. While it is running, it waits for another one to go on there.
--- a/decision/attempt_policy.cpp
+++ b/decision/attempt_policy.cpp
@@ -1,5 +1,7 @@
 #include "decision/attempt_policy.hpp"
 
+#include <algorithm>
+
 namespace siskinusher
 {
 
@@ -11,6 +13,14 @@
 // Attempts that a server rejected do not count as runs, so max_backends does not bound them: a request that
 // was sent this many times is not sent again.
 constexpr unsigned max_sends = 4;
+// Callers abandon a stream after a gap of two seconds, four latency objectives or eight times the longest
+// pause, whichever is longest.
+constexpr duration min_stream_gap = seconds{2};
+constexpr int stream_gap_in_latency_objectives = 4;
+constexpr int stream_gap_in_event_gaps = 8;
+// Share of its time after which a request without a server is refused, while its caller can still send it
+// again.
+constexpr double max_wait_share = 0.45;
 
 bool repeatable(attempt_facts const& facts, bool ran)
 {
@@ -28,6 +38,20 @@
 
 } // namespace
 
+duration wait_limit(wait_facts const& facts)
+{
+    duration limit = facts.time_left;
+    if (facts.streaming)
+    {
+        duration const caller_gap =
+            std::max({min_stream_gap, facts.latency_objective * stream_gap_in_latency_objectives,
+                      facts.max_event_gap * stream_gap_in_event_gaps});
+        limit = std::min(limit, facts.answer_started ? caller_gap - facts.since_last_event : caller_gap);
+    }
+    limit = std::max(limit, duration{0});
+    return facts.answer_started ? limit : std::chrono::duration_cast<duration>(limit * max_wait_share);
+}
+
 bool may_have_run(attempt_result result)
 {
     return result != attempt_result::refused_not_run && result != attempt_result::not_sent;
--- a/decision/attempt_policy.hpp
+++ b/decision/attempt_policy.hpp
@@ -31,6 +31,23 @@
     abort_answer,      ///< The answer has begun and cannot be completed.
 };
 
+/// What decides how long a request may wait for a backend server.
+struct wait_facts
+{
+    bool streaming = false;
+    bool answer_started = false; ///< Part of an answer was passed on to the caller.
+    duration time_left{0};
+    duration latency_objective{0};
+    duration max_event_gap{0};    ///< Longest pause between events that counts as in time.
+    duration since_last_event{0}; ///< Only for an answer that has started.
+};
+
+/// Longest time for which a request may wait for a backend server.
+///
+/// A request without an answer is refused early enough for its caller to send it again. An answer that has
+/// started cannot be refused, so that it may wait as long as its caller does.
+duration wait_limit(wait_facts const& facts);
+
 /// True when the request may have run in an attempt with this result.
 bool may_have_run(attempt_result result);
 
--- a/tests/decision/attempt_policy_test.cpp
+++ b/tests/decision/attempt_policy_test.cpp
@@ -77,3 +77,22 @@
     cr_assert(next_attempt_step(facts(repeat_rule::idempotent, attempt_result::caller_gone)) !=
               attempt_step::send_again);
 }
+
+// Guards against breaking off a begun answer while its caller still waits, and against refusing so late that
+// the caller cannot send the request again.
+Test(attempt_policy, begun_answer_waits_for_a_server_as_long_as_its_caller)
+{
+    wait_facts facts;
+    facts.streaming = true;
+    facts.time_left = seconds{10};
+    facts.latency_objective = milliseconds{400};
+    facts.max_event_gap = milliseconds{300};
+    cr_assert(wait_limit(facts) <= milliseconds{1200}, "half of the 2.4 s after which the caller leaves");
+    facts.answer_started = true;
+    facts.since_last_event = milliseconds{900};
+    cr_assert(wait_limit(facts) == milliseconds{1500});
+    facts.time_left = milliseconds{700};
+    cr_assert(wait_limit(facts) == milliseconds{700});
+    facts.since_last_event = seconds{3};
+    cr_assert(wait_limit(facts) == duration{0}, "the caller has left");
+}
