Decide the longest silence of a server in the attempt policy

How long a server may be silent was computed in two functions beside the event loop, where it could be tested only through processes. It is now silence_limit in decision/attempt_policy, a pure function beside wait_limit, and the request service asks it in one place.

One behaviour differs: bytes of a stream without a whole event no longer end the watch, so that a server that stops within its first event is noticed. New test: silence_is_limited_only_for_requests_that_can_go_on_elsewhere.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -23,11 +23,6 @@
 namespace
 {
 
-// A repeatable request without an answer within this many latency objectives is sent to another server.
-constexpr double silence_limit_in_latency_objectives = 2.5;
-constexpr duration min_silence_limit = milliseconds{500};
-// A resumable stream without an event for this many times max_event_gap is continued on another server.
-constexpr double stall_limit_in_event_gaps = 3.0;
 // For this long a server without progress and its replacement may both work on a request: the replacement may
 // still reject it. Shorter than the 400 ms after which two runs of one request count as a double run.
 constexpr duration max_overlap = milliseconds{200};
@@ -204,7 +199,7 @@
         {
             request.max_wait = open->deadline - now;
             request.running_at = open->current->target.backend;
-            request.queue_from = open->answer_started ? now + silence_limit(*open) : now;
+            request.queue_from = open->answer_started ? now + longest_silence(*open) : now;
         }
         open->awaited = request.number;
         waiting[request.number] = open;
@@ -347,7 +342,7 @@
         attempt->exchange = pool.start(make_outbound_request(*open, *attempt), std::move(handlers));
         if (!replaces)
         {
-            watch_progress(open, first_answer_limit(*open));
+            watch_progress(open);
         }
     }
 
@@ -401,7 +396,7 @@
         open->last_failure = why;
         metrics.add("siskin_retries_total", why, 1);
         open->current = std::exchange(open->replacement, nullptr);
-        watch_progress(open, first_answer_limit(*open));
+        watch_progress(open);
     }
 
     void on_replacement_end(open_pointer const& open, exchange_end end)
@@ -422,43 +417,29 @@
             end_replacement(*open, not_run ? attempt_result::refused_not_run : attempt_result::bad_answer,
                             not_run ? reason_not_run(*attempt.facts) : "server_error");
         }
-        watch_progress(open, silence_limit(*open));
+        watch_progress(open);
         run_dispatcher();
     }
 
-    // Time within which a server has to answer, or to begin its stream, before another server is tried; zero,
-    // which means no limit, for requests that cannot be sent to another server.
-    duration first_answer_limit(open_exchange const& open) const
+    duration longest_silence(open_exchange const& open) const
     {
-        if (open.route.repeat == repeat_rule::at_most_once ||
-            open.backends_run + 1 >= open.route.max_backends)
-        {
-            return duration{0};
-        }
-        auto const limit = std::chrono::duration_cast<duration>(open.route.latency_objective *
-                                                                silence_limit_in_latency_objectives);
-        return std::max(limit, min_silence_limit);
-    }
-
-    // The longest silence of the current attempt before another server is looked for; zero for no limit.
-    duration silence_limit(open_exchange const& open) const
-    {
-        if (!open.answer_started)
-        {
-            return first_answer_limit(open);
-        }
-        bool const resumable = open.route.repeat == repeat_rule::resumable_stream &&
-                               open.backends_run + 1 < open.route.max_backends && !open.events_without_id;
-        auto const stall_limit =
-            std::chrono::duration_cast<duration>(open.route.max_event_gap * stall_limit_in_event_gaps);
-        return resumable ? std::max(stall_limit, min_silence_limit) : duration{0};
+        silence_facts facts;
+        facts.repeat = open.route.repeat;
+        facts.backends_run = open.backends_run;
+        facts.max_backends = open.route.max_backends;
+        facts.events_received = open.current && open.last_event_at > open.current->begun_at;
+        facts.resume_point_known = !open.events_without_id;
+        facts.latency_objective = open.route.latency_objective;
+        facts.max_event_gap = open.route.max_event_gap;
+        return silence_limit(facts);
     }
 
-    // Looks for another server when the current attempt makes no progress for `limit`; zero for no limit.
-    void watch_progress(open_pointer const& open, duration limit)
+    // Looks for another server when the current attempt makes no progress for too long.
+    void watch_progress(open_pointer const& open)
     {
         boost::system::error_code ignored;
         open->progress_timer.cancel(ignored);
+        duration const limit = longest_silence(*open);
         if (limit > duration{0})
         {
             arm_progress_timer(open, limit, &implementation::on_silence);
@@ -536,7 +517,7 @@
         if (attempt == open->replacement)
         {
             end_replacement(*open, attempt_result::bad_answer, fault);
-            watch_progress(open, silence_limit(*open));
+            watch_progress(open);
             run_dispatcher();
         }
         else if (attempt == open->current && open->is_running())
@@ -568,7 +549,7 @@
                 return;
             }
         }
-        watch_progress(open, open->answer_started ? silence_limit(*open) : duration{0});
+        watch_progress(open);
     }
 
     // Reports the first event of a stream, and long pauses after it, to the dispatcher.
--- a/decision/attempt_policy.cpp
+++ b/decision/attempt_policy.cpp
@@ -21,6 +21,11 @@
 // Share of its time after which a request without a server is refused, while its caller can still send it
 // again.
 constexpr double max_wait_share = 0.45;
+// A repeatable request without an answer for this many latency objectives may go to another server.
+constexpr double silence_limit_in_latency_objectives = 2.5;
+// A resumable stream without an event for this many times its longest pause may go on at another server.
+constexpr double stall_limit_in_event_gaps = 3.0;
+constexpr duration min_silence_limit = milliseconds{500};
 
 bool repeatable(attempt_facts const& facts, bool ran)
 {
@@ -52,6 +57,20 @@
     return facts.answer_started ? limit : std::chrono::duration_cast<duration>(limit * max_wait_share);
 }
 
+duration silence_limit(silence_facts const& facts)
+{
+    bool const movable = facts.repeat == repeat_rule::idempotent ||
+                         (facts.repeat == repeat_rule::resumable_stream && facts.resume_point_known);
+    if (!movable || facts.backends_run + 1 >= facts.max_backends)
+    {
+        return duration{0};
+    }
+    auto const limit = std::chrono::duration_cast<duration>(
+        facts.events_received ? facts.max_event_gap * stall_limit_in_event_gaps
+                              : facts.latency_objective * silence_limit_in_latency_objectives);
+    return std::max(limit, min_silence_limit);
+}
+
 bool may_have_run(attempt_result result)
 {
     return result != attempt_result::refused_not_run && result != attempt_result::not_sent;
--- a/decision/attempt_policy.hpp
+++ b/decision/attempt_policy.hpp
@@ -48,6 +48,22 @@
 /// started cannot be refused, so that it may wait as long as its caller does.
 duration wait_limit(wait_facts const& facts);
 
+/// What decides how long the server of an attempt may be silent.
+struct silence_facts
+{
+    repeat_rule repeat{repeat_rule::at_most_once};
+    unsigned backends_run = 0; ///< Servers that may have run the request, the current one not included.
+    unsigned max_backends = 1;
+    bool events_received = false;   ///< The server has sent events of a stream.
+    bool resume_point_known = true; ///< All events passed on so far carried ids.
+    duration latency_objective{0};
+    duration max_event_gap{0}; ///< Longest pause between events that counts as in time.
+};
+
+/// Longest silence of a server before another one is looked for; zero for no limit, because the request
+/// cannot go on elsewhere.
+duration silence_limit(silence_facts const& facts);
+
 /// True when the request may have run in an attempt with this result.
 bool may_have_run(attempt_result result);
 
--- a/tests/decision/attempt_policy_test.cpp
+++ b/tests/decision/attempt_policy_test.cpp
@@ -96,3 +96,23 @@
     facts.since_last_event = seconds{3};
     cr_assert(wait_limit(facts) == duration{0}, "the caller has left");
 }
+
+// Guards against giving up the server of a request that cannot go on elsewhere, and against a limit that a
+// healthy server exceeds.
+Test(attempt_policy, silence_is_limited_only_for_requests_that_can_go_on_elsewhere)
+{
+    silence_facts facts;
+    facts.max_backends = 2;
+    facts.latency_objective = milliseconds{1500};
+    facts.max_event_gap = milliseconds{300};
+    cr_assert(silence_limit(facts) == duration{0}, "at most once");
+    facts.repeat = repeat_rule::resumable_stream;
+    cr_assert(silence_limit(facts) > facts.latency_objective);
+    facts.events_received = true;
+    cr_assert(silence_limit(facts) > facts.max_event_gap && silence_limit(facts) < facts.latency_objective);
+    facts.resume_point_known = false;
+    cr_assert(silence_limit(facts) == duration{0}, "the stream cannot be resumed");
+    facts.resume_point_known = true;
+    facts.backends_run = 1;
+    cr_assert(silence_limit(facts) == duration{0}, "no further server may run it");
+}
