Limit the interim answers of a server

A server that sent interim answers (100 Continue) without end was read until the time limit of the call: an attempt that may not be repeated held its connection for 4 s and used a core meanwhile. More than 8 interim answers now end the exchange as answer_too_large, as does a head above 64 KiB, which was called malformed. The end of a head is searched only in new bytes, not from the start of the head each time.

--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -28,6 +28,8 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr std::size_t answer_head_limit = 65536;
+// Interim answers before the final one. Servers send one or two (100 Continue, 103 Early Hints).
+constexpr unsigned interim_answer_limit = 8;
 // A server that announces no keep-alive time keeps an idle connection open at least this long.
 constexpr duration default_keep_alive = seconds{4};
 constexpr std::size_t idle_connections_per_address = 64;
@@ -80,6 +82,8 @@
         return "lost";
     case exchange_end::malformed:
         return "malformed";
+    case exchange_end::too_large:
+        return "answer_too_large";
     case exchange_end::timed_out:
         return "timed_out";
     }
@@ -256,14 +260,16 @@
     {
         while (!head_received_)
         {
-            std::size_t const end = in_.find("\r\n\r\n");
+            // The end of the head may have begun in the bytes that were searched before.
+            std::size_t const end = in_.find("\r\n\r\n", searched_ < 3 ? 0 : searched_ - 3);
             if (end == std::string::npos)
             {
+                searched_ = in_.size();
                 if (in_.size() <= answer_head_limit)
                 {
                     return true;
                 }
-                finish(exchange_end::malformed);
+                finish(exchange_end::too_large);
                 return false;
             }
             if (!parse_head(end + 4))
@@ -297,6 +303,7 @@
         Poco::Net::HTTPResponse head;
         bool const valid = parse_response_head(in_.substr(0, size), head);
         in_.erase(0, size);
+        searched_ = 0;
         auto const framing = valid ? response_framing(head, request_.method) : std::nullopt;
         if (!framing)
         {
@@ -305,6 +312,11 @@
         }
         if (head.getStatus() >= 100 && head.getStatus() < 200)
         {
+            if (++interim_answers_ > interim_answer_limit)
+            {
+                finish(exchange_end::too_large);
+                return false;
+            }
             return true; // An interim answer; the final one follows.
         }
         head_received_.emplace();
@@ -366,8 +378,10 @@
     boost::asio::steady_timer connect_timer_;
     std::array<char, 16384> chunk_{};
     std::string in_;
+    std::size_t searched_ = 0;          ///< Bytes of in_ that contain no end of a head.
     std::optional<char> head_received_; ///< Set once the final head has been parsed.
     std::optional<body_decoder> decoder_;
+    unsigned interim_answers_ = 0;
     duration reuse_time_{0};
     bool keep_alive_ = false;
     bool sent_ = false;
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -26,6 +26,7 @@
     not_sent,  ///< No connection in time; nothing was sent.
     lost,      ///< The connection ended after the first byte may have been written.
     malformed, ///< The answer is not valid HTTP.
+    too_large, ///< The answer exceeds a limit of the pool.
     timed_out, ///< The deadline passed after the first byte may have been written.
 };
 
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -68,6 +68,7 @@
     case exchange_end::lost:
         return attempt_result::connection_lost;
     case exchange_end::malformed:
+    case exchange_end::too_large:
         return attempt_result::bad_answer;
     case exchange_end::timed_out:
         break;
