Limit the bytes of answers that are held in memory

The bodies of plain answers, failure answers and calls to engines, peers and the store were collected without a limit, so that one server that sends without end ended a process of 160 MB within a second or two. The pool now counts the bytes that are kept of each answer, ends an answer above 8 MiB, and ends the largest one when all together pass 32 MiB; the end answer_too_large counts as a bad answer. A user that passes bytes on, as streams do, states what it still keeps. The part that was received of a failed answer is freed before another server is tried.

--- a/adapters/event_splitter.hpp
+++ b/adapters/event_splitter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,6 +26,8 @@
     std::vector<stream_event> feed(std::string_view bytes);
     /// True when the bytes so far end in the middle of an event.
     bool in_event() const { return !pending_.empty(); }
+    /// Bytes of the event that is not complete.
+    std::size_t pending_bytes() const { return pending_.size(); }
 
 private:
     std::string pending_;
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -30,6 +30,12 @@
 constexpr std::size_t answer_head_limit = 65536;
 // Interim answers before the final one. Servers send one or two (100 Continue, 103 Early Hints).
 constexpr unsigned interim_answer_limit = 8;
+// Bytes of one answer that may be kept in memory. The largest answers known, of servers and of the store's
+// watch, have a few MB.
+constexpr std::size_t kept_answer_limit = 8U << 20U;
+// Bytes of all answers that may be kept together. The smallest instance has 160 MB; growing strings may
+// hold twice the bytes for a moment, and callers that read slowly have answers of their own in memory.
+constexpr std::size_t kept_total_limit = 32U << 20U;
 // A server that announces no keep-alive time keeps an idle connection open at least this long.
 constexpr duration default_keep_alive = seconds{4};
 constexpr std::size_t idle_connections_per_address = 64;
@@ -42,6 +48,44 @@
     steady_time usable_until;
 };
 
+class running_exchange;
+
+// The bytes of their answers that the running exchanges and their users keep.
+class kept_bytes
+{
+public:
+    void set(running_exchange* exchange, std::size_t bytes)
+    {
+        std::size_t& entry = of_exchange_[exchange];
+        total_ += bytes - entry;
+        entry = bytes;
+    }
+
+    void remove(running_exchange* exchange)
+    {
+        auto const found = of_exchange_.find(exchange);
+        if (found != of_exchange_.end())
+        {
+            total_ -= found->second;
+            of_exchange_.erase(found);
+        }
+    }
+
+    std::size_t total() const { return total_; }
+
+    // Null when no exchange is known.
+    running_exchange* largest() const
+    {
+        auto const found = std::max_element(of_exchange_.begin(), of_exchange_.end(),
+                                            [](auto const& a, auto const& b) { return a.second < b.second; });
+        return found == of_exchange_.end() ? nullptr : found->first;
+    }
+
+private:
+    std::unordered_map<running_exchange*, std::size_t> of_exchange_;
+    std::size_t total_ = 0;
+};
+
 // True when neither data nor the end of the stream has arrived on the connection.
 bool has_no_pending_input(tcp::socket& socket)
 {
@@ -127,6 +171,7 @@
 
     boost::asio::io_context& loop;
     std::unordered_map<std::string, std::deque<idle_connection>> idle;
+    std::shared_ptr<kept_bytes> const kept = std::make_shared<kept_bytes>();
     std::size_t opened = 0;
 };
 
@@ -138,8 +183,9 @@
 public:
     // `return_to_pool` receives the connection if it can be used again.
     running_exchange(boost::asio::io_context& loop, outbound_request request, exchange_handlers handlers,
+                     std::shared_ptr<kept_bytes> kept,
                      std::function<void(tcp::socket, duration)> return_to_pool)
-        : request_(std::move(request)), handlers_(std::move(handlers)),
+        : request_(std::move(request)), handlers_(std::move(handlers)), kept_(std::move(kept)),
           return_to_pool_(std::move(return_to_pool)), socket_(loop), timer_(loop), connect_timer_(loop)
     {
     }
@@ -190,6 +236,8 @@
 
     bool sent() const override { return sent_; }
 
+    void set_kept_bytes(std::size_t bytes) override { kept_by_user_ = bytes; }
+
 private:
     void start_timer(boost::asio::steady_timer& timer, duration span)
     {
@@ -267,7 +315,7 @@
                 searched_ = in_.size();
                 if (in_.size() <= answer_head_limit)
                 {
-                    return true;
+                    return keeps_within_limits();
                 }
                 finish(exchange_end::too_large);
                 return false;
@@ -283,9 +331,10 @@
         in_.erase(0, used);
         if (!content.empty() && handlers_.on_body)
         {
+            kept_by_user_ += content.size();
             handlers_.on_body(content);
         }
-        if (ended_)
+        if (ended_ || !keeps_within_limits())
         {
             return false;
         }
@@ -297,6 +346,24 @@
         return false;
     }
 
+    // Ends this exchange when its answer takes too much memory, or the one that takes most when all together
+    // do. False when this exchange is over.
+    bool keeps_within_limits()
+    {
+        std::size_t const kept = kept_by_user_ + in_.size();
+        if (kept > kept_answer_limit)
+        {
+            finish(exchange_end::too_large);
+            return false;
+        }
+        kept_->set(this, kept);
+        while (kept_->total() > kept_total_limit)
+        {
+            kept_->largest()->finish(exchange_end::too_large);
+        }
+        return !ended_;
+    }
+
     // False when the exchange is over.
     bool parse_head(std::size_t size)
     {
@@ -361,6 +428,7 @@
     void stop()
     {
         ended_ = true;
+        kept_->remove(this);
         boost::system::error_code ignored;
         timer_.cancel(ignored);
         connect_timer_.cancel(ignored);
@@ -372,6 +440,7 @@
 
     outbound_request const request_;
     exchange_handlers handlers_;
+    std::shared_ptr<kept_bytes> const kept_;
     std::function<void(tcp::socket, duration)> const return_to_pool_;
     tcp::socket socket_;
     boost::asio::steady_timer timer_;
@@ -382,6 +451,7 @@
     std::optional<char> head_received_; ///< Set once the final head has been parsed.
     std::optional<body_decoder> decoder_;
     unsigned interim_answers_ = 0;
+    std::size_t kept_by_user_ = 0; ///< Bytes of the body that the user of the exchange keeps.
     duration reuse_time_{0};
     bool keep_alive_ = false;
     bool sent_ = false;
@@ -422,7 +492,7 @@
         }
     };
     auto exchange = std::make_shared<running_exchange>(impl_->loop, std::move(request), std::move(handlers),
-                                                       return_to_pool);
+                                                       impl_->kept, return_to_pool);
     if (auto socket = fresh ? std::nullopt : impl_->take_idle(address))
     {
         exchange->start_on(std::move(*socket));
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -26,7 +26,7 @@
     not_sent,  ///< No connection in time; nothing was sent.
     lost,      ///< The connection ended after the first byte may have been written.
     malformed, ///< The answer is not valid HTTP.
-    too_large, ///< The answer exceeds a limit of the pool.
+    too_large, ///< The answer exceeds a limit, or all answers together do and this one holds most.
     timed_out, ///< The deadline passed after the first byte may have been written.
 };
 
@@ -66,12 +66,18 @@
     virtual void cancel() = 0;
     /// True when the first byte may have been written.
     virtual bool sent() const = 0;
+    /// Bytes of the answer that the user still keeps. Without this call all bytes that on_body has received
+    /// count as kept, and an answer that keeps too many ends as too_large.
+    virtual void set_kept_bytes(std::size_t bytes) = 0;
 };
 
 /// Makes HTTP/1.1 requests from the event loop over connections that are kept open for each address.
 ///
 /// A kept connection is used again only if its last answer was complete, nothing has arrived on it since,
 /// and less than half of the server's keep-alive time has passed.
+///
+/// The bytes that the users of all exchanges keep are limited, for each answer and together, because a faulty
+/// server may send a body that never ends.
 class outbound_pool
 {
 public:
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -390,6 +390,7 @@
                 return;
             }
         }
+        open->attempt->set_kept_bytes(open->events.pending_bytes());
         bool const resumable = open->route.repeat == repeat_rule::resumable_stream &&
                                open->backends_run + 1 < open->route.max_backends && !open->events_without_id;
         auto const stall_limit =
@@ -450,6 +451,7 @@
     {
         if (end != exchange_end::complete)
         {
+            std::string().swap(open->body); // A part of an answer is of no use, and it may be large.
             end_attempt(open, result_of(end), to_string(end));
             return;
         }
--- a/tests/adapters/outbound_pool_test.cpp
+++ b/tests/adapters/outbound_pool_test.cpp
@@ -7,8 +7,10 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace siskinusher;
@@ -87,3 +89,104 @@
     cr_expect_eq(outcome.status, 200);
     cr_expect_eq(outcome.body, "body");
 }
+
+// Guards against bodies that are collected without an end, whatever their framing or status.
+Test(outbound_pool, endless_body_ends_the_call)
+{
+    std::string const ok = "HTTP/1.1 200 OK\r\n";
+    check_ended({ok + "\r\n", block}, "answer_too_large");
+    check_ended({ok + "Transfer-Encoding: chunked\r\n\r\n", http_chunk(block)}, "answer_too_large");
+    // Chunks of one byte take six bytes each, so that the server sends six times the limit.
+    check_ended({ok + "Transfer-Encoding: chunked\r\n\r\n", http_chunk("x")}, "answer_too_large",
+                endless_server::byte_limit - mebibyte);
+    check_ended({ok + "Transfer-Encoding: chunked\r\n\r\nffffffffff\r\n", block}, "answer_too_large");
+    check_ended({ok + "Content-Length: 1000000000000\r\n\r\n", block}, "answer_too_large");
+    check_ended({"HTTP/1.1 500 Error\r\n\r\n", block}, "answer_too_large");
+    check_ended({ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: 1\r\n"}, "malformed");
+    check_ended({ok + "Transfer-Encoding: chunked\r\n\r\n1;", "x"}, "malformed");
+}
+
+// Guards against a limit that large but correct answers exceed.
+Test(outbound_pool, answer_of_some_megabytes_passes)
+{
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    std::string const body(7 * mebibyte, 'b');
+    fault_server const server({[&body](fault_connection& connection)
+                               {
+                                   (void)connection.receive();
+                                   connection.answer(200, body);
+                               }});
+    http_outcome const outcome = call(pool, loop, server.address());
+    cr_expect_eq(outcome.status, 200, "%s", outcome.why.c_str());
+    cr_expect(outcome.body == body);
+}
+
+// Guards against answers that are each within the limit, but exhaust the memory together, and against ending
+// small answers instead of the largest.
+Test(outbound_pool, largest_answer_ends_when_all_together_are_too_large)
+{
+    constexpr std::size_t small_answers = 28;
+    auto const sends = [](std::size_t bytes)
+    {
+        return [bytes](fault_connection& connection)
+        {
+            (void)connection.receive();
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n" + std::string(bytes, 'b'));
+            connection.wait_for_close();
+        };
+    };
+    fault_server const large({sends(7 * mebibyte)});
+    fault_server const small(std::vector<fault_server::script>(small_answers, sends(mebibyte)));
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    std::vector<std::string> ends;
+    http_call what;
+    what.path = "/";
+    auto const start = [&](std::string const& address)
+    {
+        pool.call(address, what, seconds{2},
+                  [&ends](http_outcome const& outcome) { ends.push_back(outcome.why); });
+    };
+    start(large.address());
+    for (std::size_t i = 0; i < small_answers; ++i)
+    {
+        start(small.address());
+    }
+    loop.run();
+    cr_assert_eq(ends.size(), small_answers + 1);
+    cr_expect_eq(ends.front(), "answer_too_large", "%s", ends.front().c_str());
+    cr_expect_eq(std::count(ends.begin(), ends.end(), "timed_out"), small_answers);
+}
+
+// Guards against a stream that is ended because of the bytes that its user has already passed on.
+Test(outbound_pool, bytes_that_are_passed_on_do_not_count)
+{
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    std::string const body(40 * mebibyte, 'b');
+    fault_server const server({[&body](fault_connection& connection)
+                               {
+                                   (void)connection.receive();
+                                   connection.answer(200, body);
+                               }});
+    outbound_request request;
+    request.address = server.address();
+    request.method = "GET";
+    request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    request.time_limit = call_limit;
+    std::shared_ptr<outbound_exchange> exchange;
+    std::size_t received = 0;
+    std::string end;
+    exchange_handlers handlers;
+    handlers.on_body = [&](std::string const& part)
+    {
+        received += part.size();
+        exchange->set_kept_bytes(0);
+    };
+    handlers.on_end = [&end](exchange_end how) { end = to_string(how); };
+    exchange = pool.start(std::move(request), std::move(handlers));
+    loop.run();
+    cr_expect_eq(end, "complete", "%s", end.c_str());
+    cr_expect_eq(received, body.size());
+}
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -40,6 +40,20 @@
                                    : request.substr(at + 12, request.find('\r', at) - at - 12);
 }
 
+// Answer of a server that signs its answers, up to the end of its head, and an endless body.
+std::function<endless_bytes(std::string const&)> flood(std::string const& status_line,
+                                                       std::string const& header_lines,
+                                                       std::string const& filler,
+                                                       std::string const& body_start = {})
+{
+    return [=](std::string const& request)
+    {
+        std::string head = "HTTP/1.1 " + status_line + "\r\nAttempt-Id: " + id_of(request);
+        head.append("\r\nServer-Stamp: s\r\nServer-Load: 1,0,8\r\n").append(header_lines).append("\r\n");
+        return endless_bytes{head + body_start, filler};
+    };
+}
+
 std::function<endless_bytes(std::string const&)> raw(std::string const& start, std::string const& filler)
 {
     return [=](std::string const&) { return endless_bytes{start, filler}; };
@@ -230,3 +244,93 @@
     check_plain(raw("", std::string("\x01\x02garbage\n", 10)));
     check_plain(raw("", "garbage\r\n\r\n"));
 }
+
+// Guards against a body without a length.
+Test(endless_answer, body_until_close)
+{
+    check_plain(flood("200 OK", "", text_block));
+}
+
+// Guards against a chunked body without a last chunk.
+Test(endless_answer, chunked_body)
+{
+    check_plain(flood("200 OK", "Transfer-Encoding: chunked\r\n", http_chunk(text_block)));
+}
+
+// Guards against one chunk that is longer than any answer.
+Test(endless_answer, huge_chunk)
+{
+    check_plain(flood("200 OK", "Transfer-Encoding: chunked\r\n", text_block, "ffffffffff\r\n"));
+}
+
+// Guards against an announced length that is longer than any answer.
+Test(endless_answer, huge_content_length)
+{
+    check_plain(flood("200 OK", "Content-Length: 1000000000000\r\n", text_block));
+}
+
+// Guards against a failure answer, which is kept while another server is tried, without an end.
+Test(endless_answer, failure_body)
+{
+    check_plain(flood("500 Internal Server Error", "", text_block));
+    check_plain(flood("503 Service Unavailable", "Transfer-Encoding: chunked\r\n", http_chunk(text_block)));
+}
+
+// Guards against a broken-off stream that looks complete to the caller.
+Test(endless_answer, stream_that_cannot_be_resumed)
+{
+    flooded_fleet fleet(flood("200 OK", "Transfer-Encoding: chunked\r\n", http_chunk(text_block),
+                              http_chunk("id: 1\ndata: a\n\n")));
+    backend_standin bad{fleet.store, "e1", "llm", {"m0"}};
+    bad.publish_address(fleet.server.address());
+    fleet.start();
+    std::string const request = "POST /stream-once/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\nModel: m0\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    std::string const text = exchange(fleet.edge->caller_address(), request);
+    cr_expect_neq(text.find("id: 1\n"), std::string::npos, "%s", text.substr(0, 500).c_str());
+    cr_expect_eq(text.find("\r\n0\r\n\r\n"), std::string::npos);
+    fleet.check_end();
+}
+
+// Guards against orders and inquiries to an engine whose answers have no end: the process that holds the
+// lease must go on.
+Test(endless_answer, engine_order)
+{
+    flooded_fleet fleet(flood("202 Accepted", "Transfer-Encoding: chunked\r\n", http_chunk(text_block)));
+    backend_standin bad{fleet.store, "e1", "llm", {"m0"}};
+    bad.publish_address(fleet.server.address());
+    backend_standin const plain{fleet.store, "p1", "plain"};
+    fleet.start();
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const model = "m" + std::to_string(i % 4 + 1);
+        (void)fleet.edge->call("POST", "/stream/1", "x" + std::to_string(i), {{"Model", model}});
+        auto const answer = fleet.edge->call("GET", "/again/1", "r" + std::to_string(i));
+        cr_expect(answer && answer->status == 200);
+    }
+    cr_expect_geq(fleet.server.connections().size(), 1);
+    bad.write_entry("draining");
+    fleet.check_end();
+}
+
+// Guards against a store, or a peer that relays it, whose answers have no end. The instance is not ready
+// without a store, but must be alive for when it is back.
+Test(endless_answer, store_call)
+{
+    endless_server const server(flood("200 OK", "Transfer-Encoding: chunked\r\n", http_chunk(text_block),
+                                      http_chunk("{\"items\":[")));
+    edge_child edge("edge-1", server.address());
+    std::this_thread::sleep_for(seconds{4});
+    std::size_t const peak = peak_memory_kb(edge);
+    cr_expect(edge.process().running());
+    cr_expect_leq(peak, memory_bound_kb, "peak %zu kB", peak);
+    std::size_t closed = 0;
+    for (endless_connection const& each : server.connections())
+    {
+        closed += each.closed_by_peer ? 1 : 0;
+        cr_expect_lt(each.sent, endless_server::byte_limit);
+        cr_expect_leq(each.lifetime.count(), close_limit.count());
+    }
+    cr_log_info("peak %zu kB, connections %zu", peak, server.connections().size());
+    cr_expect_geq(closed, 1);
+}
