Believe a refusal whose body is not received whole

The head of a 503 or 421 with Not-Executed states that the request was not run, but the attempt counted as run when the body behind that head was endless, malformed or cut, so that a call that may not be repeated ended with 502 although another server could have taken it. The end of an exchange now counts as refused once such a head was received.

endless_answer/refusal_keeps_its_meaning failed before with "status 502" for 4 of 8 calls in each of its four cases; all 8 get 200 now.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -56,8 +57,13 @@
     return std::max<duration>(when - boot_now(), duration{0});
 }
 
-attempt_result result_of(exchange_end end)
+// `facts` are those of the head, if it was received.
+attempt_result result_of(exchange_end end, std::optional<platform::answer_info> const& facts)
 {
+    if (facts && facts->not_run)
+    {
+        return attempt_result::refused_not_run; // The head proves it, whatever follows.
+    }
     switch (end)
     {
     case exchange_end::complete:
@@ -452,7 +458,7 @@
         if (end != exchange_end::complete)
         {
             std::string().swap(open->body); // A part of an answer is of no use, and it may be large.
-            end_attempt(open, result_of(end), to_string(end));
+            end_attempt(open, result_of(end, open->facts), to_string(end));
             return;
         }
         platform::answer_info const& facts = *open->facts;
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -276,6 +276,30 @@
     check_plain(flood("503 Service Unavailable", "Transfer-Encoding: chunked\r\n", http_chunk(text_block)));
 }
 
+// Guards against treating a request as run, although the head of the endless answer states that it was not.
+Test(endless_answer, refusal_keeps_its_meaning)
+{
+    for (char const* const status : {"503 Service Unavailable", "421 Misdirected Request"})
+    {
+        for (char const* const framing : {"", "Transfer-Encoding: chunked\r\n"})
+        {
+            std::string const header_lines = std::string("Not-Executed: 1\r\n") + framing;
+            std::string const filler = *framing == 0 ? text_block : http_chunk(text_block);
+            flooded_fleet fleet(flood(status, header_lines, filler));
+            backend_standin bad{fleet.store, "p1", "plain"};
+            bad.publish_address(fleet.server.address());
+            backend_standin const good{fleet.store, "p2", "plain"};
+            fleet.start();
+            for (auto const& each : fleet.call_all("POST", "/once/1", "r"))
+            {
+                cr_expect(each && each->status == 200, "status %d", each ? each->status : 0);
+            }
+            cr_expect_geq(fleet.server.connections().size(), 1);
+            fleet.check_end();
+        }
+    }
+}
+
 // Guards against a broken-off stream that looks complete to the caller.
 Test(endless_answer, stream_that_cannot_be_resumed)
 {
