Keep the handlers of an exchange while one of them runs

cancel() freed the handlers of an exchange. When on_body calls it, as the request service does for an event out of order, the running handler went on with freed captures, and the process crashed: one such event of one engine ended the instance. A call of a handler now holds the handlers until it returns.

--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -185,7 +185,8 @@
     running_exchange(boost::asio::io_context& loop, outbound_request request, exchange_handlers handlers,
                      std::shared_ptr<kept_bytes> kept,
                      std::function<void(tcp::socket, duration)> return_to_pool)
-        : request_(std::move(request)), handlers_(std::move(handlers)), kept_(std::move(kept)),
+        : request_(std::move(request)),
+          handlers_(std::make_shared<exchange_handlers const>(std::move(handlers))), kept_(std::move(kept)),
           return_to_pool_(std::move(return_to_pool)), socket_(loop), timer_(loop), connect_timer_(loop)
     {
     }
@@ -230,7 +231,7 @@
 
     void cancel() override
     {
-        handlers_ = {};
+        handlers_.reset();
         stop();
     }
 
@@ -258,7 +259,8 @@
         {
             return;
         }
-        if (handlers_.may_send && !handlers_.may_send())
+        auto const handlers = handlers_;
+        if (handlers->may_send && !handlers->may_send())
         {
             finish(exchange_end::not_sent);
             return;
@@ -329,10 +331,11 @@
         std::string content;
         decode_status const status = decoder_->decode(in_, used, content);
         in_.erase(0, used);
-        if (!content.empty() && handlers_.on_body)
+        auto const handlers = handlers_;
+        if (!content.empty() && handlers->on_body)
         {
             kept_by_user_ += content.size();
-            handlers_.on_body(content);
+            handlers->on_body(content);
         }
         if (ended_ || !keeps_within_limits())
         {
@@ -391,7 +394,8 @@
         keep_alive_ = framing->kind != body_kind::until_close && head.getVersion() == "HTTP/1.1" &&
                       !equal_ignoring_case(header_value(head, "Connection"), "close");
         reuse_time_ = reuse_time(head);
-        if (handlers_.on_head && !handlers_.on_head(head))
+        auto const handlers = handlers_;
+        if (handlers->on_head && !handlers->on_head(head))
         {
             cancel();
             return false;
@@ -408,7 +412,7 @@
         // Bytes after a complete answer belong to no request.
         bool const reusable = end == exchange_end::complete && keep_alive_ && written_ && in_.empty();
         tcp::socket socket = std::move(socket_);
-        exchange_handlers const handlers = std::exchange(handlers_, {});
+        auto const handlers = std::exchange(handlers_, nullptr);
         stop();
         if (reusable)
         {
@@ -419,9 +423,9 @@
             boost::system::error_code ignored;
             socket.close(ignored);
         }
-        if (handlers.on_end)
+        if (handlers->on_end)
         {
-            handlers.on_end(end);
+            handlers->on_end(end);
         }
     }
 
@@ -439,7 +443,9 @@
     }
 
     outbound_request const request_;
-    exchange_handlers handlers_;
+    // Null once the exchange has ended. A call of a handler holds a copy of the pointer, because the handler
+    // may call cancel() and go on to use what it has captured.
+    std::shared_ptr<exchange_handlers const> handlers_;
     std::shared_ptr<kept_bytes> const kept_;
     std::function<void(tcp::socket, duration)> const return_to_pool_;
     tcp::socket socket_;
--- a/tests/adapters/outbound_pool_test.cpp
+++ b/tests/adapters/outbound_pool_test.cpp
@@ -190,3 +190,40 @@
     cr_expect_eq(end, "complete", "%s", end.c_str());
     cr_expect_eq(received, body.size());
 }
+
+// Guards against a handler that calls cancel() and then uses what it has captured, although cancel() has
+// freed it.
+Test(outbound_pool, handler_lives_until_it_returns)
+{
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    fault_server const server({[](fault_connection& connection)
+                               {
+                                   (void)connection.receive();
+                                   connection.answer(200, "body");
+                                   connection.wait_for_close();
+                               }});
+    auto captured = std::make_shared<int>(1);
+    std::weak_ptr<int> const observer = captured;
+    std::shared_ptr<outbound_exchange> exchange;
+    long owners_after_cancel = 0;
+    exchange_handlers handlers;
+    handlers.on_body =
+        [captured = std::move(captured), &observer, &exchange, &owners_after_cancel](std::string const&)
+    {
+        // After a fault the captured references cannot be used, either.
+        auto const& weak = observer;
+        long& result = owners_after_cancel;
+        exchange->cancel();
+        result = weak.use_count();
+    };
+    outbound_request request;
+    request.address = server.address();
+    request.method = "GET";
+    request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    request.time_limit = call_limit;
+    exchange = pool.start(std::move(request), std::move(handlers));
+    loop.run();
+    cr_expect_eq(owners_after_cancel, 1);
+    cr_expect_eq(observer.use_count(), 0);
+}
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <functional>
 #include <future>
+#include <map>
 #include <optional>
 #include <string>
 #include <thread>
@@ -216,6 +217,16 @@
     check_at_most_once(answer);
 }
 
+std::size_t count_events(std::string const& body)
+{
+    std::size_t count = 0;
+    for (std::size_t at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1))
+    {
+        ++count;
+    }
+    return count;
+}
+
 std::string const text_block(4096, 'x');
 
 } // namespace
@@ -300,6 +311,25 @@
     }
 }
 
+// Guards against a crash of the process when it ends an attempt because of the event that it has just
+// received.
+Test(endless_answer, events_out_of_order)
+{
+    flooded_fleet fleet(flood("200 OK", "Transfer-Encoding: chunked\r\n", http_chunk("id: 7\ndata: b\n\n"),
+                              http_chunk("id: 1\ndata: a\n\n")));
+    backend_standin bad{fleet.store, "e1", "llm", {"m0"}};
+    bad.publish_address(fleet.server.address());
+    backend_standin const good{fleet.store, "e2", "llm", {"m0"}};
+    fleet.start();
+    for (auto const& each : fleet.call_all("POST", "/stream/1", "r", {{"Model", "m0"}}))
+    {
+        cr_expect(each && each->status == 200, "status %d", each ? each->status : 0);
+        cr_expect_eq(each ? count_events(each->body) : 0, 6);
+    }
+    cr_expect_geq(fleet.server.connections().size(), 1);
+    fleet.check_end();
+}
+
 // Guards against a broken-off stream that looks complete to the caller.
 Test(endless_answer, stream_that_cannot_be_resumed)
 {
