Limit one event of a stream

The splitter collected an event without a limit, and searched all of it again for each part and, in streams with CRLF, all that followed for each event: 8 streams whose event never ended kept a core busy until their deadline. An event above 256 KiB now ends the attempt as event_too_large, so that a resumable stream goes on at another engine. Only new bytes are searched, in one pass. An empty line in CRLF after a line in LF ends an event, too.

--- a/adapters/event_splitter.cpp
+++ b/adapters/event_splitter.cpp
@@ -3,6 +3,7 @@
 #include "adapters/http_message.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace siskinusher
 {
@@ -33,34 +34,52 @@
     return std::nullopt;
 }
 
-// Position after the empty line that ends the first event; npos when the event is not complete.
-std::size_t event_end(std::string const& text, std::size_t from)
+// Position after the empty line that ends the first event; npos when there is none after `from`. Lines end in
+// LF or CRLF.
+std::size_t event_end(std::string_view text, std::size_t from)
 {
-    std::size_t const lf_end = text.find("\n\n", from);
-    std::size_t const crlf_end = text.find("\r\n\r\n", from);
-    if (lf_end == std::string::npos && crlf_end == std::string::npos)
+    for (std::size_t i = text.find('\n', from); i != std::string_view::npos; i = text.find('\n', i + 1))
     {
-        return std::string::npos;
+        if (text.substr(i + 1, 1) == "\n")
+        {
+            return i + 2;
+        }
+        if (text.substr(i + 1, 2) == "\r\n")
+        {
+            return i + 3;
+        }
     }
-    return lf_end < crlf_end ? lf_end + 2 : crlf_end + 4;
+    return std::string_view::npos;
 }
 
 } // namespace
 
 std::vector<stream_event> event_splitter::feed(std::string_view bytes)
 {
-    pending_.append(bytes);
     std::vector<stream_event> events;
+    if (too_large_)
+    {
+        return events;
+    }
+    // Only the last two of the old bytes, "\n" or "\n\r", may belong to an end that was not seen yet.
+    std::size_t const from = pending_.size() - std::min<std::size_t>(pending_.size(), 2);
+    pending_.append(bytes);
     std::size_t start = 0;
-    for (std::size_t end = event_end(pending_, start); end != std::string::npos;
-         end = event_end(pending_, start))
+    std::size_t end = event_end(pending_, from);
+    while (end != std::string::npos && end - start <= max_event_bytes)
     {
         std::string event = pending_.substr(start, end - start);
         auto const id = event_id(event);
         events.push_back({std::move(event), id});
         start = end;
+        end = event_end(pending_, start);
     }
     pending_.erase(0, start);
+    too_large_ = pending_.size() > max_event_bytes;
+    if (too_large_)
+    {
+        std::string().swap(pending_);
+    }
     return events;
 }
 
--- a/adapters/event_splitter.hpp
+++ b/adapters/event_splitter.hpp
@@ -22,15 +22,23 @@
 class event_splitter
 {
 public:
-    /// Adds bytes and returns the events that are complete now.
+    /// Largest size of an event, with the empty line: four times what stream_relay allows for one token. A
+    /// faulty server that never ends an event would otherwise fill the memory.
+    static constexpr std::size_t max_event_bytes = 262144;
+
+    /// Adds bytes and returns the events that are complete now. After an event that is too large there are no
+    /// further ones.
     std::vector<stream_event> feed(std::string_view bytes);
     /// True when the bytes so far end in the middle of an event.
-    bool in_event() const { return !pending_.empty(); }
+    bool in_event() const { return too_large_ || !pending_.empty(); }
+    /// True once an event exceeds max_event_bytes.
+    bool too_large() const { return too_large_; }
     /// Bytes of the event that is not complete.
     std::size_t pending_bytes() const { return pending_.size(); }
 
 private:
     std::string pending_;
+    bool too_large_ = false;
 };
 
 } // namespace siskinusher
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -396,6 +396,12 @@
                 return;
             }
         }
+        if (open->events.too_large())
+        {
+            open->attempt->cancel();
+            end_attempt(open, attempt_result::bad_answer, "event_too_large");
+            return;
+        }
         open->attempt->set_kept_bytes(open->events.pending_bytes());
         bool const resumable = open->route.repeat == repeat_rule::resumable_stream &&
                                open->backends_run + 1 < open->route.max_backends && !open->events_without_id;
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -311,6 +311,33 @@
     }
 }
 
+// Guards against a stream whose event has no end: another engine gives a resumable stream, and one that
+// cannot be resumed is visibly broken off.
+Test(endless_answer, event_without_end)
+{
+    std::string const chunked = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+    std::string const first = http_chunk("id: 1\ndata: a\n\n");
+    for (std::string const& start : {std::string(), first})
+    {
+        for (std::string const& line : {text_block, std::string("data: b\n")})
+        {
+            flooded_fleet fleet(flood("200 OK", chunked, http_chunk(line), start));
+            backend_standin bad{fleet.store, "e1", "llm", {"m0"}};
+            bad.publish_address(fleet.server.address());
+            backend_standin const good{fleet.store, "e2", "llm", {"m0"}};
+            fleet.start();
+            for (auto const& each : fleet.call_all("POST", "/stream/1", "r", {{"Model", "m0"}}))
+            {
+                std::size_t const events = each ? count_events(each->body) : 0;
+                cr_expect(each && each->status == 200, "status %d", each ? each->status : 0);
+                cr_expect_eq(events, 6, "%zu events", events);
+            }
+            cr_expect_geq(fleet.server.connections().size(), 1);
+            fleet.check_end();
+        }
+    }
+}
+
 // Guards against a crash of the process when it ends an attempt because of the event that it has just
 // received.
 Test(endless_answer, events_out_of_order)
