Fail a call whose answer goes on after its end

POCO takes a malformed chunk size, for example one without an end, for the end of the body. http_connection then returned the status with the part of the body before it, and kept the connection open while the server went on to send. Bytes that were read but belong to no answer now fail the call and close the connection.

http_connection/endless_chunk_size_ends_the_call failed before with "(outcome.status) == (0) is false" and "8002 ms" (bound 1500); it passes now. The tests of endless heads and bodies passed before as well: they keep the limits that exist (POCO's 100 header lines, 2 MiB of a body).

--- a/adapters/http_connection.cpp
+++ b/adapters/http_connection.cpp
@@ -134,6 +134,8 @@
     }
     bool wrote() const { return implementation_.wrote(); }
     bool peer_closed() const { return implementation_.peer_closed(); }
+    // True when bytes have been received that no call has read.
+    bool has_unread_bytes() const { return buffered() > 0; }
     // True when nothing can be read; a connection closed by its server counts as readable.
     bool is_idle()
     {
@@ -245,6 +247,11 @@
     {
         session_->networkException()->rethrow();
     }
+    // POCO takes a malformed chunk size for the end of the body.
+    if (session_->has_unread_bytes())
+    {
+        throw Poco::Net::MessageException("bytes follow the end of the answer");
+    }
     auto const status = response.getStatus();
     bool const has_body = status != Poco::Net::HTTPResponse::HTTP_NO_CONTENT &&
                           status != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
