Give the measured or stated reason of two limits

The comment of the close limit in the endless answer test claimed a time on a small instance that no run has shown; it now names the time limit of the route. The comment of the limit on one answer names the answers that have to pass it.

--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -30,8 +30,8 @@
 constexpr std::size_t answer_head_limit = 65536;
 // Interim answers before the final one. Servers send one or two (100 Continue, 103 Early Hints).
 constexpr unsigned interim_answer_limit = 8;
-// Bytes of one answer that may be kept in memory. The largest answers known, of servers and of the store's
-// watch, have a few MB.
+// Bytes of one answer that may be kept in memory. Answers of some MB must pass, such as those to a watch of
+// the store, which hold several objects of up to 1 MiB.
 constexpr std::size_t kept_answer_limit = 8U << 20U;
 // Bytes of all answers that may be kept together. The smallest instance has 160 MB; growing strings may
 // hold twice the bytes for a moment, and callers that read slowly have answers of their own in memory.
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -29,8 +29,7 @@
 
 // The smallest instance has 160 MB; the rest is left for requests that are served meanwhile.
 constexpr std::size_t memory_bound_kb = 102400;
-// From the server's first byte to the close by the instance. Reading 32 MiB at an eighth of a core takes
-// less.
+// From the end of the request to the close by the instance: well below the 4 s that a route allows.
 constexpr milliseconds close_limit{1500};
 constexpr int floods = 8;
 
