--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -45,8 +46,13 @@
     return std::max<duration>(when - boot_now(), duration{0});
 }
 
-attempt_result result_of(exchange_end end)
+// `facts` are those of the head, if it was received.
+attempt_result result_of(exchange_end end, std::optional<platform::answer_info> const& facts)
 {
+    if (facts && facts->not_run)
+    {
+        return attempt_result::refused_not_run; // The head proves it, whatever follows.
+    }
     switch (end)
     {
     case exchange_end::complete:
@@ -57,6 +63,7 @@
     case exchange_end::lost:
         return attempt_result::connection_lost;
     case exchange_end::malformed:
+    case exchange_end::too_large:
         return attempt_result::bad_answer;
     case exchange_end::timed_out:
         break;
@@ -408,7 +415,7 @@
         }
         else if (end != exchange_end::complete)
         {
-            end_replacement(*open, result_of(end), to_string(end));
+            end_replacement(*open, result_of(end, attempt.facts), to_string(end));
         }
         else
         {
@@ -549,6 +556,13 @@
                 return;
             }
         }
+        if (attempt.events.too_large())
+        {
+            attempt.exchange->cancel();
+            end_attempt(open, attempt_result::bad_answer, "event_too_large");
+            return;
+        }
+        attempt.exchange->set_kept_bytes(attempt.events.pending_bytes());
         watch_progress(open);
     }
 
@@ -605,7 +619,8 @@
     {
         if (end != exchange_end::complete)
         {
-            end_attempt(open, result_of(end), to_string(end));
+            std::string().swap(open->current->body); // A part of an answer is of no use, and it may be large.
+            end_attempt(open, result_of(end, open->current->facts), to_string(end));
             return;
         }
         platform::answer_info const& facts = *open->current->facts;
