Do not wait for the body of a rejection

What callers saw: a request that must run at most once got 504 after its whole time when a server sent the head of a rejection (503 with Not-Executed) and no body; a begun stream whose replacement was rejected in that way was broken off at its deadline, because the replacement took over 200 ms after it was sent.

Cause: the end of an attempt was tied to the end of the answer's body, though the head already proves that the request has not run.

Change: after the head of a rejection its body is awaited for 200 ms, then the attempt ends as rejected; at the end of the overlap a rejected replacement is dropped.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -27,6 +27,9 @@
 // For this long a server without progress and its replacement may both work on a request: the replacement may
 // still reject it. Shorter than the 400 ms after which two runs of one request count as a double run.
 constexpr duration max_overlap = milliseconds{200};
+// The body of an answer that rejects the request is awaited for this long, so that the connection can be
+// kept.
+constexpr duration rejection_body_time = milliseconds{200};
 // Event gaps below this share of max_event_gap are normal in a healthy batch and are not reported.
 constexpr double min_reported_pause_share = 0.4;
 // The final answer is due at the route's time limit; this part of it is kept for sending the answer.
@@ -381,10 +384,22 @@
             open->replacement->withdrawn = true;
             return false;
         }
-        arm_progress_timer(open, max_overlap, &implementation::take_over);
+        arm_progress_timer(open, max_overlap, &implementation::on_overlap_end);
         return true;
     }
 
+    void on_overlap_end(open_pointer const& open)
+    {
+        server_attempt const& replacement = *open->replacement;
+        if (!replacement.facts)
+        {
+            take_over(open);
+            return;
+        }
+        replacement.exchange->cancel();
+        drop_rejected_replacement(open);
+    }
+
     // Ends the current attempt, whose server makes no progress, and goes on with its replacement.
     void take_over(open_pointer const& open)
     {
@@ -411,19 +426,29 @@
         server_attempt const& attempt = *open->replacement;
         if (attempt.withdrawn)
         {
-            end_replacement(*open, attempt_result::caller_gone, "no_retry_budget");
+            drop_replacement(open, attempt_result::caller_gone, "no_retry_budget");
         }
         else if (end != exchange_end::complete)
         {
-            end_replacement(*open, result_of(end, attempt.facts), to_string(end));
+            drop_replacement(open, result_of(end, attempt.facts), to_string(end));
         }
         else
         {
-            // Any other answer has made it the current attempt.
-            bool const not_run = attempt.facts->not_run;
-            end_replacement(*open, not_run ? attempt_result::refused_not_run : attempt_result::bad_answer,
-                            not_run ? reason_not_run(*attempt.facts) : "server_error");
+            drop_rejected_replacement(open);
         }
+    }
+
+    // The server of the replacement has answered; any other answer would have made it the current attempt.
+    void drop_rejected_replacement(open_pointer const& open)
+    {
+        platform::answer_info const& facts = *open->replacement->facts;
+        drop_replacement(open, facts.not_run ? attempt_result::refused_not_run : attempt_result::bad_answer,
+                         facts.not_run ? reason_not_run(facts) : "server_error");
+    }
+
+    void drop_replacement(open_pointer const& open, attempt_result result, std::string const& why)
+    {
+        end_replacement(*open, result, why);
         watch_progress(open);
         run_dispatcher();
     }
@@ -511,21 +536,29 @@
                               { self->on_faulty_answer(open, attempt, fault); });
             return false;
         }
-        if (attempt == open->replacement && !facts.not_run && facts.status < 500)
+        if (attempt == open->current && facts.not_run)
+        {
+            arm_progress_timer(open, rejection_body_time, &implementation::end_rejected_attempt);
+        }
+        else if (attempt == open->replacement && !facts.not_run && facts.status < 500)
         {
             take_over(open);
         }
         return true;
     }
 
+    void end_rejected_attempt(open_pointer const& open)
+    {
+        open->current->exchange->cancel();
+        end_attempt(open, attempt_result::refused_not_run, reason_not_run(*open->current->facts));
+    }
+
     void on_faulty_answer(open_pointer const& open, std::shared_ptr<server_attempt> const& attempt,
                           char const* fault)
     {
         if (attempt == open->replacement)
         {
-            end_replacement(*open, attempt_result::bad_answer, fault);
-            watch_progress(open);
-            run_dispatcher();
+            drop_replacement(open, attempt_result::bad_answer, fault);
         }
         else if (attempt == open->current && open->is_running())
         {
--- a/tests/platform/silent_server_test.cpp
+++ b/tests/platform/silent_server_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/support/fault_server.hpp"
 #include "tests/wire/small_fleet.hpp"
 
 #include <criterion/criterion.h>
@@ -10,6 +11,8 @@
 #include <vector>
 
 using namespace siskinusher::standins;
+using siskinusher::fault_connection;
+using siskinusher::fault_server;
 
 // Streams of example_config() may pause for 250 ms; after three times that, 750 ms, an instance looks for
 // another engine. Every answer is due 4 s after its request, so that a server that is silent for 1.5 s still
@@ -121,6 +124,42 @@
     expect_one_run_each(fleet.engine, requests_at_once);
 }
 
+// Scripts that reject requests as not run, with a body that never comes.
+std::vector<fault_server::script> rejections_without_body()
+{
+    auto const script = [](fault_connection& caller)
+    {
+        if (caller.receive())
+        {
+            caller.send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAttempt-Id: " +
+                        caller.header("Attempt-Id") + "\r\nContent-Length: 10\r\n\r\n");
+            caller.wait_for_close();
+        }
+    };
+    return std::vector<fault_server::script>(4 * requests_at_once, script);
+}
+
+// Two servers of each service, of which one rejects everything without sending the body of the rejection.
+struct rejecting_fleet
+{
+    rejecting_fleet()
+    {
+        store.write("config", "main", example_config(1));
+        rejecting_plain.publish_address(rejecting.address());
+        rejecting_engine.publish_address(rejecting.address());
+        edge.emplace("edge-1", store.address());
+        cr_assert(edge->wait_ready(), "%s", edge->log_text().c_str());
+    }
+
+    fault_server rejecting{rejections_without_body()};
+    store_standin store;
+    backend_standin rejecting_plain{store, "p1", "plain"}; ///< Of equal servers, the first one is chosen.
+    backend_standin plain{store, "p2", "plain"};
+    backend_standin engine{store, "e1", "llm", {"m0"}};
+    backend_standin rejecting_engine{store, "e2", "llm", {"m0"}};
+    std::optional<edge_child> edge;
+};
+
 } // namespace
 
 // Guards against giving up an engine that pauses when no other engine holds the model.
@@ -230,3 +269,23 @@
     cr_expect(eventually([&fleet] { return fleet.engine_1.cancelled() + fleet.engine_2.cancelled() == 1; },
                          seconds{1}));
 }
+
+// Guards against waiting for the body of a rejection, which proves by its head that the request did not run.
+Test(silent_server, rejection_whose_body_never_comes_goes_on_elsewhere)
+{
+    rejecting_fleet fleet;
+    expect_plain_answer(*fleet.edge, "r0", fleet.edge->call("POST", "/once/1", "r0"));
+    std::string const log = log_of(*fleet.edge, "r0");
+    cr_expect(log.find("backend=p1 why=full") != std::string::npos, "%s", log.c_str());
+}
+
+// Guards against giving up an engine that pauses for one whose rejection comes without its body.
+Test(silent_server, pausing_stream_outlasts_a_rejection_whose_body_never_comes)
+{
+    rejecting_fleet fleet;
+    fleet.engine.set_pause(2, long_pause);
+    expect_whole_stream(*fleet.edge, "r0", begin_stream(*fleet.edge, "r0").get());
+    expect_one_run_each(fleet.engine, 1);
+    cr_expect(log_of(*fleet.edge, "r0").find("replaces=e1") != std::string::npos, "%s",
+              log_of(*fleet.edge, "r0").c_str());
+}
