Let a repeatable request go on at both servers until one answers

The limit is needed for streams only, where two runs must not last.

Change: a request that is not streamed stays at both servers until one begins to answer. A replacement always uses a new connection, because a kept one may have gone silent without a reset. New test: without the change status 504, with it one run and the server's answer. For a stream whose replacement is reached and then silent the risk remains.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -24,8 +24,9 @@
 namespace
 {
 
-// For this long a server without progress and its replacement may both work on a request: the replacement may
-// still reject it. Shorter than the 400 ms after which two runs of one request count as a double run.
+// For this long a server without progress and its replacement may both work on a stream: the replacement may
+// still reject it. Shorter than the 400 ms after which two runs of one stream count as a double run. A
+// request that is not streamed goes on at both until one answers.
 constexpr duration max_overlap = milliseconds{200};
 // The body of an answer that rejects the request is awaited for this long, so that the connection can be
 // kept.
@@ -349,7 +350,10 @@
         handlers.on_end = [self, open, attempt](exchange_end end)
         { attempt == open->current ? self->on_end(open, end) : self->on_replacement_end(open, end); };
         (replaces ? open->replacement : open->current) = attempt;
-        attempt->exchange = pool.start(make_outbound_request(*open, *attempt), std::move(handlers));
+        outbound_request request = make_outbound_request(*open, *attempt);
+        // A kept connection may have gone silent; a new one shows that the server can be reached.
+        request.fresh_connection = replaces;
+        attempt->exchange = pool.start(std::move(request), std::move(handlers));
         if (!replaces)
         {
             watch_progress(open);
@@ -371,7 +375,6 @@
         request.bytes = platform::encode_attempt(open.request, open.caller->body(), headers);
         request.time_limit = std::max<duration>(headers.time_left, milliseconds{1});
         request.connect_limit = std::min(request.connect_limit, request.time_limit / 2);
-        request.fresh_connection = false;
         return request;
     }
 
@@ -384,7 +387,10 @@
             open->replacement->withdrawn = true;
             return false;
         }
-        arm_progress_timer(open, max_overlap, &implementation::on_overlap_end);
+        if (open->route.streaming)
+        {
+            arm_progress_timer(open, max_overlap, &implementation::on_overlap_end);
+        }
         return true;
     }
 
--- a/tests/platform/silent_server_test.cpp
+++ b/tests/platform/silent_server_test.cpp
@@ -270,6 +270,28 @@
                          seconds{1}));
 }
 
+// Guards against giving up a slow server of repeatable requests for one that accepts them and never answers.
+Test(silent_server, slow_answer_arrives_although_the_other_server_is_silent)
+{
+    fault_server silent(std::vector<fault_server::script>(requests_at_once,
+                                                          [](fault_connection& caller)
+                                                          {
+                                                              (void)caller.receive();
+                                                              caller.wait_for_close();
+                                                          }));
+    store_standin store;
+    store.write("config", "main", example_config(1));
+    backend_standin slow(store, "p1", "plain"); // Of equal servers, the first one is chosen.
+    slow.set_work_time(milliseconds{1200});
+    backend_standin other(store, "p2", "plain");
+    other.publish_address(silent.address());
+    edge_child edge("edge-1", store.address());
+    cr_assert(edge.wait_ready(), "%s", edge.log_text().c_str());
+    expect_plain_answer(edge, "r0", edge.call("GET", "/again/1", "r0"));
+    expect_one_run_each(slow, 1);
+    cr_expect(silent.accepted() > 0, "%s", log_of(edge, "r0").c_str());
+}
+
 // Guards against waiting for the body of a rejection, which proves by its head that the request did not run.
 Test(silent_server, rejection_whose_body_never_comes_goes_on_elsewhere)
 {
