Let the first of two servers that answers serve the request

The points touch the same lines and are changed together:

- A begun stream was broken off when the other engine rejected it after half a second or began later than the pause ended.
Now a stream moves when the other engine begins to stream, another request when the other server has answered completely; the one that is late is cancelled.
- A status other than a success from the second engine ended a begun stream as served.
It now counts as a faulty answer, also after a resume.
- Slow requests gave up their place for the end of another queue, and an answer whose body was arriving did not count as progress.
- Rejections during a silence used up the sends of the request.
- The only holder of a model was avoided after a silence or after short deadlines of callers, and new requests were refused.
Silence now only makes other servers preferred.
- A stop ended the wait of answers that have begun, and a search that was refused was not repeated.
- A begun answer waited only as long as its caller was expected to; it now waits until its deadline or until the caller closes.

--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -50,7 +50,7 @@
     std::string service;
     steady_time deadline;
     boost::asio::steady_timer deadline_timer;
-    boost::asio::steady_timer progress_timer; ///< Ends an attempt whose server makes no progress.
+    boost::asio::steady_timer progress_timer; ///< Expires when the current attempt makes no progress.
 
     /// Number under which the request waits for a server in the dispatcher, if it does.
     std::optional<request_number> awaited;
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -24,10 +24,6 @@
 namespace
 {
 
-// For this long a server without progress and its replacement may both work on a stream: the replacement may
-// still reject it. Shorter than the 400 ms after which two runs of one stream count as a double run. A
-// request that is not streamed goes on at both until one answers.
-constexpr duration max_overlap = milliseconds{200};
 // The body of an answer that rejects the request is awaited for this long, so that the connection can be
 // kept.
 constexpr duration rejection_body_time = milliseconds{200};
@@ -180,14 +176,12 @@
 
     duration max_wait(open_exchange const& open) const
     {
-        steady_time const now = boot_now();
         wait_facts facts;
         facts.streaming = open.route.streaming;
         facts.answer_started = open.answer_started;
-        facts.time_left = open.deadline - now;
+        facts.time_left = open.deadline - boot_now();
         facts.latency_objective = open.route.latency_objective;
         facts.max_event_gap = open.route.max_event_gap;
-        facts.since_last_event = now - open.last_event_at;
         return wait_limit(facts);
     }
 
@@ -206,11 +200,11 @@
         request.failed_servers = open->failed_servers;
         steady_time const now = boot_now();
         request.max_wait = max_wait(*open);
+        request.may_be_refused = !open->answer_started && !open->is_running();
         if (open->is_running())
         {
             request.max_wait = open->deadline - now;
             request.running_at = open->current->target.backend;
-            request.queue_from = open->answer_started ? now + longest_silence(*open) : now;
         }
         open->awaited = request.number;
         waiting[request.number] = open;
@@ -239,11 +233,18 @@
         std::shared_ptr<server_attempt> const ended = std::exchange(open.replacement, nullptr);
         bool const sent = ended->exchange->sent();
         report_end(*ended, result);
-        if (sent || result != attempt_result::caller_gone)
+        // A rejection does not count as sent: the wait for the next search bounds how often this happens.
+        if (sent && result != attempt_result::refused_not_run)
+        {
+            count_attempt(open, *ended, result);
+        }
+        else if (result != attempt_result::caller_gone)
         {
-            count_attempt(open, *ended, sent ? result : attempt_result::not_sent);
+            open.failed_servers.push_back(ended->target.backend);
         }
-        log.attempt_ended(open, *ended, why, ender_of(result), "keep");
+        log.attempt_ended(open, *ended, why,
+                          result == attempt_result::caller_gone ? attempt_ender::instance : ender_of(result),
+                          "current_goes_on");
     }
 
     void run_dispatcher()
@@ -280,6 +281,7 @@
         if (open->is_running())
         {
             log.server_silent(*open, "keep", std::string(to_string(step.answer.reason)));
+            watch_progress(open);
             return;
         }
         open->last_failure = std::string(to_string(step.answer.reason));
@@ -342,10 +344,12 @@
         { return self->on_head(open, attempt, head); };
         handlers.on_body = [self, open, attempt](std::string const& part)
         {
-            if (attempt == open->current) // The body of a rejection by a replacement is not needed.
+            if (attempt == open->current)
             {
                 self->on_body(open, part);
+                return;
             }
+            attempt->body.append(part);
         };
         handlers.on_end = [self, open, attempt](exchange_end end)
         { attempt == open->current ? self->on_end(open, end) : self->on_replacement_end(open, end); };
@@ -380,30 +384,12 @@
 
     bool may_send_replacement(open_pointer const& open)
     {
-        bool const is_retry = open->times_sent > 0 || open->current->exchange->sent();
-        if (is_retry && !retries.try_take(boot_now(), open->service))
-        {
-            metrics.add("siskin_retries_refused_total", "budget", 1);
-            open->replacement->withdrawn = true;
-            return false;
-        }
-        if (open->route.streaming)
-        {
-            arm_progress_timer(open, max_overlap, &implementation::on_overlap_end);
-        }
-        return true;
-    }
-
-    void on_overlap_end(open_pointer const& open)
-    {
-        server_attempt const& replacement = *open->replacement;
-        if (!replacement.facts)
-        {
-            take_over(open);
-            return;
-        }
-        replacement.exchange->cancel();
-        drop_rejected_replacement(open);
+        bool const sent = open->current->exchange->sent();
+        attempt_result const result = sent ? attempt_result::silent : attempt_result::not_sent;
+        bool const useful = next_attempt_step(facts_after(*open, result)) == attempt_step::send_again;
+        bool const is_retry = sent || open->times_sent > 0;
+        open->replacement->withdrawn = !useful || (is_retry && !retries.try_take(boot_now(), open->service));
+        return !open->replacement->withdrawn;
     }
 
     // Ends the current attempt, whose server makes no progress, and goes on with its replacement.
@@ -427,29 +413,23 @@
         watch_progress(open);
     }
 
+    // The replacement ends before it has become the current attempt.
     void on_replacement_end(open_pointer const& open, exchange_end end)
     {
         server_attempt const& attempt = *open->replacement;
-        if (attempt.withdrawn)
-        {
-            drop_replacement(open, attempt_result::caller_gone, "no_retry_budget");
-        }
-        else if (end != exchange_end::complete)
+        if (end == exchange_end::complete)
         {
-            drop_replacement(open, result_of(end, attempt.facts), to_string(end));
+            take_over(open);
+            on_end(open, end);
+            return;
         }
-        else
+        if (attempt.withdrawn)
         {
-            drop_rejected_replacement(open);
+            metrics.add("siskin_retries_refused_total", "budget", 1);
+            drop_replacement(open, attempt_result::caller_gone, "not_sent_again");
+            return;
         }
-    }
-
-    // The server of the replacement has answered; any other answer would have made it the current attempt.
-    void drop_rejected_replacement(open_pointer const& open)
-    {
-        platform::answer_info const& facts = *open->replacement->facts;
-        drop_replacement(open, facts.not_run ? attempt_result::refused_not_run : attempt_result::bad_answer,
-                         facts.not_run ? reason_not_run(facts) : "server_error");
+        drop_replacement(open, result_of(end, attempt.facts), to_string(end));
     }
 
     void drop_replacement(open_pointer const& open, attempt_result result, std::string const& why)
@@ -542,17 +522,51 @@
                               { self->on_faulty_answer(open, attempt, fault); });
             return false;
         }
-        if (attempt == open->current && facts.not_run)
+        if (attempt == open->replacement)
+        {
+            return on_replacement_head(open, attempt);
+        }
+        stop_looking(*open, "server_answers");
+        if (facts.not_run)
         {
             arm_progress_timer(open, rejection_body_time, &implementation::end_rejected_attempt);
         }
-        else if (attempt == open->replacement && !facts.not_run && facts.status < 500)
+        else
         {
-            take_over(open);
+            watch_progress(open);
         }
         return true;
     }
 
+    // Of two servers, the first one that begins a stream, or completes another answer, serves the request.
+    bool on_replacement_head(open_pointer const& open, std::shared_ptr<server_attempt> const& attempt)
+    {
+        platform::answer_info const& facts = *attempt->facts;
+        bool const usable = open->route.streaming ? is_success(facts.status) : facts.status < 500;
+        if (usable && !facts.not_run)
+        {
+            if (open->route.streaming)
+            {
+                take_over(open);
+            }
+            return true;
+        }
+        char const* const why = facts.not_run ? reason_not_run(facts) : "server_error";
+        boost::asio::post(loop,
+                          [self = shared_from_this(), open, attempt, why]
+                          {
+                              if (attempt == open->replacement)
+                              {
+                                  self->drop_replacement(open,
+                                                         attempt->facts->not_run
+                                                             ? attempt_result::refused_not_run
+                                                             : attempt_result::bad_answer,
+                                                         why);
+                              }
+                          });
+        return false;
+    }
+
     void end_rejected_attempt(open_pointer const& open)
     {
         open->current->exchange->cancel();
@@ -578,6 +592,11 @@
         if (!open->route.streaming || !is_success(attempt.facts->status))
         {
             attempt.body.append(part);
+            if (!attempt.facts->not_run)
+            {
+                stop_looking(*open, "server_resumed");
+                watch_progress(open);
+            }
             return;
         }
         stop_looking(*open, "server_resumed");
@@ -668,6 +687,11 @@
             end_attempt(open, attempt_result::refused_not_run, reason_not_run(facts));
             return;
         }
+        if (open->answer_started && !is_success(facts.status))
+        {
+            end_attempt(open, attempt_result::bad_answer, "stream_not_resumed");
+            return;
+        }
         if (open->route.streaming && is_success(facts.status))
         {
             if (open->current->events.in_event())
--- a/decision/attempt_policy.cpp
+++ b/decision/attempt_policy.cpp
@@ -45,16 +45,18 @@
 
 duration wait_limit(wait_facts const& facts)
 {
+    if (facts.answer_started)
+    {
+        return facts.time_left;
+    }
     duration limit = facts.time_left;
     if (facts.streaming)
     {
-        duration const caller_gap =
-            std::max({min_stream_gap, facts.latency_objective * stream_gap_in_latency_objectives,
-                      facts.max_event_gap * stream_gap_in_event_gaps});
-        limit = std::min(limit, facts.answer_started ? caller_gap - facts.since_last_event : caller_gap);
+        limit = std::min(limit,
+                         std::max({min_stream_gap, facts.latency_objective * stream_gap_in_latency_objectives,
+                                   facts.max_event_gap * stream_gap_in_event_gaps}));
     }
-    limit = std::max(limit, duration{0});
-    return facts.answer_started ? limit : std::chrono::duration_cast<duration>(limit * max_wait_share);
+    return std::chrono::duration_cast<duration>(limit * max_wait_share);
 }
 
 duration silence_limit(silence_facts const& facts)
--- a/decision/attempt_policy.hpp
+++ b/decision/attempt_policy.hpp
@@ -38,14 +38,14 @@
     bool answer_started = false; ///< Part of an answer was passed on to the caller.
     duration time_left{0};
     duration latency_objective{0};
-    duration max_event_gap{0};    ///< Longest pause between events that counts as in time.
-    duration since_last_event{0}; ///< Only for an answer that has started.
+    duration max_event_gap{0}; ///< Longest pause between events that counts as in time.
 };
 
 /// Longest time for which a request may wait for a backend server.
 ///
 /// A request without an answer is refused early enough for its caller to send it again. An answer that has
-/// started cannot be refused, so that it may wait as long as its caller does.
+/// started cannot be refused, so that it may use the whole time: a caller that leaves earlier closes its
+/// connection.
 duration wait_limit(wait_facts const& facts);
 
 /// What decides how long the server of an attempt may be silent.
--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -203,6 +203,11 @@
     raise_failure_rate(now, backend, server_error_weight);
 }
 
+void backend_state_table::on_silence(steady_time now, known_backend& backend)
+{
+    raise_failure_rate(now, backend, failure_weight);
+}
+
 void backend_state_table::on_failure(steady_time now, known_backend& backend)
 {
     raise_failure_rate(now, backend, failure_weight);
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -51,7 +51,10 @@
     void on_load(steady_time now, backend_name const& name, backend_load const& load);
     /// Takes the number of requests of all instances at each engine; engines that are not listed run nothing.
     void on_fleet_load(steady_time now, std::vector<engine_requests> const& running);
+    /// The server lost a request or could not be reached: it is avoided for a while.
     void on_failure(steady_time now, known_backend& backend);
+    /// The server was slower than this instance waits. It may be sound, so that it is not avoided.
+    void on_silence(steady_time now, known_backend& backend);
     void on_success(known_backend& backend);
     /// The server answered with an error, which is normal for some calls and weighs less than a failure.
     void on_server_error(steady_time now, known_backend& backend);
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -129,11 +129,9 @@
                backend_state_table::pause_level(now, backend) * pausing_server_ms;
     }
 
-    bool has_place(steady_time now, dispatch_request const& request, known_backend const& backend) const
+    bool has_place(steady_time now, known_backend const& backend) const
     {
-        unsigned const queue = now < request.queue_from ? 0 : allowed_queue;
-        return backend.entry.name != request.running_at &&
-               backend_state_table::in_use(now, backend) < backend.entry.places + queue;
+        return backend_state_table::in_use(now, backend) < backend.entry.places + allowed_queue;
     }
 
     // Returns the server with the lowest cost; one that failed this request only when there is no other. A
@@ -148,7 +146,8 @@
         std::pair<bool, double> best_cost{true, 0.0};
         for (known_backend* const backend : found)
         {
-            if (now < backend->avoid_until || !has_place(now, request, *backend))
+            if (backend->entry.name == request.running_at || now < backend->avoid_until ||
+                !has_place(now, *backend))
             {
                 continue;
             }
@@ -280,7 +279,7 @@
     ++count.arrivals;
     waiting_request entry{std::move(request), now, {}};
     entry.refuse_at = std::min(now + entry.request.max_wait, entry.request.deadline);
-    if (impl_->waiting_limit)
+    if (impl_->waiting_limit && entry.request.may_be_refused)
     {
         entry.refuse_at = std::min(entry.refuse_at, std::max(*impl_->waiting_limit, now));
     }
@@ -303,7 +302,7 @@
     impl_->waiting_limit = limit;
     for (waiting_request& each : impl_->waiting)
     {
-        each.refuse_at = std::min(each.refuse_at, limit);
+        each.refuse_at = each.request.may_be_refused ? std::min(each.refuse_at, limit) : each.refuse_at;
     }
 }
 
@@ -362,8 +361,10 @@
         backend->unreachable_until = now + unreachable_report_time;
         impl_->table.on_failure(now, *backend);
         break;
-    case attempt_result::connection_lost:
     case attempt_result::silent:
+        impl_->table.on_silence(now, *backend);
+        break;
+    case attempt_result::connection_lost:
     case attempt_result::bad_answer:
         impl_->table.on_failure(now, *backend);
         break;
@@ -379,7 +380,7 @@
 {
     if (known_backend* const known = impl_->table.find(backend))
     {
-        impl_->table.on_failure(now, *known);
+        impl_->table.on_silence(now, *known);
     }
 }
 
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -54,9 +54,9 @@
 ///
 /// It is designed for these loads: bursts of one kind of request (the more urgent are served first, then
 /// those with the nearer deadline), requests for models that no engine holds (they wait up to their max_wait
-/// while the lease holder loads the model), slow and failing servers (they are avoided for a while, and a
-/// request that runs at one first looks for a free place elsewhere), and services without servers (their
-/// requests are refused at once after a short start-up time).
+/// while the lease holder loads the model), failing servers (they are avoided for a while), slow servers
+/// (others are preferred), and services without servers (their requests are refused at once after a short
+/// start-up time).
 class dispatcher
 {
 public:
@@ -73,8 +73,8 @@
     void submit(steady_time now, dispatch_request request);
     /// Removes a waiting request that no longer needs a server. Does nothing when the request does not wait.
     void withdraw(request_number number);
-    /// Called when the instance stops: waiting requests are refused at `limit` at the latest. Requests
-    /// submitted after `limit` are refused at once when no server is free.
+    /// Called when the instance stops: waiting requests that may be refused are refused at `limit` at the
+    /// latest. Such requests submitted after `limit` are refused at once when no server is free.
     void refuse_waiting_by(steady_time limit);
     void on_load(steady_time now, backend_name const& backend, backend_load const& load);
     void on_attempt_end(steady_time now, attempt_report const& report);
--- a/domain/dispatch_request.hpp
+++ b/domain/dispatch_request.hpp
@@ -34,9 +34,9 @@
     std::vector<backend_name> failed_servers;
     /// Server that works on the request meanwhile and is never chosen; empty for none.
     backend_name running_at;
-    /// Before this time only a server with a free place is chosen: in a queue, a request that another server
-    /// works on would lose what is done already.
-    steady_time queue_from;
+    /// False once a part of an answer was passed on or a server works on the request: a stop of the instance
+    /// does not shorten its wait.
+    bool may_be_refused = true;
 };
 
 /// Where a request is sent.
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -26,6 +26,9 @@
     rejects,          ///< Answers 503 as full, without running.
     wrong_request_id, ///< Answers with the id of another request.
     breaks_stream,    ///< Closes in the middle of a stream's third event.
+    rejects_late,     ///< Answers 503 as full 500 ms after it has read the request, without running.
+    slow_body,        ///< Sends the head and half of a plain answer before its work, the rest after it.
+    not_found,        ///< Runs and answers 404.
 };
 
 /// An order that a backend stand-in has received, accepted or not.
