Let backend stand-ins pause a stream and reject a share of requests

A sound server can be slow or nearly full, and an instance must not break off answers because of that. The stand-in can now stay silent after one event of each stream, and reject each n-th request as full while it serves the others. Its name and service become readable, so that tests can tell which server ran a request.

--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -12,6 +12,8 @@
 using nlohmann::json;
 
 constexpr std::size_t max_models = 2;
+// Interval at which a pausing stream looks whether its caller has closed.
+constexpr std::chrono::milliseconds pause_check_interval{10};
 
 } // namespace
 
@@ -60,6 +62,12 @@
     write_entry();
 }
 
+void backend_standin::set_pause(unsigned after_event, std::chrono::milliseconds value)
+{
+    pause_ms_ = value.count();
+    pause_after_event_ = after_event;
+}
+
 std::map<std::string, unsigned> backend_standin::runs()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -118,7 +126,10 @@
     }
     bool const absent = !model.empty() && models_.count(model) == 0;
     bool const misdirected = exchange.header("Expect-Instance") != name_;
-    if (absent || misdirected || fault == backend_fault::rejects || exchange.header("Hold") == "mine")
+    unsigned const reject_every = reject_every_;
+    bool const full =
+        fault == backend_fault::rejects || (reject_every > 0 && ++arrivals_ % reject_every == 0);
+    if (absent || misdirected || full || exchange.header("Hold") == "mine")
     {
         lock.unlock();
         exchange.set_header("Instance-Id", name_);
@@ -164,6 +175,7 @@
             return;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds{work_ms_});
+        pause_after(event, exchange);
         if (exchange.peer_closed())
         {
             ++cancelled_;
@@ -172,6 +184,21 @@
     }
 }
 
+void backend_standin::pause_after(unsigned event, http_exchange const& exchange)
+{
+    if (event != pause_after_event_)
+    {
+        return;
+    }
+    auto const until = std::chrono::steady_clock::now() + std::chrono::milliseconds{pause_ms_};
+    ++pausing_;
+    while (std::chrono::steady_clock::now() < until && !exchange.peer_closed())
+    {
+        std::this_thread::sleep_for(pause_check_interval);
+    }
+    --pausing_;
+}
+
 void backend_standin::receive_order(http_exchange& exchange)
 {
     json const order = json::parse(exchange.body());
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -52,11 +52,18 @@
     /// Writes another address, for example that of a relay, into the entry.
     void publish_address(std::string address);
     std::string address() const { return server_.address(); }
+    std::string const& name() const { return name_; }
+    std::string const& service() const { return service_; }
     void set_fault(backend_fault value) { fault_ = value; }
     /// Time that a request, or one event of a stream, takes.
     void set_work_time(std::chrono::milliseconds value) { work_ms_ = value.count(); }
     /// Number of events in a stream.
     void set_event_count(unsigned count) { event_count_ = count; }
+    /// Makes each stream silent for this time after the event with this id. The silence ends early when the
+    /// caller closes its connection.
+    void set_pause(unsigned after_event, std::chrono::milliseconds value);
+    /// Rejects each request whose number of arrival is a multiple of this as full; zero rejects none.
+    void set_reject_every(unsigned count) { reject_every_ = count; }
     /// Bytes that follow the usual body of a plain answer.
     void set_padding(std::size_t bytes) { padding_ = bytes; }
 
@@ -66,6 +73,8 @@
     unsigned cancelled() const { return cancelled_; }
     std::set<std::string> models();
     std::vector<received_order> orders(); ///< In the order of their arrival.
+    /// Streams that are in the silence of set_pause now.
+    unsigned pausing() const { return pausing_; }
     /// True once the engine has been ordered to hold more models than fit.
     bool exceeded_memory() const { return exceeded_memory_; }
     /// Value of a header of the latest request.
@@ -74,6 +83,7 @@
 private:
     void serve(http_exchange& exchange);
     void stream(http_exchange& exchange, std::string const& id, backend_fault fault);
+    void pause_after(unsigned event, http_exchange const& exchange);
     void receive_order(http_exchange& exchange);
     void report(http_exchange& exchange);
     nlohmann::json model_list() const;
@@ -92,8 +102,13 @@
     std::atomic<backend_fault> fault_{backend_fault::none};
     std::atomic<std::int64_t> work_ms_{1};
     std::atomic<unsigned> event_count_{6};
+    std::atomic<unsigned> pause_after_event_{0}; ///< 0 when no stream pauses.
+    std::atomic<std::int64_t> pause_ms_{0};
+    std::atomic<unsigned> pausing_{0};
     std::atomic<unsigned> cancelled_{0};
     std::atomic<std::size_t> padding_{0};
+    std::atomic<unsigned> reject_every_{0};
+    unsigned arrivals_ = 0;
     std::atomic<bool> exceeded_memory_{false};
     http_server server_;
 };
