--- /dev/null
+++ b/tests/wire/faulty_backend.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/random_source.hpp"
+#include "tests/wire/backend_standin.hpp"
+#include "tests/wire/faulty_link.hpp"
+
+#include <set>
+#include <string>
+
+namespace siskinusher::standins
+{
+
+/// A backend server behind a link, with the faults of both. Records the span "backend NAME" while it has a
+/// fault that breaks answers, and "link NAME".
+class faulty_backend
+{
+public:
+    faulty_backend(store_standin& store, fault_spans& spans, std::string name, std::string service,
+                   std::set<std::string> models = {});
+
+    backend_standin& server() { return server_; }
+    faulty_link& link() { return link_; }
+
+    void set_fault(backend_fault fault);
+    /// Makes the sound server slow (a stream pauses for 0.3 to 2 s after one event, a plain call takes 0.3 to
+    /// 1.5 s), has it reject some requests as full, or neither.
+    void set_load(random_source& random);
+    /// Ends all faults of the server and the link.
+    void heal();
+
+private:
+    void end_load();
+
+    bool const engine_;
+    fault_spans& spans_;
+    backend_standin server_;
+    faulty_link link_;
+};
+
+} // namespace siskinusher::standins
