--- a/tests/platform/edge_process_test.cpp
+++ b/tests/platform/edge_process_test.cpp
@@ -1,13 +1,10 @@
-#include "tests/wire/backend_standin.hpp"
-#include "tests/wire/edge_child.hpp"
-#include "tests/wire/store_standin.hpp"
+#include "tests/wire/small_fleet.hpp"
 
 #include <Poco/Net/StreamSocket.h>
 
 #include <criterion/criterion.h>
 
 #include <csignal>
-#include <functional>
 #include <future>
 #include <memory>
 #include <set>
@@ -23,48 +20,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A store with a configuration, two plain servers and two engines, and one siskin-edge process.
-struct small_fleet
-{
-    small_fleet()
-    {
-        store.write("config", "main", example_config(1));
-        cr_assert(edge.wait_ready(), "%s", edge.log_text().c_str());
-    }
-
-    store_standin store;
-    backend_standin plain_1{store, "p1", "plain"};
-    backend_standin plain_2{store, "p2", "plain"};
-    backend_standin engine_1{store, "e1", "llm", {"m0"}};
-    backend_standin engine_2{store, "e2", "llm", {"m0"}};
-    edge_child edge{"edge-1", store.address()};
-};
-
-bool eventually(std::function<bool()> const& condition, milliseconds limit = seconds{15})
-{
-    auto const until = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < until)
-    {
-        if (condition())
-        {
-            return true;
-        }
-        std::this_thread::sleep_for(milliseconds{20});
-    }
-    return false;
-}
-
-// Ids of the events in a stream's body.
-std::string event_ids(std::string const& body)
-{
-    std::string ids;
-    for (std::size_t at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1))
-    {
-        ids += body.substr(at + 4, body.find('\n', at) - at - 4) + " ";
-    }
-    return ids;
-}
-
 } // namespace
 
 // Guards against failures of routes, answers, streams and unknown paths while there is no fault.
@@ -427,3 +382,33 @@
     cr_assert(has(line("attempt_failed", "broken"), "next=end"));
     cr_assert(has(line("request", "broken"), "outcome=broken_off"));
 }
+
+// Guards against a log that does not tell whether the server, the instance or the caller ended an attempt.
+Test(edge_process, log_tells_who_ended_an_attempt)
+{
+    small_fleet fleet;
+    auto const ended = [&fleet](std::string const& id, std::string const& why, std::string const& ender)
+    {
+        return eventually(
+            [&]
+            {
+                std::string const text = fleet.edge.log_text();
+                std::size_t const at = text.find("event=attempt_failed request=" + id + " ");
+                return at != std::string::npos &&
+                       text.substr(at, text.find('\n', at) - at).find("why=" + why + " ended_by=" + ender) !=
+                           std::string::npos;
+            },
+            seconds{3});
+    };
+    fleet.engine_1.set_work_time(milliseconds{300});
+    fleet.engine_2.set_work_time(milliseconds{300});
+    (void)fleet.edge.call("POST", "/stream-once/1", "late", {{"Model", "m0"}, {"Deadline-Ms", "700"}});
+    cr_assert(ended("late", "deadline", "instance"), "%s", fleet.edge.log_text().c_str());
+    (void)http_call(fleet.edge.caller_address(), "POST", "/stream-once/1", "body",
+                    {{"Host", "h"}, {"Attempt-Id", "left"}, {"Model", "m0"}}, milliseconds{120});
+    cr_assert(ended("left", "caller_gone", "caller"));
+    fleet.plain_1.set_fault(backend_fault::lost_answer);
+    fleet.plain_2.set_fault(backend_fault::lost_answer);
+    (void)fleet.edge.call("POST", "/once/1", "lost");
+    cr_assert(ended("lost", "lost", "server"));
+}
