Keep the ports of siskin-edge processes reserved in tests

A port that was found free could be taken by an outgoing connection or another test before the process listened, and again while it was restarted. A socket that is bound but does not listen now keeps each port for the lifetime of the stand-in.

--- a/tests/wire/edge_child.cpp
+++ b/tests/wire/edge_child.cpp
@@ -1,14 +1,11 @@
 #include "tests/wire/edge_child.hpp"
 
-#include <Poco/Net/ServerSocket.h>
-
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
 #include <utility>
-#include <vector>
 
 namespace siskinusher::standins
 {
@@ -26,33 +23,28 @@
     return pattern;
 }
 
-// Addresses with ports that are free now. All sockets are open at the same time, so that the ports differ.
-std::vector<std::string> free_addresses(std::size_t count)
+// Binds a socket to a free port. It does not listen, so that the process can bind the port as well, but no
+// other program and no outgoing connection is given it.
+Poco::Net::ServerSocket reserve_port()
 {
-    std::vector<std::unique_ptr<Poco::Net::ServerSocket>> sockets;
-    std::vector<std::string> addresses;
-    for (std::size_t i = 0; i < count; ++i)
-    {
-        sockets.push_back(
-            std::make_unique<Poco::Net::ServerSocket>(Poco::Net::SocketAddress("127.0.0.1", 0)));
-        addresses.push_back(sockets.back()->address().toString());
-    }
-    return addresses;
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true, false);
+    return socket;
 }
 
 } // namespace
 
 edge_child::edge_child(std::string name, std::string const& store_address, unsigned holder_gap_ms)
-    : name_(std::move(name)), directory_(make_temporary_directory())
+    : name_(std::move(name)),
+      directory_(make_temporary_directory()), ports_{reserve_port(), reserve_port(), reserve_port()}
 {
-    auto const addresses = free_addresses(3);
-    caller_address_ = addresses[0];
-    readiness_address_ = addresses[1];
+    caller_address_ = ports_[0].address().toString();
+    readiness_address_ = ports_[1].address().toString();
     std::ofstream settings(directory_ + "/settings.yaml");
     settings << "instance: { name: " << name_ << ", data_centre: here, region: r1 }\n"
              << "data_centres:\n  - { name: here, region: r1 }\n"
              << "listen: { callers: \"" << caller_address_ << "\", readiness: \"" << readiness_address_
-             << "\", peers: \"" << addresses[2] << "\" }\n"
+             << "\", peers: \"" << ports_[2].address().toString() << "\" }\n"
              << "platform: { object_store: \"" << store_address << "\", leaving_ms: 2500, change_ms: 2500 }\n"
              << "retries: { ratio: 0.2, window_s: 10, slack: 640 }\n"
              << "orders: { holder_gap_ms: " << holder_gap_ms << ", load_window_s: 5 }\n"
--- a/tests/wire/edge_child.hpp
+++ b/tests/wire/edge_child.hpp
@@ -3,6 +3,9 @@
 #include "tests/standins/child_process.hpp"
 #include "tests/standins/http_call.hpp"
 
+#include <Poco/Net/ServerSocket.h>
+
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,6 +39,9 @@
 private:
     std::string const name_;
     std::string const directory_;
+    /// Sockets that reserve the ports while the process does not run. Without them, a port was taken by an
+    /// outgoing connection before the process listened.
+    std::array<Poco::Net::ServerSocket, 3> const ports_;
     std::string caller_address_;
     std::string readiness_address_;
     std::unique_ptr<child_process> process_;
