Close inherited sockets in the child processes of tests

Each child inherited the sockets of the test, 25 of them in the soak. A relay that closed or reset a connection after a restart left it open in a child, so that siskin-edge saw a silent connection instead of a reset.

--- a/tests/standins/child_process.cpp
+++ b/tests/standins/child_process.cpp
@@ -34,6 +34,9 @@
         posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
         posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         posix_spawn_file_actions_adddup2(&actions, 1, 2);
+        // A child that inherits a socket keeps its connection open after the driver has closed or reset it,
+        // so that the other end sees silence.
+        posix_spawn_file_actions_addclosefrom_np(&actions, 3);
         posix_spawnattr_init(&attributes);
         sigset_t none; // The driver blocks the stop signals; its children must not.
         sigemptyset(&none);
