Give a restarted process time before the next fault in the soak

A signal that arrives before siskin-edge has installed its handlers ends the process, also SIGHUP. The soak could send SIGHUP directly after a restart, and then waited for an instance that no longer ran. The wait between two faults, 100 ms at least, now follows the restart as it did before restarts became concurrent.

--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -83,8 +83,8 @@
         while (soak_clock::now() < end && ok_)
         {
             inject_fault();
+            end_process_faults(); // Before the wait, in which a new process installs its signal handlers.
             std::this_thread::sleep_for(milliseconds{100 + random_.below(900)});
-            end_process_faults();
         }
         healing_ = true;
         operations.join();
