--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -26,6 +26,9 @@
 // A caller that accepts no bytes for this long is treated as gone. The kernel applies the limit also when the
 // receive window of the caller is closed.
 constexpr duration slow_reader_limit = seconds{15};
+// After its last answer, a connection discards what the caller still sends for at most this time. A close
+// with unread bytes would reset the connection, and the caller might see the reset instead of the answer.
+constexpr duration discard_time = seconds{2};
 
 } // namespace
 
@@ -65,6 +68,11 @@
     phase_ = phase::closed;
     boost::system::error_code ignored;
     timer_.cancel(ignored);
+    if (answer_framing_ == body_kind::until_close)
+    {
+        // An orderly close would mark the end of the body, which is incomplete.
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     socket_.close(ignored);
     if (was_serving)
     {
@@ -102,6 +110,11 @@
         close();
         return;
     }
+    if (close_after_write_)
+    {
+        read_more(); // Bytes behind the last request are discarded.
+        return;
+    }
     bool const first_byte = phase_ == phase::head && received_.empty();
     received_.append(chunk_.data(), count);
     if (first_byte)
@@ -115,15 +128,21 @@
     }
 }
 
+// Handles requests until more bytes are needed or one is not answered at once. A call for an answer that was
+// sent at once does nothing, because the loop in progress goes on with the next request.
 void caller_connection::process()
 {
-    while ((phase_ == phase::head && !close_after_write_ && take_head()) || phase_ == phase::body)
+    if (processing_)
     {
-        if (!take_body())
-        {
-            return;
-        }
+        return;
     }
+    processing_ = true;
+    bool more = true;
+    while (more && ((phase_ == phase::head && !close_after_write_ && take_head()) || phase_ == phase::body))
+    {
+        more = take_body();
+    }
+    processing_ = false;
 }
 
 // Returns true when it has consumed a valid head; the body follows.
@@ -153,12 +172,17 @@
         refuse(413);
         return false;
     }
-    if (equal_ignoring_case(header_value(*head_, "Expect"), "100-continue"))
+    bool const is_http_1_1 = head_->getVersion() == "HTTP/1.1";
+    // HTTP/1.0 has no interim answers.
+    if (is_http_1_1 && equal_ignoring_case(header_value(*head_, "Expect"), "100-continue"))
     {
         enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+        if (phase_ == phase::closed)
+        {
+            return false;
+        }
     }
-    keep_alive_ = head_->getVersion() == "HTTP/1.1" &&
-                  !equal_ignoring_case(header_value(*head_, "Connection"), "close");
+    keep_alive_ = is_http_1_1 && !has_token(*head_, "Connection", "close");
     head_only_ = head_->getMethod() == "HEAD";
     decoder_.emplace(*framing);
     body_.clear();
@@ -203,7 +227,6 @@
     keep_alive_ = false;
     phase_ = phase::serving;
     ++server_->open_requests;
-    received_.clear();
     send_whole(status, "", "");
 }
 
@@ -225,8 +248,13 @@
         return;
     }
     std::string text = status_line(status, header_lines);
-    text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
-    if (!head_only_)
+    // The server's answer to HEAD has no body, so the length of the body that GET would get is unknown.
+    if (status_has_body(status) && (!head_only_ || !body.empty()))
+    {
+        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    }
+    text.append("\r\n");
+    if (status_has_body(status) && !head_only_)
     {
         text.append(body);
     }
@@ -240,16 +268,27 @@
     {
         return;
     }
-    chunked_ = true;
-    enqueue(status_line(status, header_lines) + "Transfer-Encoding: chunked\r\n\r\n");
+    // A caller that speaks HTTP/1.0 does not know chunks.
+    body_kind const framing = !status_has_body(status)            ? body_kind::none
+                              : head_->getVersion() == "HTTP/1.1" ? body_kind::chunked
+                                                                  : body_kind::until_close;
+    answer_framing_ = head_only_ ? body_kind::none : framing;
+    // The head for HEAD is the same as for GET.
+    enqueue(status_line(status, header_lines) +
+            (framing == body_kind::chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
 }
 
 void caller_connection::write_part(std::string_view part)
 {
-    if (phase_ != phase::serving || part.empty())
+    if (phase_ != phase::serving || part.empty() || answer_framing_ == body_kind::none)
     {
         return;
     }
+    if (answer_framing_ == body_kind::until_close)
+    {
+        enqueue(part);
+        return;
+    }
     std::array<char, 24> size{};
     int const length = std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
     std::string text(size.data(), static_cast<std::size_t>(length));
@@ -263,19 +302,28 @@
     {
         return;
     }
-    enqueue("0\r\n\r\n");
+    if (answer_framing_ == body_kind::chunked)
+    {
+        enqueue("0\r\n\r\n");
+    }
     after_answer();
 }
 
 void caller_connection::after_answer()
 {
+    if (phase_ != phase::serving)
+    {
+        return; // Closed by enqueue(), because the caller does not read.
+    }
     --server_->open_requests;
     gone_handler_ = nullptr;
+    head_only_ = false; // A refusal may follow for a request whose head is not known.
     phase_ = phase::head;
     idle_since_ = boot_now();
     if (!keep_alive_ || server_->draining)
     {
         close_after_write_ = true;
+        received_.clear();
     }
     start_timer(server_->limits.idle_timeout);
     flush();
@@ -307,9 +355,7 @@
     {
         if (close_after_write_)
         {
-            boost::system::error_code ignored;
-            socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-            close();
+            finish_sending();
         }
         return;
     }
@@ -327,6 +373,22 @@
                              });
 }
 
+// Ends the sending side after the last answer, and waits until the caller closes its side.
+void caller_connection::finish_sending()
+{
+    phase_ = phase::discarding;
+    answer_framing_ = body_kind::none;
+    boost::system::error_code error;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+    if (error)
+    {
+        close();
+        return;
+    }
+    start_timer(discard_time);
+    read_more();
+}
+
 void caller_connection::start_timer(duration span)
 {
     timer_.expires_after(span);
@@ -342,6 +404,11 @@
 
 void caller_connection::on_timer()
 {
+    if (phase_ == phase::discarding)
+    {
+        close();
+        return;
+    }
     if (phase_ == phase::head && received_.empty())
     {
         if (has_unsent())
--- a/tests/platform/edge_process_test.cpp
+++ b/tests/platform/edge_process_test.cpp
@@ -1,9 +1,11 @@
 #include "tests/wire/small_fleet.hpp"
 
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <csignal>
 #include <future>
 #include <memory>
@@ -337,6 +339,78 @@
                          seconds{3}));
 }
 
+// Guards against body bytes after the answer to HEAD on a streaming route: the caller takes them for the
+// start of its next answer on the kept connection.
+Test(edge_process, head_on_a_streaming_route_leaves_the_connection_usable)
+{
+    small_fleet fleet;
+    Poco::Net::StreamSocket caller;
+    caller.connect(Poco::Net::SocketAddress(fleet.edge.caller_address()));
+    caller.setReceiveTimeout(Poco::Timespan(5, 0));
+    std::string received;
+    auto const exchange = [&](std::string const& request, std::string const& end)
+    {
+        caller.sendBytes(request.data(), static_cast<int>(request.size()));
+        std::vector<char> buffer(65536);
+        while (received.find(end) == std::string::npos)
+        {
+            int const count = caller.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            cr_assert(count > 0, "closed after: %s", received.c_str());
+            received.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+    };
+    exchange("HEAD /stream/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\nModel: m0\r\n\r\n", "\r\n\r\n");
+    cr_assert_eq(received.find("HTTP/1.1 200 OK\r\n"), 0, "%s", received.c_str());
+    cr_assert(received.find("text/event-stream") != std::string::npos, "%s", received.c_str());
+    exchange("GET /again/1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: r2\r\n\r\n", "body of r2");
+    std::string const next = received.substr(received.find("\r\n\r\n") + 4);
+    cr_assert_eq(next.find("HTTP/1.1 200 OK\r\n"), 0, "%s", next.c_str());
+}
+
+// Guards against chunk framing in a stream to a caller that speaks HTTP/1.0, and against a broken stream that
+// looks complete to it.
+Test(edge_process, stream_to_http_1_0_ends_with_the_connection)
+{
+    small_fleet fleet;
+    // Returns the received bytes; sets `reset` when the connection ends with a reset.
+    auto const stream = [&fleet](std::string const& id, bool& reset)
+    {
+        Poco::Net::StreamSocket caller;
+        caller.connect(Poco::Net::SocketAddress(fleet.edge.caller_address()));
+        caller.setReceiveTimeout(Poco::Timespan(5, 0));
+        std::string const request =
+            "POST /stream-once/1 HTTP/1.0\r\nHost: h\r\nAttempt-Id: " + id + "\r\nModel: m0\r\n\r\n";
+        caller.sendBytes(request.data(), static_cast<int>(request.size()));
+        std::string received;
+        reset = false;
+        try
+        {
+            std::vector<char> buffer(65536);
+            for (int count = 1; count > 0;)
+            {
+                count = caller.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+                received.append(buffer.data(), static_cast<std::size_t>(std::max(count, 0)));
+            }
+        }
+        catch (Poco::Net::ConnectionResetException const&)
+        {
+            reset = true;
+        }
+        return received;
+    };
+    bool reset = false;
+    std::string const complete = stream("r1", reset);
+    cr_assert_not(reset);
+    cr_assert(complete.find("Transfer-Encoding") == std::string::npos, "%s", complete.c_str());
+    std::string const body = complete.substr(complete.find("\r\n\r\n") + 4);
+    cr_assert_eq(body.find("id: 1\n"), 0, "%s", complete.c_str());
+    cr_assert_eq(event_ids(body), "1 2 3 4 5 6 ");
+    fleet.engine_1.set_fault(backend_fault::breaks_stream);
+    fleet.engine_2.set_fault(backend_fault::breaks_stream);
+    std::string const broken = stream("r2", reset);
+    cr_assert(reset, "closed in order after: %s", broken.c_str());
+}
+
 // Guards against bad input being passed on, or ending the process.
 Test(edge_process, bad_requests_get_a_clear_error)
 {
@@ -344,9 +418,9 @@
     auto const with = [&fleet](std::map<std::string, std::string> const& headers)
     { return fleet.edge.call("POST", "/once/1", "r", headers); };
     cr_assert_eq(with({{"X-Large", std::string(20000, 'x')}})->status, 431);
-    auto const large = http_call(fleet.edge.caller_address(), "POST", "/once/1", std::string(200000, 'x'),
+    auto const large = http_call(fleet.edge.caller_address(), "POST", "/once/1", std::string(8U << 20U, 'x'),
                                  {{"Host", "h"}, {"Attempt-Id", "r"}});
-    cr_assert(!large || large->status == 413);
+    cr_assert(large && large->status == 413);
     auto const without_id = http_call(fleet.edge.caller_address(), "POST", "/once/1", "x", {{"Host", "h"}});
     cr_assert(without_id && without_id->status == 400);
     cr_assert_eq(fleet.plain_1.total_runs() + fleet.plain_2.total_runs(), 0);
