Name the clock of the fault spans after its use

The spans of faults are part of the stand-ins in tests/wire and can serve other tests than the soak, so the name of their clock no longer mentions the soak.

--- a/tests/edge_soak/answer_judge.cpp
+++ b/tests/edge_soak/answer_judge.cpp
@@ -155,7 +155,7 @@
     }
     std::size_t version = std::max<std::size_t>(1, configs_.acknowledged_by(in_touch - change_time));
     auto const started =
-        faults_.last_overlap({"started " + instance}, {soak_clock::time_point::min(), record.open.begin});
+        faults_.last_overlap({"started " + instance}, {fault_clock::time_point::min(), record.open.begin});
     version = std::max(version, started ? configs_.acknowledged_by(started->begin) : 1);
     for (seen_version const& seen : seen_)
     {
--- a/tests/edge_soak/answer_judge.hpp
+++ b/tests/edge_soak/answer_judge.hpp
@@ -64,7 +64,7 @@
     struct seen_version
     {
         std::size_t instance = 0;
-        soak_clock::time_point at;
+        fault_clock::time_point at;
         std::size_t version = 1;
     };
 
--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -80,8 +80,8 @@
         {
             callers.emplace_back([this, i] { send_requests(i); });
         }
-        auto const end = soak_clock::now() + seconds{FLAGS_seconds};
-        while (soak_clock::now() < end && ok_)
+        auto const end = fault_clock::now() + seconds{FLAGS_seconds};
+        while (fault_clock::now() < end && ok_)
         {
             inject_fault();
             end_process_faults(); // Before the wait, in which a new process installs its signal handlers.
@@ -205,7 +205,7 @@
 
     void record_fault(std::string const& fault)
     {
-        auto const since_begin = std::chrono::duration_cast<milliseconds>(soak_clock::now() - begin_);
+        auto const since_begin = std::chrono::duration_cast<milliseconds>(fault_clock::now() - begin_);
         fault_history_ += std::to_string(since_begin.count()) + ": " + fault + ", ";
     }
 
@@ -247,14 +247,14 @@
     // Checks that every instance serves every kind of request again within settle_time after the last fault.
     void check_recovery()
     {
-        auto const limit = soak_clock::now() + settle_time;
+        auto const limit = fault_clock::now() + settle_time;
         wire_caller caller(false);
         for (std::size_t i = 0; i < instances_.size(); ++i)
         {
             for (char const* const prefix : {"/once/", "/again/", "/moved/", "/stream/"})
             {
                 int status = 0;
-                while (status != 200 && soak_clock::now() < limit)
+                while (status != 200 && fault_clock::now() < limit)
                 {
                     status = send(caller, i, prefix, 3, milliseconds{4000});
                 }
@@ -298,11 +298,11 @@
         {
             headers["Model"] = "m" + std::to_string(model);
         }
-        record.open.begin = soak_clock::now();
+        record.open.begin = fault_clock::now();
         record.answer =
             caller.send(instances_[instance]->edge().caller_address(),
                         record.at_most_once || record.stream ? "POST" : "GET", prefix + "1", headers);
-        record.open.end = soak_clock::now();
+        record.open.end = fault_clock::now();
         served_ += record.answer.status == 200 && record.answer.whole ? 1 : 0;
         std::lock_guard<std::mutex> const lock(mutex_);
         records_.push_back(record);
@@ -369,7 +369,7 @@
     }
 
     std::uint64_t const seed_;
-    soak_clock::time_point const begin_ = soak_clock::now();
+    fault_clock::time_point const begin_ = fault_clock::now();
     random_source random_;
     fault_spans faults_;
     store_standin store_;
--- a/tests/wire/fault_spans.cpp
+++ b/tests/wire/fault_spans.cpp
@@ -7,9 +7,9 @@
 {
     std::lock_guard<std::mutex> const lock(mutex_);
     auto& spans = spans_[name];
-    if (spans.empty() || spans.back().end != soak_clock::time_point::max())
+    if (spans.empty() || spans.back().end != fault_clock::time_point::max())
     {
-        spans.push_back({soak_clock::now(), soak_clock::time_point::max()});
+        spans.push_back({fault_clock::now(), fault_clock::time_point::max()});
     }
 }
 
@@ -17,9 +17,9 @@
 {
     std::lock_guard<std::mutex> const lock(mutex_);
     auto& spans = spans_[name];
-    if (!spans.empty() && spans.back().end == soak_clock::time_point::max())
+    if (!spans.empty() && spans.back().end == fault_clock::time_point::max())
     {
-        spans.back().end = soak_clock::now() + linger;
+        spans.back().end = fault_clock::now() + linger;
     }
 }
 
--- a/tests/wire/fault_spans.hpp
+++ b/tests/wire/fault_spans.hpp
@@ -10,13 +10,13 @@
 namespace siskinusher::standins
 {
 
-using soak_clock = std::chrono::steady_clock;
+using fault_clock = std::chrono::steady_clock;
 
 /// A closed interval of time; `end` is the maximum while it lasts.
 struct time_span
 {
-    soak_clock::time_point begin;
-    soak_clock::time_point end;
+    fault_clock::time_point begin;
+    fault_clock::time_point end;
 };
 
 /// Records when each process, server and link was faulty, by names that the user chooses.
--- a/tests/wire/faulty_edge.cpp
+++ b/tests/wire/faulty_edge.cpp
@@ -39,13 +39,13 @@
 void faulty_edge::suspend(milliseconds time)
 {
     spans_.begin(span_name("suspended"));
-    suspended_until_ = soak_clock::now() + time;
+    suspended_until_ = fault_clock::now() + time;
     edge_.process().send(SIGSTOP);
 }
 
 void faulty_edge::stop()
 {
-    stop_begun_ = soak_clock::now();
+    stop_begun_ = fault_clock::now();
     edge_.process().send(SIGTERM);
 }
 
@@ -56,7 +56,7 @@
 
 bool faulty_edge::step()
 {
-    auto const now = soak_clock::now();
+    auto const now = fault_clock::now();
     if (suspended_until_ && now >= *suspended_until_)
     {
         edge_.process().send(SIGCONT);
@@ -66,7 +66,7 @@
     if (stop_begun_ && edge_.process().wait(milliseconds{0}))
     {
         start();
-        auto const end = soak_clock::now();
+        auto const end = fault_clock::now();
         spans_.add(span_name("leaving"), {*stop_begun_ + shortest_stop, end});
         spans_.add(span_name("stopping"), {std::min(*stop_begun_ + stop_time, end), end});
         stop_begun_.reset();
@@ -76,9 +76,9 @@
 
 void faulty_edge::start()
 {
-    auto const begin = soak_clock::now();
+    auto const begin = fault_clock::now();
     edge_.start();
-    spans_.add(span_name("started"), {begin, soak_clock::now()});
+    spans_.add(span_name("started"), {begin, fault_clock::now()});
 }
 
 } // namespace siskinusher::standins
--- a/tests/wire/faulty_edge.hpp
+++ b/tests/wire/faulty_edge.hpp
@@ -46,8 +46,8 @@
     fault_spans& spans_;
     faulty_link store_link_;
     edge_child edge_;
-    std::optional<soak_clock::time_point> suspended_until_;
-    std::optional<soak_clock::time_point> stop_begun_;
+    std::optional<fault_clock::time_point> suspended_until_;
+    std::optional<fault_clock::time_point> stop_begun_;
 };
 
 } // namespace siskinusher::standins
--- a/tests/wire/faulty_link.cpp
+++ b/tests/wire/faulty_link.cpp
@@ -34,7 +34,7 @@
         relay_.delay(longest_delay);
         break;
     case link_fault::reset:
-        spans_.add(name_, {soak_clock::now(), soak_clock::now() + linger});
+        spans_.add(name_, {fault_clock::now(), fault_clock::now() + linger});
         relay_.reset();
         break;
     default:
@@ -52,7 +52,7 @@
 
 void faulty_link::silence(std::chrono::milliseconds time)
 {
-    spans_.add(name_, {soak_clock::now(), soak_clock::now() + time});
+    spans_.add(name_, {fault_clock::now(), fault_clock::now() + time});
     relay_.silence();
 }
 
