--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -28,6 +28,14 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr std::size_t answer_head_limit = 65536;
+// Interim answers before the final one. Servers send one or two (100 Continue, 103 Early Hints).
+constexpr unsigned interim_answer_limit = 8;
+// Bytes of one answer that may be kept in memory. Answers of some MB must pass, such as those to a watch of
+// the store, which hold several objects of up to 1 MiB.
+constexpr std::size_t kept_answer_limit = 8U << 20U;
+// Bytes of all answers that may be kept together. The smallest instance has 160 MB; growing strings may
+// hold twice the bytes for a moment, and callers that read slowly have answers of their own in memory.
+constexpr std::size_t kept_total_limit = 32U << 20U;
 // A server that announces no keep-alive time keeps an idle connection open at least this long.
 constexpr duration default_keep_alive = seconds{4};
 constexpr std::size_t idle_connections_per_address = 64;
@@ -40,6 +48,44 @@
     steady_time usable_until;
 };
 
+class running_exchange;
+
+// The bytes of their answers that the running exchanges and their users keep.
+class kept_bytes
+{
+public:
+    void set(running_exchange* exchange, std::size_t bytes)
+    {
+        std::size_t& entry = of_exchange_[exchange];
+        total_ += bytes - entry;
+        entry = bytes;
+    }
+
+    void remove(running_exchange* exchange)
+    {
+        auto const found = of_exchange_.find(exchange);
+        if (found != of_exchange_.end())
+        {
+            total_ -= found->second;
+            of_exchange_.erase(found);
+        }
+    }
+
+    std::size_t total() const { return total_; }
+
+    // Null when no exchange is known.
+    running_exchange* largest() const
+    {
+        auto const found = std::max_element(of_exchange_.begin(), of_exchange_.end(),
+                                            [](auto const& a, auto const& b) { return a.second < b.second; });
+        return found == of_exchange_.end() ? nullptr : found->first;
+    }
+
+private:
+    std::unordered_map<running_exchange*, std::size_t> of_exchange_;
+    std::size_t total_ = 0;
+};
+
 // True when neither data nor the end of the stream has arrived on the connection.
 bool has_no_pending_input(tcp::socket& socket)
 {
@@ -80,6 +126,8 @@
         return "lost";
     case exchange_end::malformed:
         return "malformed";
+    case exchange_end::too_large:
+        return "answer_too_large";
     case exchange_end::timed_out:
         return "timed_out";
     }
@@ -123,6 +171,7 @@
 
     boost::asio::io_context& loop;
     std::unordered_map<std::string, std::deque<idle_connection>> idle;
+    std::shared_ptr<kept_bytes> const kept = std::make_shared<kept_bytes>();
     std::size_t opened = 0;
 };
 
@@ -134,8 +183,10 @@
 public:
     // `return_to_pool` receives the connection if it can be used again.
     running_exchange(boost::asio::io_context& loop, outbound_request request, exchange_handlers handlers,
+                     std::shared_ptr<kept_bytes> kept,
                      std::function<void(tcp::socket, duration)> return_to_pool)
-        : request_(std::move(request)), handlers_(std::move(handlers)),
+        : request_(std::move(request)),
+          handlers_(std::make_shared<exchange_handlers const>(std::move(handlers))), kept_(std::move(kept)),
           return_to_pool_(std::move(return_to_pool)), socket_(loop), timer_(loop), connect_timer_(loop)
     {
     }
@@ -180,13 +231,14 @@
 
     void cancel() override
     {
-        // A handler may cancel its own exchange; it must not be destroyed while it runs.
-        boost::asio::post(socket_.get_executor(), [kept = std::exchange(handlers_, {})] {});
+        handlers_.reset();
         stop();
     }
 
     bool sent() const override { return sent_; }
 
+    void set_kept_bytes(std::size_t bytes) override { kept_by_user_ = bytes; }
+
 private:
     void start_timer(boost::asio::steady_timer& timer, duration span)
     {
@@ -207,7 +259,8 @@
         {
             return;
         }
-        if (handlers_.may_send && !handlers_.may_send())
+        auto const handlers = handlers_;
+        if (handlers->may_send && !handlers->may_send())
         {
             finish(exchange_end::not_sent);
             return;
@@ -257,14 +310,16 @@
     {
         while (!head_received_)
         {
-            std::size_t const end = in_.find("\r\n\r\n");
+            // The end of the head may have begun in the bytes that were searched before.
+            std::size_t const end = in_.find("\r\n\r\n", searched_ < 3 ? 0 : searched_ - 3);
             if (end == std::string::npos)
             {
+                searched_ = in_.size();
                 if (in_.size() <= answer_head_limit)
                 {
-                    return true;
+                    return keeps_within_limits();
                 }
-                finish(exchange_end::malformed);
+                finish(exchange_end::too_large);
                 return false;
             }
             if (!parse_head(end + 4))
@@ -276,11 +331,13 @@
         std::string content;
         decode_status const status = decoder_->decode(in_, used, content);
         in_.erase(0, used);
-        if (!content.empty() && handlers_.on_body)
+        auto const handlers = handlers_;
+        if (!content.empty() && handlers->on_body)
         {
-            handlers_.on_body(content);
+            kept_by_user_ += content.size();
+            handlers->on_body(content);
         }
-        if (ended_)
+        if (ended_ || !keeps_within_limits())
         {
             return false;
         }
@@ -292,12 +349,31 @@
         return false;
     }
 
+    // Ends this exchange when its answer takes too much memory, or the one that takes most when all together
+    // do. False when this exchange is over.
+    bool keeps_within_limits()
+    {
+        std::size_t const kept = kept_by_user_ + in_.size();
+        if (kept > kept_answer_limit)
+        {
+            finish(exchange_end::too_large);
+            return false;
+        }
+        kept_->set(this, kept);
+        while (kept_->total() > kept_total_limit)
+        {
+            kept_->largest()->finish(exchange_end::too_large);
+        }
+        return !ended_;
+    }
+
     // False when the exchange is over.
     bool parse_head(std::size_t size)
     {
         Poco::Net::HTTPResponse head;
         bool const valid = parse_response_head(in_.substr(0, size), head);
         in_.erase(0, size);
+        searched_ = 0;
         auto const framing = valid ? response_framing(head, request_.method) : std::nullopt;
         if (!framing)
         {
@@ -306,6 +382,11 @@
         }
         if (head.getStatus() >= 100 && head.getStatus() < 200)
         {
+            if (++interim_answers_ > interim_answer_limit)
+            {
+                finish(exchange_end::too_large);
+                return false;
+            }
             return true; // An interim answer; the final one follows.
         }
         head_received_.emplace();
@@ -313,7 +394,8 @@
         keep_alive_ = framing->kind != body_kind::until_close && head.getVersion() == "HTTP/1.1" &&
                       !equal_ignoring_case(header_value(head, "Connection"), "close");
         reuse_time_ = reuse_time(head);
-        if (handlers_.on_head && !handlers_.on_head(head))
+        auto const handlers = handlers_;
+        if (handlers->on_head && !handlers->on_head(head))
         {
             cancel();
             return false;
@@ -330,7 +412,7 @@
         // Bytes after a complete answer belong to no request.
         bool const reusable = end == exchange_end::complete && keep_alive_ && written_ && in_.empty();
         tcp::socket socket = std::move(socket_);
-        exchange_handlers const handlers = std::exchange(handlers_, {});
+        auto const handlers = std::exchange(handlers_, nullptr);
         stop();
         if (reusable)
         {
@@ -341,15 +423,16 @@
             boost::system::error_code ignored;
             socket.close(ignored);
         }
-        if (handlers.on_end)
+        if (handlers->on_end)
         {
-            handlers.on_end(end);
+            handlers->on_end(end);
         }
     }
 
     void stop()
     {
         ended_ = true;
+        kept_->remove(this);
         boost::system::error_code ignored;
         timer_.cancel(ignored);
         connect_timer_.cancel(ignored);
@@ -360,15 +443,21 @@
     }
 
     outbound_request const request_;
-    exchange_handlers handlers_;
+    // Null once the exchange has ended. A call of a handler holds a copy of the pointer, because the handler
+    // may call cancel() and go on to use what it has captured.
+    std::shared_ptr<exchange_handlers const> handlers_;
+    std::shared_ptr<kept_bytes> const kept_;
     std::function<void(tcp::socket, duration)> const return_to_pool_;
     tcp::socket socket_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer connect_timer_;
     std::array<char, 16384> chunk_{};
     std::string in_;
+    std::size_t searched_ = 0;          ///< Bytes of in_ that contain no end of a head.
     std::optional<char> head_received_; ///< Set once the final head has been parsed.
     std::optional<body_decoder> decoder_;
+    unsigned interim_answers_ = 0;
+    std::size_t kept_by_user_ = 0; ///< Bytes of the body that the user of the exchange keeps.
     duration reuse_time_{0};
     bool keep_alive_ = false;
     bool sent_ = false;
@@ -409,7 +498,7 @@
         }
     };
     auto exchange = std::make_shared<running_exchange>(impl_->loop, std::move(request), std::move(handlers),
-                                                       return_to_pool);
+                                                       impl_->kept, return_to_pool);
     if (auto socket = fresh ? std::nullopt : impl_->take_idle(address))
     {
         exchange->start_on(std::move(*socket));
