--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -127,8 +127,11 @@
     }
     bool const absent = !model.empty() && models_.count(model) == 0;
     bool const misdirected = exchange.header("Expect-Instance") != name_;
+    unsigned const reject_every = reject_every_;
     bool const late = fault == backend_fault::rejects_late;
-    if (absent || misdirected || late || fault == backend_fault::rejects || exchange.header("Hold") == "mine")
+    bool const full =
+        late || fault == backend_fault::rejects || (reject_every > 0 && ++arrivals_ % reject_every == 0);
+    if (absent || misdirected || full || exchange.header("Hold") == "mine")
     {
         lock.unlock();
         std::this_thread::sleep_for(late ? late_rejection_delay : std::chrono::milliseconds{0});
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -55,6 +55,8 @@
     /// Writes another address, for example that of a relay, into the entry.
     void publish_address(std::string address);
     std::string address() const { return server_.address(); }
+    std::string const& name() const { return name_; }
+    std::string const& service() const { return service_; }
     void set_fault(backend_fault value) { fault_ = value; }
     /// Time that a request, or one event of a stream, takes.
     void set_work_time(std::chrono::milliseconds value) { work_ms_ = value.count(); }
@@ -63,6 +65,8 @@
     /// Makes each stream silent for this time after the event with this id. The silence ends early when the
     /// caller closes its connection.
     void set_pause(unsigned after_event, std::chrono::milliseconds value);
+    /// Rejects each request whose number of arrival is a multiple of this as full; zero rejects none.
+    void set_reject_every(unsigned count) { reject_every_ = count; }
     /// Bytes that follow the usual body of a plain answer.
     void set_padding(std::size_t bytes) { padding_ = bytes; }
 
@@ -106,6 +110,8 @@
     std::atomic<unsigned> pausing_{0};
     std::atomic<unsigned> cancelled_{0};
     std::atomic<std::size_t> padding_{0};
+    std::atomic<unsigned> reject_every_{0};
+    unsigned arrivals_ = 0;
     std::atomic<bool> exceeded_memory_{false};
     http_server server_;
 };
