Close a kept connection only after an answer that announces it

Cause: the end of each answer closed the connection while the instance was stopping, whatever its head had said. Not proved by a trace of the packets; it was seen once.

Change: the connection closes after an answer only if its head announced it; the next answer does. Idle connections are closed by the stop as before. The new test fails without the change (the connection ends without an answer) and passes with it.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -230,6 +230,11 @@
     send_whole(status, "", "");
 }
 
+bool caller_connection::announces_close() const
+{
+    return !keep_alive_ || server_->draining;
+}
+
 std::string caller_connection::status_line(int status, std::string_view header_lines) const
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
@@ -237,7 +242,7 @@
                            static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status)) +
                        "\r\n";
     text.append(header_lines);
-    text.append(keep_alive_ && !server_->draining ? "" : "Connection: close\r\n");
+    text.append(announces_close() ? "Connection: close\r\n" : "");
     return text;
 }
 
@@ -247,6 +252,7 @@
     {
         return;
     }
+    close_announced_ = announces_close();
     std::string text = status_line(status, header_lines);
     // The server's answer to HEAD has no body, so the length of the body that GET would get is unknown.
     if (status_has_body(status) && (!head_only_ || !body.empty()))
@@ -268,6 +274,7 @@
     {
         return;
     }
+    close_announced_ = announces_close();
     // A caller that speaks HTTP/1.0 does not know chunks.
     body_kind const framing = !status_has_body(status)            ? body_kind::none
                               : head_->getVersion() == "HTTP/1.1" ? body_kind::chunked
@@ -320,7 +327,7 @@
     head_only_ = false; // A refusal may follow for a request whose head is not known.
     phase_ = phase::head;
     idle_since_ = boot_now();
-    if (!keep_alive_ || server_->draining)
+    if (close_announced_)
     {
         close_after_write_ = true;
         received_.clear();
--- a/adapters/caller_connection_impl.hpp
+++ b/adapters/caller_connection_impl.hpp
@@ -71,6 +71,7 @@
     void after_answer();
     void start_timer(duration span);
     void on_timer();
+    bool announces_close() const;
     std::string status_line(int status, std::string_view header_lines) const;
 
     boost::asio::ip::tcp::socket socket_;
@@ -83,6 +84,9 @@
     std::string writing_;
     bool reading_ = false;
     bool processing_ = false;
+    /// The head of the current answer says that the connection closes after it. Without that the caller may
+    /// already have sent its next request.
+    bool close_announced_ = false;
     bool close_after_write_ = false;
     bool keep_alive_ = true;
     bool head_only_ = false;
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -74,6 +74,10 @@
         on_loop([&] { count = server_->connections(); });
         return count;
     }
+    void drain()
+    {
+        on_loop([&] { server_->drain(); });
+    }
     /// Runs a task on the thread of the event loop and waits for its end.
     void on_loop(std::function<void()> const& task)
     {
@@ -624,3 +628,31 @@
     cr_assert(caller.send(request("GET /1 HTTP/1.1", "Connection: closed\r\n") + request("GET /2 HTTP/1.1")));
     cr_assert(contains(caller.receive_until("body of /2"), "body of /2"));
 }
+
+// Guards against the loss of a request on a kept connection that closes without notice, because its last
+// answer had begun before the stop.
+Test(caller_server, connection_closes_only_after_an_answer_that_says_so)
+{
+    exchange_pointer held;
+    running_server server(
+        [&held](exchange_pointer const& exchange)
+        {
+            if (exchange->head().getURI() == "/stream")
+            {
+                hold_after_first_event(held)(exchange);
+                return;
+            }
+            answer_by_path(exchange);
+        });
+    raw_caller caller(server.address());
+    cr_assert(caller.send(request("GET /stream HTTP/1.1")));
+    caller.receive_until("data: 1\n\n");
+    server.drain();
+    server.on_loop([&held] { std::exchange(held, nullptr)->end(); });
+    caller.receive_until("0\r\n\r\n");
+    caller.forget_received();
+    cr_assert(caller.send(request("GET /next HTTP/1.1")));
+    cr_assert_eq(caller.receive_all(), connection_end::closed);
+    cr_assert(contains(caller.received(), "Connection: close\r\n"), "%s", caller.received().c_str());
+    cr_assert_eq(after_head(caller.received()), "body of /next");
+}
