--- a/tests/platform/silent_server_test.cpp
+++ b/tests/platform/silent_server_test.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <cstddef>
 #include <future>
 #include <optional>
 #include <string>
@@ -58,7 +59,7 @@
             caller.wait_for_close();
         }
     };
-    return std::vector<fault_server::script>(4 * requests_at_once, script);
+    return std::vector<fault_server::script>(std::size_t{4} * requests_at_once, script);
 }
 
 // Two servers of each service, of which one rejects everything without sending the body of the rejection.
