Keep the second server of a request when the first one answers with an error

What callers saw: a repeatable request at a slow server got that server's 500 although a second server, asked meanwhile, was about to answer.

Cause: any head of the first server ended the attempt at the second one; its run counted, so that no further attempt was allowed.

Change: only a usable answer or a rejection ends the search; one function says what is usable. The reason why a replacement was not sent (no time, no retry budget) is kept instead of a flag, so that the log and the counter are right.

--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -29,7 +29,7 @@
     std::optional<platform::answer_info> facts;
     std::string body; ///< Body of an answer that is forwarded as a whole.
     event_splitter events;
-    bool withdrawn = false; ///< Not sent, for a reason that says nothing about the server.
+    std::string withdrawn; ///< Why it was not sent, for a reason that says nothing about the server.
 };
 
 /// State of one request in the request service, from its arrival to its final answer.
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -211,7 +211,8 @@
         requests.submit(now, std::move(request));
     }
 
-    // Ends the wait for a server, and the attempt at another server beside the current one.
+    // Ends the wait for a server, and the attempt at another server beside the current one. That attempt ends
+    // as caller_gone, which tells the dispatcher nothing about its server.
     void stop_looking(open_exchange& open, std::string const& why)
     {
         if (open.awaited)
@@ -388,8 +389,16 @@
         attempt_result const result = sent ? attempt_result::silent : attempt_result::not_sent;
         bool const useful = next_attempt_step(facts_after(*open, result)) == attempt_step::send_again;
         bool const is_retry = sent || open->times_sent > 0;
-        open->replacement->withdrawn = !useful || (is_retry && !retries.try_take(boot_now(), open->service));
-        return !open->replacement->withdrawn;
+        if (!useful)
+        {
+            open->replacement->withdrawn = "no_time";
+        }
+        else if (is_retry && !retries.try_take(boot_now(), open->service))
+        {
+            metrics.add("siskin_retries_refused_total", "budget", 1);
+            open->replacement->withdrawn = "no_retry_budget";
+        }
+        return open->replacement->withdrawn.empty();
     }
 
     // Ends the current attempt, whose server makes no progress, and goes on with its replacement.
@@ -423,10 +432,9 @@
             on_end(open, end);
             return;
         }
-        if (attempt.withdrawn)
+        if (!attempt.withdrawn.empty())
         {
-            metrics.add("siskin_retries_refused_total", "budget", 1);
-            drop_replacement(open, attempt_result::caller_gone, "not_sent_again");
+            drop_replacement(open, attempt_result::caller_gone, attempt.withdrawn);
             return;
         }
         drop_replacement(open, result_of(end, attempt.facts), to_string(end));
@@ -526,24 +534,30 @@
         {
             return on_replacement_head(open, attempt);
         }
-        stop_looking(*open, "server_answers");
         if (facts.not_run)
         {
+            stop_looking(*open, "server_rejects");
             arm_progress_timer(open, rejection_body_time, &implementation::end_rejected_attempt);
         }
-        else
+        else if (is_usable(*open, facts))
         {
+            stop_looking(*open, "server_answers");
             watch_progress(open);
         }
         return true;
     }
 
+    // False for an answer after which another server may be tried.
+    static bool is_usable(open_exchange const& open, platform::answer_info const& facts)
+    {
+        return !facts.not_run && (open.route.streaming ? is_success(facts.status) : facts.status < 500);
+    }
+
     // Of two servers, the first one that begins a stream, or completes another answer, serves the request.
     bool on_replacement_head(open_pointer const& open, std::shared_ptr<server_attempt> const& attempt)
     {
         platform::answer_info const& facts = *attempt->facts;
-        bool const usable = open->route.streaming ? is_success(facts.status) : facts.status < 500;
-        if (usable && !facts.not_run)
+        if (is_usable(*open, facts))
         {
             if (open->route.streaming)
             {
@@ -592,7 +606,7 @@
         if (!open->route.streaming || !is_success(attempt.facts->status))
         {
             attempt.body.append(part);
-            if (!attempt.facts->not_run)
+            if (is_usable(*open, *attempt.facts))
             {
                 stop_looking(*open, "server_resumed");
                 watch_progress(open);
--- a/tests/platform/slow_server_test.cpp
+++ b/tests/platform/slow_server_test.cpp
@@ -314,3 +314,15 @@
     fleet.engine_2.write_entry("ready");
     expect_whole_stream(fleet.edge, "r0", stream.get());
 }
+
+// Guards against cancelling the second server of a request because the first one answers with an error.
+Test(slow_server, error_of_a_slow_server_leaves_the_other_one_at_work)
+{
+    small_fleet fleet;
+    fleet.plain_1.set_fault(backend_fault::server_error); // Of equal servers, the first one is chosen.
+    fleet.plain_1.set_work_time(milliseconds{800});
+    fleet.plain_2.set_work_time(milliseconds{700});
+    expect_plain_answer(fleet.edge, "r0", fleet.edge.call("GET", "/again/1", "r0"));
+    expect_one_run_each(fleet.plain_2, 1);
+    cr_expect(fleet.plain_1.runs()["r0"] == 1, "%s", log_of(fleet.edge, "r0").c_str());
+}
