Report every 400 in the soak again

The judge of the grown soak excused an answer 400 by faults of servers during the request; before, no fault excused one. The check is as strict as it was.

--- a/tests/edge_soak/answer_judge.cpp
+++ b/tests/edge_soak/answer_judge.cpp
@@ -95,6 +95,10 @@
     {
         report(record, "wrong body '" + answer.body + "'");
     }
+    if (answer.status == 400)
+    {
+        report(record, "a valid request was answered with 400");
+    }
     // 500 is the complete answer of a server with the fault server_error; judge_version checks 404.
     static std::set<int> const complete{200, 404, 500, 503};
     if (answer.sent && (!answer.whole || complete.count(answer.status) == 0) && !is_excused(record))
