--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -11,11 +11,26 @@
 namespace
 {
 
+// Callers choose the ids, so that their number and length in a line are limited.
+constexpr std::size_t max_logged_parts = 8;
+constexpr std::size_t max_logged_part_length = 40;
+
 std::string ms_text(duration value)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
 }
 
+std::string parts_text(std::vector<prompt_part> const& prompt)
+{
+    std::vector<std::string> const ids = shared_part_ids(prompt);
+    std::string text;
+    for (std::size_t i = 0; i < std::min(ids.size(), max_logged_parts); ++i)
+    {
+        text.append(i == 0 ? "" : ",").append(ids[i].substr(0, max_logged_part_length));
+    }
+    return text;
+}
+
 } // namespace
 
 char const* to_string(attempt_ender ender)
@@ -94,6 +109,7 @@
                  {"silent_ms", ms_text(now - std::max(attempt.begun_at, open.last_event_at))},
                  {"events", std::to_string(open.events_forwarded)},
                  {"left_ms", ms_text(open.deadline - now)},
+                 {"shared_parts", parts_text(open.request.prompt)},
                  {"next", next}}});
 }
 
--- a/domain/dispatch_request.hpp
+++ b/domain/dispatch_request.hpp
@@ -55,6 +55,10 @@
     duration waited{0};      ///< Since the request's arrival or its previous attempt.
 };
 
+/// Ids of the parts that other requests may share: all but the last one, which belongs to the request itself
+/// or to its session.
+std::vector<std::string> shared_part_ids(std::vector<prompt_part> const& prompt);
+
 inline bool operator==(prompt_part const& a, prompt_part const& b)
 {
     return a.id == b.id && a.tokens == b.tokens;
