--- a/tests/adapters/tcp_relay.hpp
+++ b/tests/adapters/tcp_relay.hpp
@@ -22,7 +22,7 @@
 {
 public:
     explicit tcp_relay(std::uint16_t target)
-        : target_(target), listener_(Poco::Net::SocketAddress("127.0.0.1", 0)), thread_([this] { accept(); })
+        : target_(target), port_(reserve_port()), listener_(listen_at(port_)), thread_([this] { accept(); })
     {
     }
     ~tcp_relay()
@@ -37,7 +37,7 @@
     tcp_relay(tcp_relay const&) = delete;
     tcp_relay& operator=(tcp_relay const&) = delete;
 
-    std::string address() const { return listener_.address().toString(); }
+    std::string address() const { return port_.address().toString(); }
 
     /// All bytes from the opener of connection `index`.
     std::string sent(std::size_t index)
@@ -54,6 +54,18 @@
     void silence() { silent_below_ = connections(); }
     /// Resets the connections that exist now.
     void reset() { reset_below_ = connections(); }
+    /// Resets the connections that exist now and refuses new ones until accept_again is called, as a machine
+    /// does whose server process has ended.
+    void refuse()
+    {
+        refusing_ = true;
+        while (listening_)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+        reset();
+    }
+    void accept_again() { refusing_ = false; }
     /// Holds back each piece of data for this long, in both directions; zero ends it.
     void delay(std::chrono::milliseconds span) { delay_ = span; }
     /// Drops all that the openers send, or all that is sent to them, until heal is called. A connection that
@@ -67,10 +79,47 @@
     }
 
 private:
+    // Binds a socket that does not listen, so that the port stays reserved while connections are refused.
+    static Poco::Net::ServerSocket reserve_port()
+    {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true, false);
+        return socket;
+    }
+
+    static Poco::Net::ServerSocket listen_at(Poco::Net::ServerSocket const& port)
+    {
+        Poco::Net::ServerSocket socket;
+        socket.bind(port.address(), true, false);
+        socket.listen();
+        return socket;
+    }
+
+    // True when the listener accepts connections.
+    bool keep_listening()
+    {
+        if (refusing_ && listening_)
+        {
+            listener_.close();
+            listening_ = false;
+        }
+        else if (!refusing_ && !listening_)
+        {
+            listener_ = listen_at(port_);
+            listening_ = true;
+        }
+        return listening_;
+    }
+
     void accept()
     {
         while (!stopping_)
         {
+            if (!keep_listening())
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
+                continue;
+            }
             if (!listener_.poll(Poco::Timespan(0, 10000), Poco::Net::Socket::SELECT_READ))
             {
                 continue;
@@ -173,7 +222,10 @@
     }
 
     std::uint16_t const target_;
+    Poco::Net::ServerSocket const port_;
     Poco::Net::ServerSocket listener_;
+    std::atomic<bool> refusing_{false};
+    std::atomic<bool> listening_{true};
     std::mutex mutex_;
     std::vector<std::string> sent_;
     std::atomic<std::size_t> silent_below_{0};
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -44,8 +44,8 @@
 {
     std::unique_lock<std::mutex> lock(mutex_);
     std::string const address = published_address_.empty() ? server_.address() : published_address_;
-    json entry{{"service", service_}, {"address", address}, {"zone", "here"}, {"version", "v1"},
-               {"slots", 8},          {"state", state},     {"born", 1}};
+    json entry{{"service", service_}, {"address", address}, {"zone", "here"},     {"version", "v1"},
+               {"slots", 8},          {"state", state},     {"born", started_at_}};
     if (engine_)
     {
         entry["models"] = model_list();
@@ -63,6 +63,20 @@
     write_entry();
 }
 
+void backend_standin::set_crash_part(std::string part, std::function<void()> on_crash)
+{
+    crash_part_ = std::move(part);
+    on_crash_ = std::move(on_crash);
+}
+
+void backend_standin::start_again()
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    ++started_at_;
+    lock.unlock();
+    write_entry();
+}
+
 void backend_standin::set_pause(unsigned after_event, std::chrono::milliseconds value)
 {
     pause_ms_ = value.count();
@@ -142,6 +156,13 @@
     }
     ++runs_[id];
     lock.unlock();
+    if (!crash_part_.empty() && exchange.header("Prompt-Prefix").find(crash_part_ + ":") != std::string::npos)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{work_ms_});
+        on_crash_();
+        exchange.abort();
+        return;
+    }
     if (fault == backend_fault::slow_body)
     {
         exchange.set_header("Server-Stamp", name_ + "." + id);
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -67,6 +68,10 @@
     void set_pause(unsigned after_event, std::chrono::milliseconds value);
     /// Rejects each request whose number of arrival is a multiple of this as full; zero rejects none.
     void set_reject_every(unsigned count) { reject_every_ = count; }
+    /// Calls `on_crash` instead of an answer to each request with this part in its prompt.
+    void set_crash_part(std::string part, std::function<void()> on_crash);
+    /// Writes the entry of a new start under the same name.
+    void start_again();
     /// Bytes that follow the usual body of a plain answer.
     void set_padding(std::size_t bytes) { padding_ = bytes; }
 
@@ -95,7 +100,10 @@
     std::string const name_;
     std::string const service_;
     bool const engine_;
+    std::string crash_part_; ///< Empty for none.
+    std::function<void()> on_crash_;
     std::mutex mutex_;
+    std::int64_t started_at_ = 1;
     std::string published_address_; ///< Empty when the entry has the server's own address.
     std::set<std::string> models_;
     std::map<std::string, unsigned> runs_;
