Add a ledger of the prompt parts that ran when engines crashed

Decision code only, without I/O: marks of a part and a crash, the parts they block, and what an answer clears.

--- /dev/null
+++ b/decision/crash_ledger.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "core/steady_time.hpp"
+#include "domain/part_crash.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskinusher
+{
+
+/// Why requests with a part are refused, and for how long.
+struct part_block
+{
+    std::string part;
+    unsigned crashes = 0;  ///< Crashes that no other part explains better.
+    duration age{0};       ///< Since the latest of them became known here.
+    duration remaining{0}; ///< Until requests with the part are tried again.
+};
+
+/// A part that has become blocked, or is blocked no longer.
+struct part_block_change
+{
+    std::string part;
+    bool blocked = false;
+    unsigned crashes = 0;
+};
+
+/// A part that may have caused a crash.
+struct crash_suspect
+{
+    part_crash crash;
+    bool answered_before = false; ///< Requests with the part were answered at this instance.
+};
+
+/// Finds the prompt parts that crash each engine that begins to answer a request with them.
+///
+/// All instances hold the same marks, each a part and a crash, and derive the same blocked parts from them. A
+/// part is blocked when enough crashes are explained by no other part; the part with most crashes explains
+/// them first, so that parts of other requests on the same engines are not blocked. A complete answer clears
+/// the marks of its parts. It is designed for a few such parts at a time among many sound ones, and for
+/// engines that crash for other reasons meanwhile.
+class crash_ledger
+{
+public:
+    crash_ledger();
+    ~crash_ledger();
+    crash_ledger(crash_ledger const&) = delete;
+    crash_ledger& operator=(crash_ledger const&) = delete;
+
+    /// A request with these parts was answered. Returns the marks that this disproves, which are dropped.
+    std::vector<part_crash> on_answered(steady_time now, std::vector<std::string> const& parts);
+    /// The parts that may have caused the crash of an engine which ran a request with these parts: those that
+    /// were never answered here, otherwise the one whose latest answer is the oldest.
+    std::vector<crash_suspect> suspects(std::vector<std::string> const& parts, backend_name const& engine,
+                                        std::int64_t engine_started_at) const;
+    /// True when a request with the part was answered here after `since`.
+    bool answered_after(std::string const& part, steady_time since) const;
+
+    /// Adds a mark that this instance found. False when nothing changes: the mark is known, or there are
+    /// enough of its part.
+    bool add_own(steady_time now, part_crash const& crash);
+    /// The store has the mark; from now on the other instances will report it.
+    void on_saved(steady_time now, std::string const& id);
+    /// Adds a mark that was read from the store.
+    void add(steady_time now, part_crash const& crash);
+    /// Drops a mark that the store no longer has.
+    void remove(std::string const& id);
+    /// Replaces all marks by those of another instance, except recent changes that it may not know yet.
+    void replace(steady_time now, std::vector<part_crash> const& crashes);
+    /// Drops the marks that are too old. Returns them, for removal from the store. To be called on the lease
+    /// holder only: the other instances take over its marks.
+    std::vector<part_crash> expire(steady_time now);
+
+    /// The block that applies to a request with these parts; none when it may be sent.
+    std::optional<part_block> find_block(steady_time now, std::vector<std::string> const& parts) const;
+    /// Changes since the last call, for the log.
+    std::vector<part_block_change> take_changes(steady_time now);
+
+    std::vector<part_crash> crashes() const;
+    /// Equal for instances with the same marks.
+    std::uint64_t digest() const;
+    std::size_t blocked_parts(steady_time now) const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+bool operator==(crash_suspect const& a, crash_suspect const& b);
+
+} // namespace siskinusher
