Refuse requests with a prompt part that crashes engines, at all instances

Cause: an instance treated a lost attempt as a fault of the server alone, and nothing remembered what the engine had begun to answer; so each new request with the part, at any instance, ended another engine.

An instance that loses an attempt without an answer checks whether the engine's address refuses connections. If so, it marks the parts of the prompt that were never answered, or least recently, in the store (kind siskin-part-crashes, one object for each part and crash, so that instances need no agreement to write). The lease holder watches them and sends them to the instances that have others; without a holder an instance reads them itself. An answer removes the marks of its parts. A request with a blocked part is refused at once as not run; Retry-After is the time until the part is tried again.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -210,6 +210,26 @@
     return update;
 }
 
+std::optional<std::vector<part_crash>> decode_part_crashes(std::string const& bytes)
+{
+    auto const value = field_codec::parse_cbor(bytes);
+    if (!value.has_value() || !value.value().is_array())
+    {
+        return std::nullopt;
+    }
+    std::vector<part_crash> crashes;
+    for (json const& row : value.value())
+    {
+        if (!is_row(row, 2, 2))
+        {
+            return std::nullopt;
+        }
+        crashes.push_back({row[0].get<std::string>(), row[2].get<unsigned>(), row[1].get<std::string>(),
+                           row[3].get<std::int64_t>()});
+    }
+    return crashes;
+}
+
 } // namespace
 
 std::string encode_demand(demand_report const& report)
@@ -221,17 +241,18 @@
                         each.arrivals});
     }
     json const who = json::array({report.instance, report.peer_address});
-    return to_bytes(json::array({who, report.unreachable, rows, encode_running(report.running),
-                                 report.sent_early, encode_position(report.servers_position)}));
+    return to_bytes(
+        json::array({who, report.unreachable, rows, encode_running(report.running), report.sent_early,
+                     encode_position(report.servers_position), report.part_crashes_digest}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 6);
+    auto const value = list_of(bytes, 7);
     auto running = value ? decode_running((*value)[3]) : std::nullopt;
     auto position = value ? decode_position((*value)[5]) : std::nullopt;
     if (!position || !running || !(*value)[4].is_boolean() || !is_row((*value)[0], 2, 0) ||
-        !is_text_list((*value)[1]) || !(*value)[2].is_array())
+        !is_text_list((*value)[1]) || !(*value)[2].is_array() || !(*value)[6].is_number_unsigned())
     {
         return std::nullopt;
     }
@@ -242,6 +263,7 @@
     report.running = std::move(*running);
     report.sent_early = (*value)[4].get<bool>();
     report.servers_position = std::move(*position);
+    report.part_crashes_digest = (*value)[6].get<std::uint64_t>();
     for (json const& row : (*value)[2])
     {
         if (!is_row(row, 3, 4))
@@ -277,16 +299,28 @@
         {encode_position(update.position), update.complete, update.store_revision, servers, update.removed}));
 }
 
+std::string encode_part_crashes(std::vector<part_crash> const& crashes)
+{
+    json rows = json::array();
+    for (part_crash const& each : crashes)
+    {
+        rows.push_back(
+            {each.part, each.engine, each.position, static_cast<std::uint64_t>(each.engine_started_at)});
+    }
+    return to_bytes(rows);
+}
+
 std::string encode_reply(std::string const& placement, std::string const& update,
-                         std::uint64_t config_revision, duration age)
+                         std::string const& part_crashes, std::uint64_t config_revision, duration age)
 {
     auto const age_us = static_cast<std::uint64_t>(std::max<duration>(age, duration{0}).count());
-    return to_bytes(json::array({binary_of(placement), binary_of(update), config_revision, age_us}));
+    return to_bytes(json::array({binary_of(placement), binary_of(update), config_revision, age_us,
+                                 part_crashes.empty() ? json() : binary_of(part_crashes)}));
 }
 
 std::optional<holder_reply> decode_reply(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 4);
+    auto const value = list_of(bytes, 5);
     if (!value || !(*value)[0].is_binary() || !(*value)[1].is_binary() || !(*value)[2].is_number_unsigned() ||
         !(*value)[3].is_number_unsigned())
     {
@@ -294,12 +328,14 @@
     }
     auto placement = decode_placement_update(bytes_of((*value)[0]));
     auto servers = decode_update(bytes_of((*value)[1]));
-    if (!placement || !servers)
+    json const& crashes = (*value)[4];
+    auto part_crashes = crashes.is_binary() ? decode_part_crashes(bytes_of(crashes)) : std::nullopt;
+    if (!placement || !servers || part_crashes.has_value() == crashes.is_null())
     {
         return std::nullopt;
     }
     return holder_reply{std::move(*placement), std::move(*servers), (*value)[2].get<std::uint64_t>(),
-                        duration{(*value)[3].get<duration::rep>()}};
+                        duration{(*value)[3].get<duration::rep>()}, std::move(part_crashes)};
 }
 
 } // namespace siskinusher
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace siskinusher
 {
@@ -16,9 +17,10 @@
 /// The parts of a reply, which many instances get within the same moment and which are encoded once for them.
 std::string encode_placement_update(placement_update const& placement);
 std::string encode_update(backend_update const& update);
-/// Joins the encoded parts of a reply.
+std::string encode_part_crashes(std::vector<part_crash> const& crashes);
+/// Joins the encoded parts of a reply. `part_crashes` is empty when the instance has the holder's marks.
 std::string encode_reply(std::string const& placement, std::string const& update,
-                         std::uint64_t config_revision, duration age);
+                         std::string const& part_crashes, std::uint64_t config_revision, duration age);
 std::optional<holder_reply> decode_reply(std::string const& bytes);
 
 /// Path of the call that carries a demand report to the lease holder.
--- /dev/null
+++ b/apps/crash_reporter.cpp
@@ -0,0 +1,325 @@
+#include "apps/crash_reporter.hpp"
+
+#include "adapters/boot_clock.hpp"
+#include "adapters/outbound_pool.hpp"
+#include "adapters/ports.hpp"
+#include "platform/metadata_store.hpp"
+#include "platform/part_crash_codec.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// After a connection was lost, the process may take this long to close its listening socket as well. The
+// losses at one engine within this time are checked together.
+constexpr duration check_delay = milliseconds{20};
+// Allows for a lost first packet between regions.
+constexpr duration check_time_limit = milliseconds{700};
+// A part that was answered before is reported only if it is not answered again within this time, so that each
+// crash does not make the parts suspect that many requests share.
+constexpr duration answered_part_delay = milliseconds{1000};
+constexpr duration tick_interval = milliseconds{100};
+// Store calls of one tick, so that many crashes do not use up the rate of the store's writes.
+constexpr std::size_t calls_per_tick = 8;
+constexpr std::size_t max_prompts_of_check = 64;
+
+std::string ms_text(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count());
+}
+
+} // namespace
+
+class crash_reporter::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(boost::asio::io_context& loop_in, outbound_pool& pool_in,
+                   platform::metadata_store& store_in, crash_ledger& ledger_in, log_port& log_in,
+                   metric_port& metrics_in, std::function<bool()> holds_lease_in)
+        : loop(loop_in), pool(pool_in), store(store_in), ledger(ledger_in), log(log_in), metrics(metrics_in),
+          holds_lease(std::move(holds_lease_in)), timer(loop_in)
+    {
+    }
+
+    void tick()
+    {
+        steady_time const now = boot_now();
+        report_delayed(now);
+        if (holds_lease())
+        {
+            for (part_crash const& each : ledger.expire(now))
+            {
+                unsaved.erase(id_of(each));
+                removals[id_of(each)] = each;
+            }
+        }
+        log_changes(now);
+        save();
+        remove();
+        timer.expires_after(tick_interval);
+        timer.async_wait(
+            [weak = weak_from_this()](boost::system::error_code error)
+            {
+                auto const self = weak.lock();
+                if (!error && self)
+                {
+                    self->tick();
+                }
+            });
+    }
+
+    void on_lost(backend_entry const& engine, std::vector<std::string> parts)
+    {
+        std::string const key = engine.name + "/" + std::to_string(engine.started_at);
+        auto& prompts = checks[key];
+        bool const first = prompts.empty();
+        if (prompts.size() < max_prompts_of_check)
+        {
+            prompts.push_back(std::move(parts));
+        }
+        if (!first)
+        {
+            return;
+        }
+        auto const delay = std::make_shared<boost::asio::steady_timer>(loop);
+        delay->expires_after(check_delay);
+        delay->async_wait(
+            [weak = weak_from_this(), delay, engine, key](boost::system::error_code error)
+            {
+                auto const self = weak.lock();
+                if (!error && self)
+                {
+                    self->check(engine, key);
+                }
+            });
+    }
+
+    // Opens a connection on which nothing is sent: only a refused one shows that the process has ended.
+    void check(backend_entry const& engine, std::string const& key)
+    {
+        outbound_request request;
+        request.address = engine.address;
+        request.connect_limit = check_time_limit;
+        request.time_limit = check_time_limit;
+        request.fresh_connection = true;
+        exchange_handlers handlers;
+        handlers.may_send = [] { return false; };
+        handlers.on_end = [weak = weak_from_this(), engine, key](exchange_end end)
+        {
+            if (auto const self = weak.lock())
+            {
+                self->on_checked(engine, key, end == exchange_end::refused);
+            }
+        };
+        (void)pool.start(std::move(request), std::move(handlers));
+    }
+
+    void on_checked(backend_entry const& engine, std::string const& key, bool crashed)
+    {
+        std::vector<std::vector<std::string>> const prompts = std::exchange(checks[key], {});
+        checks.erase(key);
+        metrics.add("siskin_engine_checks_total", crashed ? "crashed" : "alive", 1);
+        steady_time const now = boot_now();
+        std::string suspected;
+        for (std::vector<std::string> const& parts : prompts)
+        {
+            if (!crashed)
+            {
+                continue;
+            }
+            for (crash_suspect const& each : ledger.suspects(parts, engine.name, engine.started_at))
+            {
+                suspected.append(suspected.empty() ? "" : ",").append(each.crash.part);
+                if (each.answered_before)
+                {
+                    delayed.emplace_back(now, each.crash);
+                }
+                else
+                {
+                    report(now, each.crash);
+                }
+            }
+        }
+        log.write({"engine_check",
+                   {{"backend", engine.name},
+                    {"outcome", crashed ? "crashed" : "alive"},
+                    {"lost_requests", std::to_string(prompts.size())},
+                    {"suspected_parts", suspected}}});
+        log_changes(now);
+    }
+
+    void report_delayed(steady_time now)
+    {
+        while (!delayed.empty() && now - delayed.front().first >= answered_part_delay)
+        {
+            auto const [since, crash] = delayed.front();
+            delayed.erase(delayed.begin());
+            if (!ledger.answered_after(crash.part, since))
+            {
+                report(now, crash);
+            }
+        }
+    }
+
+    void report(steady_time now, part_crash const& crash)
+    {
+        if (ledger.add_own(now, crash))
+        {
+            unsaved[id_of(crash)] = crash;
+            save();
+        }
+    }
+
+    void save()
+    {
+        for (auto const& [id, crash] : unsaved)
+        {
+            if (calls_in_progress.size() >= calls_per_tick)
+            {
+                return;
+            }
+            if (!calls_in_progress.insert(id).second)
+            {
+                continue;
+            }
+            store.put(
+                platform::part_crash_kind, id, 0, platform::encode_part_crash(crash),
+                [weak = weak_from_this(), id = id](platform::store_answer<platform::store_object> answer)
+                {
+                    if (auto const self = weak.lock())
+                    {
+                        auto const* const failure = std::get_if<platform::store_failure>(&answer);
+                        self->on_saved(id,
+                                       failure == nullptr || *failure == platform::store_failure::conflict);
+                    }
+                });
+        }
+    }
+
+    // A mark that exists already was found by another instance, which ran a request with the part there too.
+    void on_saved(std::string const& id, bool saved)
+    {
+        calls_in_progress.erase(id);
+        if (saved)
+        {
+            unsaved.erase(id);
+            ledger.on_saved(boot_now(), id);
+        }
+    }
+
+    void remove()
+    {
+        for (auto const& [id, crash] : removals)
+        {
+            if (calls_in_progress.size() >= calls_per_tick)
+            {
+                return;
+            }
+            if (!calls_in_progress.insert(id).second)
+            {
+                continue;
+            }
+            store.remove(platform::part_crash_kind, id,
+                         [weak = weak_from_this(), id = id](std::optional<platform::store_failure> failure)
+                         {
+                             auto const self = weak.lock();
+                             if (!self)
+                             {
+                                 return;
+                             }
+                             self->calls_in_progress.erase(id);
+                             if (!failure)
+                             {
+                                 self->removals.erase(id);
+                             }
+                         });
+        }
+    }
+
+    void on_answered(std::vector<std::string> const& parts)
+    {
+        for (part_crash const& each : ledger.on_answered(boot_now(), parts))
+        {
+            unsaved.erase(id_of(each));
+            removals[id_of(each)] = each;
+            log.write({"part_cleared", {{"part", each.part}, {"backend", each.engine}}});
+        }
+    }
+
+    void log_changes(steady_time now)
+    {
+        for (part_block_change const& each : ledger.take_changes(now))
+        {
+            metrics.add("siskin_part_blocks_total", each.blocked ? "blocked" : "ended", 1);
+            auto const block = ledger.find_block(now, {each.part});
+            log.write({each.blocked ? "part_blocked" : "part_block_ended",
+                       {{"part", each.part},
+                        {"crashes", std::to_string(each.crashes)},
+                        {"age_ms", block ? ms_text(block->age) : ""},
+                        {"for_ms", block ? ms_text(block->remaining) : ""}}});
+        }
+    }
+
+    boost::asio::io_context& loop;
+    outbound_pool& pool;
+    platform::metadata_store& store;
+    crash_ledger& ledger;
+    log_port& log;
+    metric_port& metrics;
+    std::function<bool()> const holds_lease;
+    boost::asio::steady_timer timer;
+    // Parts of the requests that were lost at an engine which is being checked, by engine and start.
+    std::map<std::string, std::vector<std::vector<std::string>>> checks;
+    std::vector<std::pair<steady_time, part_crash>> delayed; ///< In the order of their times.
+    // By id. They are kept until the store has confirmed the call.
+    std::map<std::string, part_crash> unsaved;
+    std::map<std::string, part_crash> removals;
+    std::set<std::string> calls_in_progress;
+};
+
+crash_reporter::crash_reporter(boost::asio::io_context& loop, outbound_pool& pool,
+                               platform::metadata_store& store, crash_ledger& ledger, log_port& log,
+                               metric_port& metrics, std::function<bool()> holds_lease)
+    : impl_(std::make_shared<implementation>(loop, pool, store, ledger, log, metrics, std::move(holds_lease)))
+{
+}
+
+crash_reporter::~crash_reporter() = default;
+
+void crash_reporter::start()
+{
+    impl_->tick();
+}
+
+void crash_reporter::on_lost(backend_entry const& engine, std::vector<prompt_part> const& prompt)
+{
+    std::vector<std::string> parts = part_names(prompt);
+    if (!parts.empty())
+    {
+        impl_->on_lost(engine, std::move(parts));
+    }
+}
+
+void crash_reporter::on_answered(std::vector<prompt_part> const& prompt)
+{
+    impl_->on_answered(part_names(prompt));
+}
+
+std::optional<part_block> crash_reporter::find_block(std::vector<prompt_part> const& prompt) const
+{
+    return prompt.empty() ? std::nullopt : impl_->ledger.find_block(boot_now(), part_names(prompt));
+}
+
+} // namespace siskinusher
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -6,6 +6,7 @@
 #include "adapters/metrics_registry.hpp"
 #include "adapters/outbound_pool.hpp"
 #include "adapters/ports.hpp"
+#include "apps/crash_reporter.hpp"
 #include "apps/placement_service.hpp"
 #include "apps/request_service.hpp"
 #include "apps/state_follower.hpp"
@@ -118,8 +119,9 @@
           pool(loop), store(settings.store_address, pool, metrics, log),
           requests({settings.data_centre, settings.region_of}),
           retries(limits_of(settings, assumed_instances)),
-          service(loop, pool, requests, retries, log, metrics, metrics, random_number()),
-          state(loop, store, log, metrics, follower_settings(settings), make_state_handlers()),
+          crash_reports(loop, pool, store, crashes, log, metrics, [this] { return placement.holds_lease(); }),
+          service(loop, pool, requests, retries, crash_reports, log, metrics, metrics, random_number()),
+          state(loop, store, log, metrics, crashes, follower_settings(settings), make_state_handlers()),
           placement(
               loop, pool, store, log, metrics, placement_settings(settings), state,
               [this]
@@ -130,7 +132,8 @@
                                        requests.unreachable(boot_now()),
                                        requests.running_at_engines(),
                                        false,
-                                       {}};
+                                       {},
+                                       0};
               },
               [this](placement_update const& placement) { on_placement_update(placement); }),
           callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
@@ -172,7 +175,9 @@
         metrics.set_gauge("siskin_holds_lease", [this] { return placement.holds_lease() ? 1U : 0U; });
         metrics.set_gauge("siskin_open_requests", [this] { return service.open_requests(); });
         metrics.set_gauge("siskin_backends", [this] { return requests.backends(); });
+        metrics.set_gauge("siskin_blocked_parts", [this] { return crashes.blocked_parts(boot_now()); });
         state.start();
+        crash_reports.start();
         placement.start();
         log.write({"start",
                    {{"instance", settings.name},
@@ -328,6 +333,8 @@
     platform::metadata_store store;
     dispatcher requests;
     service_retry_budget retries;
+    crash_ledger crashes;
+    crash_reporter crash_reports;
     request_service service;
     state_follower state;
     placement_service placement;
--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -29,6 +29,8 @@
     std::optional<platform::answer_info> facts;
     std::string body; ///< Body of an answer that is forwarded as a whole.
     event_splitter events;
+    steady_time first_event_at; ///< Zero until an event has arrived.
+    bool counted_as_answered = false;
     std::string withdrawn; ///< Why it was not sent, for a reason that says nothing about the server.
 };
 
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -200,6 +200,7 @@
     {
         demand_report own = demand();
         own.servers_position = state.position();
+        own.part_crashes_digest = state.crashes_digest();
         own.sent_early = now < next_full_report;
         next_full_report = own.sent_early ? next_full_report : now + report_interval;
         bool const waits = std::any_of(own.models.begin(), own.models.end(),
@@ -289,7 +290,9 @@
         {
             update = encode_update(state.servers_since(known));
         }
-        return encode_reply(placement, update, state.config_revision(), now - lease.confirmed_at());
+        auto const crashes = state.crashes_since(report.part_crashes_digest);
+        return encode_reply(placement, update, crashes ? encode_part_crashes(*crashes) : std::string(),
+                            state.config_revision(), now - lease.confirmed_at());
     }
 
     void plan(steady_time now)
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -80,6 +80,17 @@
                  {"retry_after_ms", ms_text(step.answer.retry_after)}}});
 }
 
+void request_log::part_blocked(open_exchange const& open, part_block const& block)
+{
+    log_.write({"blocked",
+                {{"request", open.request.request_id},
+                 {"part", block.part},
+                 {"crashes", std::to_string(block.crashes)},
+                 {"age_ms", ms_text(block.age)},
+                 {"retry_after_ms", ms_text(block.remaining)},
+                 {"execution", open.may_have_run ? "may_have_run" : "not_run"}}});
+}
+
 void request_log::attempt_started(open_exchange const& open, assign_request const& step)
 {
     log_.write({"attempt",
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apps/open_exchange_impl.hpp"
+#include "decision/crash_ledger.hpp"
 #include "decision/dispatcher.hpp"
 
 #include <cstddef>
@@ -35,6 +36,8 @@
     void refused_unrouted(open_exchange const& open, int status, std::string const& reason,
                           std::uint64_t config_version);
     void no_server(open_exchange const& open, reject_request const& step, std::size_t known_servers);
+    /// A request that is not sent because a part of its prompt crashes engines.
+    void part_blocked(open_exchange const& open, part_block const& block);
     void attempt_started(open_exchange const& open, assign_request const& step);
     /// `next` names what follows, for example "send_again" or "end".
     void attempt_ended(open_exchange const& open, server_attempt const& attempt, std::string const& why,
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -35,11 +35,18 @@
 constexpr duration failed_retry_after = milliseconds{500};
 // Short, because another instance can take the request at once.
 constexpr duration stopping_retry_after = milliseconds{50};
+// The server may end a stream that has no length by closing the connection, also when it crashes.
+constexpr char const* broken_event = "stream_ends_in_event";
+constexpr char const* blocked_reason = "crashing_part";
 // Requests that wait when the stop begins may still be assigned to a server within this time.
 constexpr duration stopping_wait_limit = seconds{1};
 // New streams are accepted for this long after the stop signal: until then new callers still arrive, and most
 // streams end within the rest of the stop time.
 constexpr duration stopping_stream_accept_time = milliseconds{2800};
+// An engine that crashes on a request does so when it begins to answer. A stream that has gone on for longer
+// than the first time is not suspected; after the second one its request counts as answered.
+constexpr duration crash_onset_time = milliseconds{250};
+constexpr duration sound_answer_time = milliseconds{1000};
 
 std::chrono::microseconds span_until(steady_time when)
 {
@@ -103,9 +110,9 @@
     using open_pointer = std::shared_ptr<open_exchange>;
 
     implementation(boost::asio::io_context& loop_in, outbound_pool& pool_in, dispatcher& requests_in,
-                   service_retry_budget& retries_in, log_port& log_in, metric_port& metrics_in,
-                   latency_port& latencies_in, std::uint64_t seed)
-        : loop(loop_in), pool(pool_in), requests(requests_in), retries(retries_in),
+                   service_retry_budget& retries_in, crash_reporter& crashes_in, log_port& log_in,
+                   metric_port& metrics_in, latency_port& latencies_in, std::uint64_t seed)
+        : loop(loop_in), pool(pool_in), requests(requests_in), retries(retries_in), crashes(crashes_in),
           log(log_in, metrics_in, latencies_in), metrics(metrics_in), random(seed), dispatch_timer(loop_in)
     {
     }
@@ -146,11 +153,39 @@
         exchanges[open->number] = open;
         retries.on_request(boot_now(), open->service);
         open->caller->on_gone([self = shared_from_this(), number = open->number] { self->on_gone(number); });
+        if (refuse_blocked(open))
+        {
+            return;
+        }
         arm_deadline(open);
         submit(open);
         run_dispatcher();
     }
 
+    // Ends a request with a part that crashes engines. Returns false when it has none.
+    bool refuse_blocked(open_pointer const& open)
+    {
+        auto const block = crashes.find_block(open->request.prompt);
+        if (!block)
+        {
+            return false;
+        }
+        log.part_blocked(*open, *block);
+        if (open->failed_facts && !open->answer_started)
+        {
+            forward_server_failure(*open);
+        }
+        else if (open->may_have_run || open->answer_started)
+        {
+            give_up(*open, blocked_reason);
+        }
+        else
+        {
+            refuse(*open, block->remaining, blocked_reason);
+        }
+        return true;
+    }
+
     void refuse_unrouted(open_exchange& open, int status, char const* reason)
     {
         std::string const lines =
@@ -232,6 +267,10 @@
     void end_replacement(open_exchange& open, attempt_result result, std::string const& why)
     {
         std::shared_ptr<server_attempt> const ended = std::exchange(open.replacement, nullptr);
+        if (result == attempt_result::connection_lost)
+        {
+            report_loss(open, *ended);
+        }
         bool const sent = ended->exchange->sent();
         report_end(*ended, result);
         // A rejection does not count as sent: the wait for the next search bounds how often this happens.
@@ -303,11 +342,17 @@
     void carry_out(assign_request const& step)
     {
         open_pointer const open = take_waiting(step.number);
-        if (!open)
+        // A running attempt goes on, but no further server gets a request that crashes engines.
+        bool const keeps_server = open && open->is_running() && crashes.find_block(open->request.prompt);
+        if (!open || keeps_server || refuse_blocked(open))
         {
             requests.on_attempt_end(
                 boot_now(),
                 {step.number, step.target.backend, attempt_result::caller_gone, false, false, {}});
+            if (keeps_server)
+            {
+                log.server_silent(*open, "keep", blocked_reason);
+            }
             return;
         }
         start_attempt(open, step);
@@ -641,11 +686,17 @@
     // Reports the first event of a stream, and long pauses after it, to the dispatcher.
     void report_stream_progress(open_exchange& open, steady_time now)
     {
-        if (open.last_event_at <= open.current->begun_at)
+        server_attempt& attempt = *open.current;
+        if (open.last_event_at <= attempt.begun_at)
         {
-            requests.on_first_event(open.current->number);
+            attempt.first_event_at = now;
+            requests.on_first_event(attempt.number);
             return;
         }
+        if (!attempt.counted_as_answered && now - attempt.first_event_at >= sound_answer_time)
+        {
+            count_as_answered(open, attempt);
+        }
         duration const pause = now - open.last_event_at;
         open.longest_pause = std::max(open.longest_pause, pause);
         if (open.route.max_event_gap > duration{0})
@@ -658,6 +709,12 @@
         }
     }
 
+    void count_as_answered(open_exchange const& open, server_attempt& attempt)
+    {
+        attempt.counted_as_answered = true;
+        crashes.on_answered(open.request.prompt);
+    }
+
     // Returns false when the event does not follow the last one.
     bool forward_event(open_pointer const& open, stream_event const& event)
     {
@@ -710,10 +767,14 @@
         {
             if (open->current->events.in_event())
             {
-                end_attempt(open, attempt_result::bad_answer, "stream_ends_in_event");
+                end_attempt(open, attempt_result::bad_answer, broken_event);
                 return;
             }
             report_end(*open->current, attempt_result::answered);
+            if (facts.has_end && open->current->first_event_at != steady_time{})
+            {
+                count_as_answered(*open, *open->current);
+            }
             if (!open->answer_started)
             {
                 open->caller->begin(facts.status, facts.header_lines);
@@ -730,6 +791,10 @@
             return;
         }
         report_end(*open->current, attempt_result::answered);
+        if (facts.has_end && is_success(facts.status))
+        {
+            count_as_answered(*open, *open->current);
+        }
         open->caller->answer(facts.status, facts.header_lines, open->current->body);
         close(*open, "served", facts.status);
     }
@@ -743,6 +808,18 @@
                                              absent, boot_now() - attempt.begun_at});
     }
 
+    // Reports an attempt whose server ended the connection, if the server may have crashed on the request.
+    void report_loss(open_exchange const& open, server_attempt const& attempt)
+    {
+        backend_entry const* const server = requests.find_backend(attempt.target.backend);
+        bool const begun_earlier = attempt.first_event_at != steady_time{} &&
+                                   boot_now() - attempt.first_event_at >= crash_onset_time;
+        if (server != nullptr && server->is_engine && !server->leaving && !begun_earlier)
+        {
+            crashes.on_lost(*server, open.request.prompt);
+        }
+    }
+
     // What is known about the request if its current attempt ends with `result`.
     attempt_facts facts_after(open_exchange const& open, attempt_result result) const
     {
@@ -775,6 +852,10 @@
         {
             return;
         }
+        if (result == attempt_result::connection_lost || why == broken_event)
+        {
+            report_loss(*open, *open->current);
+        }
         attempt_step step = next_attempt_step(facts_after(*open, result));
         report_end(*open->current, result, result == attempt_result::answered);
         count_attempt(*open, *open->current, result);
@@ -925,6 +1006,7 @@
     outbound_pool& pool;
     dispatcher& requests;
     service_retry_budget& retries;
+    crash_reporter& crashes;
     request_log log;
     metric_port& metrics;
     random_source random;
@@ -940,9 +1022,10 @@
 };
 
 request_service::request_service(boost::asio::io_context& loop, outbound_pool& pool, dispatcher& requests,
-                                 service_retry_budget& retries, log_port& log, metric_port& metrics,
-                                 latency_port& latencies, std::uint64_t seed)
-    : impl_(std::make_shared<implementation>(loop, pool, requests, retries, log, metrics, latencies, seed))
+                                 service_retry_budget& retries, crash_reporter& crashes, log_port& log,
+                                 metric_port& metrics, latency_port& latencies, std::uint64_t seed)
+    : impl_(std::make_shared<implementation>(loop, pool, requests, retries, crashes, log, metrics, latencies,
+                                             seed))
 {
 }
 
--- a/apps/request_service.hpp
+++ b/apps/request_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/caller_server.hpp"
+#include "apps/crash_reporter.hpp"
 #include "decision/dispatcher.hpp"
 #include "decision/service_retry_budget.hpp"
 #include "domain/serving_config.hpp"
@@ -24,14 +25,14 @@
 
 /// Handles each caller's request from its arrival to its single final answer: finds the route, waits for a
 /// backend server, makes attempts and answers. The decisions are made by route_table, dispatcher,
-/// attempt_policy and service_retry_budget.
+/// attempt_policy, service_retry_budget and crash_ledger.
 class request_service
 {
 public:
     /// All references must outlive the service.
     request_service(boost::asio::io_context& loop, outbound_pool& pool, dispatcher& requests,
-                    service_retry_budget& retries, log_port& log, metric_port& metrics,
-                    latency_port& latencies, std::uint64_t seed);
+                    service_retry_budget& retries, crash_reporter& crashes, log_port& log,
+                    metric_port& metrics, latency_port& latencies, std::uint64_t seed);
     ~request_service();
     request_service(request_service const&) = delete;
     request_service& operator=(request_service const&) = delete;
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -7,6 +7,7 @@
 #include "platform/backend_entry_codec.hpp"
 #include "platform/metadata_store.hpp"
 #include "platform/object_watch.hpp"
+#include "platform/part_crash_codec.hpp"
 #include "platform/serving_config_codec.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -66,12 +67,15 @@
 {
 public:
     implementation(boost::asio::io_context& loop, platform::metadata_store& store, log_port& log_in,
-                   metric_port& metrics_in, state_follower_settings settings_in, state_handlers handlers_in)
-        : log(log_in), metrics(metrics_in), settings(std::move(settings_in)),
+                   metric_port& metrics_in, crash_ledger& crashes_in, state_follower_settings settings_in,
+                   state_handlers handlers_in)
+        : log(log_in), metrics(metrics_in), crashes(crashes_in), settings(std::move(settings_in)),
           handlers(std::move(handlers_in)), directory(settings.source), timer(loop),
           config_watch(loop, store, log, watch_settings(config_kind, duration{0}), config_handlers()),
           backend_watch(loop, store, log, watch_settings(backend_kind, backend_outage_grace),
-                        backend_handlers())
+                        backend_handlers()),
+          crash_watch(loop, store, log, watch_settings(platform::part_crash_kind, duration{0}),
+                      crash_handlers())
     {
         backend_watch.set_batch_delay(share_of(settings.leaving_time, batch_delay_share));
         config_watch.set_batch_delay(share_of(settings.change_time, config_batch_delay_share));
@@ -100,6 +104,24 @@
         return result;
     }
 
+    platform::object_watch_handlers crash_handlers()
+    {
+        platform::object_watch_handlers result;
+        result.on_object = [this](platform::store_object const& object)
+        {
+            auto const crash = platform::decode_part_crash(object.spec);
+            if (crash && id_of(*crash) == object.name)
+            {
+                crashes.add(boot_now(), *crash);
+                return;
+            }
+            log.write({"part_crash_ignored",
+                       {{"name", object.name}, {"revision", std::to_string(object.revision)}}});
+        };
+        result.on_deleted = [this](std::string const& name) { crashes.remove(name); };
+        return result;
+    }
+
     void on_config(platform::store_object const& object)
     {
         if (object.name != config_name)
@@ -177,6 +199,10 @@
         {
             apply_update(reply.servers);
         }
+        if (reply.part_crashes)
+        {
+            apply_crashes(*reply.part_crashes);
+        }
         choose_source();
         if (source == state_source::holder && reply.config_revision > config_revision)
         {
@@ -202,6 +228,19 @@
         }
     }
 
+    void apply_crashes(std::vector<part_crash> const& told)
+    {
+        for (part_crash const& each : crashes.crashes())
+        {
+            crash_watch.mark_deleted(id_of(each));
+        }
+        crashes.replace(boot_now(), told);
+        for (part_crash const& each : crashes.crashes())
+        {
+            crash_watch.mark_known(id_of(each), 0);
+        }
+    }
+
     void choose_source()
     {
         bool const follow_holder = choice.choose(boot_now()) == state_source::holder &&
@@ -217,7 +256,7 @@
                    {{"source", to_string(source)},
                     {"servers_revision", std::to_string(backend_watch.revision())},
                     {"config_revision", std::to_string(config_revision)}}});
-        for (platform::object_watch* const watch : {&config_watch, &backend_watch})
+        for (platform::object_watch* const watch : {&config_watch, &backend_watch, &crash_watch})
         {
             if (follow_holder)
             {
@@ -246,6 +285,7 @@
 
     log_port& log;
     metric_port& metrics;
+    crash_ledger& crashes;
     state_follower_settings const settings;
     state_handlers const handlers;
     backend_directory directory;
@@ -259,12 +299,13 @@
     boost::asio::steady_timer timer;
     platform::object_watch config_watch;
     platform::object_watch backend_watch;
+    platform::object_watch crash_watch;
 };
 
 state_follower::state_follower(boost::asio::io_context& loop, platform::metadata_store& store, log_port& log,
-                               metric_port& metrics, state_follower_settings settings,
+                               metric_port& metrics, crash_ledger& crashes, state_follower_settings settings,
                                state_handlers handlers)
-    : impl_(std::make_unique<implementation>(loop, store, log, metrics, std::move(settings),
+    : impl_(std::make_unique<implementation>(loop, store, log, metrics, crashes, std::move(settings),
                                              std::move(handlers)))
 {
 }
@@ -275,6 +316,7 @@
 {
     impl_->config_watch.start();
     impl_->backend_watch.start();
+    impl_->crash_watch.start();
     impl_->tick();
 }
 
@@ -321,6 +363,18 @@
     return impl_->directory.changes_since(known, impl_->backend_watch.revision());
 }
 
+std::uint64_t state_follower::crashes_digest() const
+{
+    return impl_->crashes.digest();
+}
+
+std::optional<std::vector<part_crash>> state_follower::crashes_since(std::uint64_t known) const
+{
+    bool const same = impl_->crashes.digest() == known;
+    return same || !impl_->crash_watch.is_up_to_date() ? std::nullopt
+                                                       : std::optional(impl_->crashes.crashes());
+}
+
 std::uint64_t state_follower::config_revision() const
 {
     return impl_->config_revision;
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/steady_time.hpp"
+#include "decision/crash_ledger.hpp"
 #include "domain/backend_entry.hpp"
 #include "domain/placement_exchange.hpp"
 #include "domain/serving_config.hpp"
@@ -8,7 +9,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace boost::asio
 {
@@ -41,15 +44,16 @@
     std::function<void(backend_name const&)> on_backend_gone;
 };
 
-/// Follows the configuration and the entries of the backend servers: through the lease holder's replies while
-/// the holder answers, otherwise by watching the store. On the lease holder it also keeps the changes that
-/// are sent to the peers.
+/// Follows the configuration, the entries of the backend servers and the marks of crashes: through the lease
+/// holder's replies while the holder answers, otherwise by watching the store. On the lease holder it also
+/// keeps the changes that are sent to the peers.
 class state_follower
 {
 public:
     /// All references must outlive the follower.
     state_follower(boost::asio::io_context& loop, platform::metadata_store& store, log_port& log,
-                   metric_port& metrics, state_follower_settings settings, state_handlers handlers);
+                   metric_port& metrics, crash_ledger& crashes, state_follower_settings settings,
+                   state_handlers handlers);
     ~state_follower();
     state_follower(state_follower const&) = delete;
     state_follower& operator=(state_follower const&) = delete;
@@ -73,6 +77,11 @@
     /// The changes that follow the position `known` of a peer.
     backend_update servers_since(update_position const& known) const;
     std::uint64_t config_revision() const;
+    /// Digest of the marks that this instance knows.
+    std::uint64_t crashes_digest() const;
+    /// The marks for a peer that has those with the digest `known`; empty when they are the same ones, or
+    /// when this instance does not know all of them.
+    std::optional<std::vector<part_crash>> crashes_since(std::uint64_t known) const;
 
 private:
     class implementation;
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -3,6 +3,7 @@
 #include "core/steady_time.hpp"
 #include "domain/backend_update.hpp"
 #include "domain/identifiers.hpp"
+#include "domain/part_crash.hpp"
 
 #include <cstdint>
 #include <map>
@@ -43,6 +44,7 @@
     bool sent_early = false; ///< Sent early because requests wait; the reply leaves out what is not urgent.
     /// Position in the holder's sequence of server changes up to which this instance knows them.
     update_position servers_position{};
+    std::uint64_t part_crashes_digest = 0; ///< Of the marks that this instance has; see crash_ledger.
 };
 
 /// A model or adapter whose load the lease holder ordered recently, so that the engine's entry may not show
@@ -71,6 +73,8 @@
     backend_update servers;
     std::uint64_t config_revision = 0; ///< The store's revision of the configuration that the holder has.
     duration store_state_age{0};       ///< Since the holder sent its latest call that the store answered.
+    /// All marks of the holder; empty when the reported digest shows that the instance has the same ones.
+    std::optional<std::vector<part_crash>> part_crashes{};
 };
 
 bool operator==(engine_requests const& a, engine_requests const& b);
--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -32,12 +32,14 @@
     reply.servers.removed = {"e7", "e8"};
     reply.config_revision = 88;
     reply.store_state_age = milliseconds{340};
+    reply.part_crashes = std::vector<part_crash>{{"5c1e07a2", 1, "e1", 1774000000123}};
     return reply;
 }
 
 std::string encode(holder_reply const& reply)
 {
     return encode_reply(encode_placement_update(reply.placement), encode_update(reply.servers),
+                        reply.part_crashes ? encode_part_crashes(*reply.part_crashes) : std::string(),
                         reply.config_revision, reply.store_state_age);
 }
 
@@ -49,8 +51,13 @@
     holder_reply const reply = example_reply();
     auto const decoded = decode_reply(encode(reply));
     cr_assert(decoded && *decoded == reply);
-    demand_report const report{"i1", "10.0.0.9:7000", {{"llm", "m0", "a1", 2, 3, 4, 5}}, {"e4"}, {{"e1", 3}},
-                               true, {"h1-77", 12}};
+    holder_reply without = reply;
+    without.part_crashes.reset();
+    auto const shorter = decode_reply(encode(without));
+    cr_assert(shorter && *shorter == without);
+    demand_report const report{"i1",          "10.0.0.9:7000",    {{"llm", "m0", "a1", 2, 3, 4, 5}},
+                               {"e4"},        {{"e1", 3}},        true,
+                               {"h1-77", 12}, 987654321098765432U};
     auto const read = decode_demand(encode_demand(report));
     cr_assert(read && *read == report);
 }
@@ -61,7 +68,7 @@
     random_source random(20261204);
     std::string const reply = encode(example_reply());
     std::string const demand =
-        encode_demand({"i1", "10.0.0.9:7000", {{"llm", "m0", "", 1, 2, 3, 4}}, {}, {}, false, {}});
+        encode_demand({"i1", "10.0.0.9:7000", {{"llm", "m0", "", 1, 2, 3, 4}}, {}, {}, false, {}, 0});
     for (std::string const& whole : {reply, demand})
     {
         for (std::size_t size = 0; size < whole.size(); ++size)
--- a/tests/wire/store_standin.cpp
+++ b/tests/wire/store_standin.cpp
@@ -133,6 +133,11 @@
     {
         put(exchange, kind, name, exchange.method() == "POST");
     }
+    else if (exchange.method() == "DELETE")
+    {
+        remove(kind, name);
+        exchange.reply(200, "{}");
+    }
     else if (!name.empty())
     {
         std::unique_lock<std::mutex> lock(mutex_);
