Send new marks of crashes to the lease holder, not only to the store

A failing test: while the store refuses every call, an instance that has found the part keeps the marks to itself, and another instance loses four more engines. The demand reports now carry the marks that the holder may not have from the store yet; its replies spread them. The same helps while the holder's watch of the store is silent. Test: crashing_part/..._during_an_outage_of_the_store.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -210,15 +210,25 @@
     return update;
 }
 
-std::optional<std::vector<part_crash>> decode_part_crashes(std::string const& bytes)
+json encode_crash_rows(std::vector<part_crash> const& crashes)
 {
-    auto const value = field_codec::parse_cbor(bytes);
-    if (!value.has_value() || !value.value().is_array())
+    json rows = json::array();
+    for (part_crash const& each : crashes)
+    {
+        rows.push_back(
+            {each.part, each.engine, each.position, static_cast<std::uint64_t>(each.engine_started_at)});
+    }
+    return rows;
+}
+
+std::optional<std::vector<part_crash>> decode_crash_rows(json const& rows)
+{
+    if (!rows.is_array())
     {
         return std::nullopt;
     }
     std::vector<part_crash> crashes;
-    for (json const& row : value.value())
+    for (json const& row : rows)
     {
         if (!is_row(row, 2, 2))
         {
@@ -230,6 +240,12 @@
     return crashes;
 }
 
+std::optional<std::vector<part_crash>> decode_part_crashes(std::string const& bytes)
+{
+    auto const value = field_codec::parse_cbor(bytes);
+    return value.has_value() ? decode_crash_rows(value.value()) : std::nullopt;
+}
+
 } // namespace
 
 std::string encode_demand(demand_report const& report)
@@ -241,17 +257,18 @@
                         each.arrivals});
     }
     json const who = json::array({report.instance, report.peer_address});
-    return to_bytes(
-        json::array({who, report.unreachable, rows, encode_running(report.running), report.sent_early,
-                     encode_position(report.servers_position), report.part_crashes_digest}));
+    return to_bytes(json::array({who, report.unreachable, rows, encode_running(report.running),
+                                 report.sent_early, encode_position(report.servers_position),
+                                 report.part_crashes_digest, encode_crash_rows(report.new_part_crashes)}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 7);
+    auto const value = list_of(bytes, 8);
     auto running = value ? decode_running((*value)[3]) : std::nullopt;
     auto position = value ? decode_position((*value)[5]) : std::nullopt;
-    if (!position || !running || !(*value)[4].is_boolean() || !is_row((*value)[0], 2, 0) ||
+    auto crashes = value ? decode_crash_rows((*value)[7]) : std::nullopt;
+    if (!position || !running || !crashes || !(*value)[4].is_boolean() || !is_row((*value)[0], 2, 0) ||
         !is_text_list((*value)[1]) || !(*value)[2].is_array() || !(*value)[6].is_number_unsigned())
     {
         return std::nullopt;
@@ -264,6 +281,7 @@
     report.sent_early = (*value)[4].get<bool>();
     report.servers_position = std::move(*position);
     report.part_crashes_digest = (*value)[6].get<std::uint64_t>();
+    report.new_part_crashes = std::move(*crashes);
     for (json const& row : (*value)[2])
     {
         if (!is_row(row, 3, 4))
@@ -301,13 +319,7 @@
 
 std::string encode_part_crashes(std::vector<part_crash> const& crashes)
 {
-    json rows = json::array();
-    for (part_crash const& each : crashes)
-    {
-        rows.push_back(
-            {each.part, each.engine, each.position, static_cast<std::uint64_t>(each.engine_started_at)});
-    }
-    return to_bytes(rows);
+    return to_bytes(encode_crash_rows(crashes));
 }
 
 std::string encode_reply(std::string const& placement, std::string const& update,
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -133,7 +133,8 @@
                                        requests.running_at_engines(),
                                        false,
                                        {},
-                                       0};
+                                       0,
+                                       {}};
               },
               [this](placement_update const& placement) { on_placement_update(placement); }),
           callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -201,6 +201,7 @@
         demand_report own = demand();
         own.servers_position = state.position();
         own.part_crashes_digest = state.crashes_digest();
+        own.new_part_crashes = state.new_crashes();
         own.sent_early = now < next_full_report;
         next_full_report = own.sent_early ? next_full_report : now + report_interval;
         bool const waits = std::any_of(own.models.begin(), own.models.end(),
@@ -409,6 +410,7 @@
         peers[report->peer_address] = now;
         load.on_report(now, *report);
         planner.on_demand(now, *report);
+        state.on_peer_crashes(report->new_part_crashes);
         if (now >= next_plan)
         {
             plan(now);
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -119,6 +119,7 @@
                        {{"name", object.name}, {"revision", std::to_string(object.revision)}}});
         };
         result.on_deleted = [this](std::string const& name) { crashes.remove(name); };
+        result.on_listed = [this] { crashes_known = true; };
         return result;
     }
 
@@ -235,6 +236,7 @@
             crash_watch.mark_deleted(id_of(each));
         }
         crashes.replace(boot_now(), told);
+        crashes_known = true;
         for (part_crash const& each : crashes.crashes())
         {
             crash_watch.mark_known(id_of(each), 0);
@@ -296,6 +298,7 @@
     std::uint64_t config_revision = 0;
     bool servers_known = false;
     bool servers_fresh = false;
+    bool crashes_known = false; ///< All marks have been read once, from the store or from a holder.
     boost::asio::steady_timer timer;
     platform::object_watch config_watch;
     platform::object_watch backend_watch;
@@ -368,11 +371,23 @@
     return impl_->crashes.digest();
 }
 
+std::vector<part_crash> state_follower::new_crashes() const
+{
+    return impl_->crashes.new_crashes(boot_now());
+}
+
+void state_follower::on_peer_crashes(std::vector<part_crash> const& found)
+{
+    for (part_crash const& each : found)
+    {
+        impl_->crashes.add(boot_now(), each);
+    }
+}
+
 std::optional<std::vector<part_crash>> state_follower::crashes_since(std::uint64_t known) const
 {
     bool const same = impl_->crashes.digest() == known;
-    return same || !impl_->crash_watch.is_up_to_date() ? std::nullopt
-                                                       : std::optional(impl_->crashes.crashes());
+    return same || !impl_->crashes_known ? std::nullopt : std::optional(impl_->crashes.crashes());
 }
 
 std::uint64_t state_follower::config_revision() const
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -77,8 +77,11 @@
     /// The changes that follow the position `known` of a peer.
     backend_update servers_since(update_position const& known) const;
     std::uint64_t config_revision() const;
-    /// Digest of the marks that this instance knows.
+    /// Digest of the marks that this instance knows, and those that it found lately.
     std::uint64_t crashes_digest() const;
+    std::vector<part_crash> new_crashes() const;
+    /// Takes over the marks that a peer has found: it may not reach the store, or this instance may not.
+    void on_peer_crashes(std::vector<part_crash> const& found);
     /// The marks for a peer that has those with the digest `known`; empty when they are the same ones, or
     /// when this instance does not know all of them.
     std::optional<std::vector<part_crash>> crashes_since(std::uint64_t known) const;
--- a/decision/crash_ledger.cpp
+++ b/decision/crash_ledger.cpp
@@ -357,6 +357,19 @@
     return all;
 }
 
+std::vector<part_crash> crash_ledger::new_crashes(steady_time now) const
+{
+    std::vector<part_crash> fresh;
+    for (auto const& [id, each] : impl_->marks)
+    {
+        if (each.own || now < each.kept_until)
+        {
+            fresh.push_back(each.crash);
+        }
+    }
+    return fresh;
+}
+
 std::uint64_t crash_ledger::digest() const
 {
     std::uint64_t sum = 0;
--- a/decision/crash_ledger.hpp
+++ b/decision/crash_ledger.hpp
@@ -83,6 +83,8 @@
     std::vector<part_block_change> take_changes(steady_time now);
 
     std::vector<part_crash> crashes() const;
+    /// The marks of this instance that the lease holder may not have from the store yet.
+    std::vector<part_crash> new_crashes(steady_time now) const;
     /// Equal for instances with the same marks.
     std::uint64_t digest() const;
     std::size_t blocked_parts(steady_time now) const;
--- a/domain/placement_exchange.cpp
+++ b/domain/placement_exchange.cpp
@@ -20,9 +20,9 @@
 bool operator==(demand_report const& a, demand_report const& b)
 {
     return std::tie(a.instance, a.peer_address, a.models, a.unreachable, a.running, a.sent_early,
-                    a.servers_position, a.part_crashes_digest) ==
+                    a.servers_position, a.part_crashes_digest, a.new_part_crashes) ==
            std::tie(b.instance, b.peer_address, b.models, b.unreachable, b.running, b.sent_early,
-                    b.servers_position, b.part_crashes_digest);
+                    b.servers_position, b.part_crashes_digest, b.new_part_crashes);
 }
 
 bool operator==(recent_placement const& a, recent_placement const& b)
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -45,6 +45,8 @@
     /// Position in the holder's sequence of server changes up to which this instance knows them.
     update_position servers_position{};
     std::uint64_t part_crashes_digest = 0; ///< Of the marks that this instance has; see crash_ledger.
+    /// Marks that this instance found and that the holder may not have from the store yet.
+    std::vector<part_crash> new_part_crashes{};
 };
 
 /// A model or adapter whose load the lease holder ordered recently, so that the engine's entry may not show
--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -55,9 +55,9 @@
     without.part_crashes.reset();
     auto const shorter = decode_reply(encode(without));
     cr_assert(shorter && *shorter == without);
-    demand_report const report{"i1",          "10.0.0.9:7000",    {{"llm", "m0", "a1", 2, 3, 4, 5}},
-                               {"e4"},        {{"e1", 3}},        true,
-                               {"h1-77", 12}, 987654321098765432U};
+    demand_report const report{"i1",          "10.0.0.9:7000",     {{"llm", "m0", "a1", 2, 3, 4, 5}},
+                               {"e4"},        {{"e1", 3}},         true,
+                               {"h1-77", 12}, 987654321098765432U, {{"91bd3f06", 2, "e2", 1774000000124}}};
     auto const read = decode_demand(encode_demand(report));
     cr_assert(read && *read == report);
 }
@@ -67,8 +67,15 @@
 {
     random_source random(20261204);
     std::string const reply = encode(example_reply());
-    std::string const demand =
-        encode_demand({"i1", "10.0.0.9:7000", {{"llm", "m0", "", 1, 2, 3, 4}}, {}, {}, false, {}, 0});
+    std::string const demand = encode_demand({"i1",
+                                              "10.0.0.9:7000",
+                                              {{"llm", "m0", "", 1, 2, 3, 4}},
+                                              {},
+                                              {},
+                                              false,
+                                              {},
+                                              0,
+                                              {{"91bd3f06", 2, "e2", 4}}});
     for (std::string const& whole : {reply, demand})
     {
         for (std::size_t size = 0; size < whole.size(); ++size)
--- a/tests/decision/crash_ledger_test.cpp
+++ b/tests/decision/crash_ledger_test.cpp
@@ -154,6 +154,7 @@
     cr_assert(ledger.add_own(at(1), saved));
     ledger.on_saved(at(2), id_of(saved));
     (void)ledger.on_answered(at(2), {"cleared"});
+    cr_expect_eq(ledger.new_crashes(at(3)).size(), 2U, "own and saved may be unknown to the holder");
     ledger.replace(at(3), {cleared});
     cr_expect_eq(ledger.crashes().size(), 2U, "own and saved stay, cleared does not return");
     ledger.replace(at(5000), {cleared});
--- a/tests/platform/crashing_part_test.cpp
+++ b/tests/platform/crashing_part_test.cpp
@@ -253,6 +253,22 @@
     cr_expect_geq(fleet.crashes().size(), std::size_t{3}, "%zu crashes", fleet.crashes().size());
 }
 
+// Guards against instances that do not learn of the part while the store refuses every call.
+Test(crashing_part, is_refused_by_all_instances_during_an_outage_of_the_store)
+{
+    crash_fleet fleet(3);
+    std::size_t const one = (fleet.holder() + 1) % 3;
+    std::size_t const other = (fleet.holder() + 2) % 3;
+    fleet.store().set_mode(store_standin::mode::busy);
+    fleet.send_for(milliseconds{800}, "bad", {one});
+    std::this_thread::sleep_for(milliseconds{700}); // Instances report to the holder every 500 ms.
+    std::size_t const before = fleet.crashes().size();
+    fleet.send_for(milliseconds{800}, "bad", {other});
+    fleet.store().set_mode(store_standin::mode::up);
+    cr_expect_geq(before, std::size_t{3}, "%zu crashes", before);
+    cr_expect_eq(fleet.crashes().size(), before, "%zu more crashes", fleet.crashes().size() - before);
+}
+
 // Guards against blaming the sound requests that run on an engine when another one ends it.
 Test(crashing_part, does_not_make_requests_on_the_same_engine_suspect)
 {
