Do not pass on a stream without a length and without an event as complete

Callers got 200 with an empty body when an engine that marks no end of its stream closed the connection after the head, for example because it crashed. An attempt without a whole event now counts as a bad answer, and its request goes on elsewhere by its route's rules; streams that end within an event did so already.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -37,6 +37,7 @@
 constexpr duration stopping_retry_after = milliseconds{50};
 // The server may end a stream that has no length by closing the connection, also when it crashes.
 constexpr char const* broken_event = "stream_ends_in_event";
+constexpr char const* no_event = "stream_without_event";
 constexpr char const* blocked_reason = "crashing_part";
 // Requests that wait when the stop begins may still be assigned to a server within this time.
 constexpr duration stopping_wait_limit = seconds{1};
@@ -770,6 +771,11 @@
                 end_attempt(open, attempt_result::bad_answer, broken_event);
                 return;
             }
+            if (!facts.has_end && !open->last_event && open->events_forwarded == 0)
+            {
+                end_attempt(open, attempt_result::bad_answer, no_event);
+                return;
+            }
             report_end(*open->current, attempt_result::answered);
             if (facts.has_end && open->current->first_event_at != steady_time{})
             {
@@ -852,7 +858,7 @@
         {
             return;
         }
-        if (result == attempt_result::connection_lost || why == broken_event)
+        if (result == attempt_result::connection_lost || why == broken_event || why == no_event)
         {
             report_loss(*open, *open->current);
         }
--- a/tests/platform/edge_process_test.cpp
+++ b/tests/platform/edge_process_test.cpp
@@ -116,6 +116,26 @@
     cr_assert_eq(event_ids(resumed->body), "5 6 ");
 }
 
+// Guards against passing on a stream as complete when its engine, which marks no end, closed the connection
+// before it had written a whole event, and against refusing whole streams of that form.
+Test(edge_process, stream_without_a_length_that_ends_early_goes_on_elsewhere)
+{
+    small_fleet fleet;
+    for (backend_fault const fault :
+         {backend_fault::empty_stream, backend_fault::broken_stream, backend_fault::open_stream})
+    {
+        fleet.engine_1.set_fault(fault);
+        for (int i = 0; i < 4; ++i)
+        {
+            auto const id = "r" + std::to_string(static_cast<int>(fault)) + "-" + std::to_string(i);
+            auto const stream = fleet.edge.call("POST", "/stream/1", id, {{"Model", "m0"}});
+            cr_assert(stream && stream->status == 200, "%s", id.c_str());
+            cr_expect_eq(event_ids(stream->body), "1 2 3 4 5 6 ", "%s: events %s", id.c_str(),
+                         event_ids(stream->body).c_str());
+        }
+    }
+}
+
 // Guards against a requested model that is never loaded, and against orders of two lease holders.
 Test(edge_process, missing_model_is_loaded)
 {
--- a/tests/standins/http_exchange.cpp
+++ b/tests/standins/http_exchange.cpp
@@ -62,10 +62,11 @@
     response_.sendBuffer(body.data(), body.size());
 }
 
-void http_exchange::begin_stream()
+void http_exchange::begin_stream(bool chunked)
 {
     response_.setContentType("text/event-stream");
-    response_.setChunkedTransferEncoding(true);
+    response_.setChunkedTransferEncoding(chunked);
+    response_.setKeepAlive(chunked);
     if (!hang_if_silenced())
     {
         stream_ = &response_.send();
--- a/tests/standins/http_exchange.hpp
+++ b/tests/standins/http_exchange.hpp
@@ -32,8 +32,8 @@
     /// Sends a complete answer.
     void reply(int status, std::string const& body, std::string const& type = "application/json");
 
-    /// Starts a streamed answer of server-sent events.
-    void begin_stream();
+    /// Starts a streamed answer of server-sent events, in chunks or with the connection's end as its end.
+    void begin_stream(bool chunked = true);
 
     /// Sends one piece of a stream. Returns false when the caller has closed its connection.
     bool send_piece(std::string const& piece);
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -197,7 +197,15 @@
 {
     std::string const after = exchange.header("Last-Event-Id");
     unsigned const first = after.empty() ? 1 : static_cast<unsigned>(std::stoul(after)) + 1;
-    exchange.begin_stream();
+    bool const open_end = fault == backend_fault::empty_stream || fault == backend_fault::broken_stream ||
+                          fault == backend_fault::open_stream;
+    exchange.begin_stream(!open_end);
+    if (open_end && fault != backend_fault::open_stream)
+    {
+        (void)exchange.send_piece(fault == backend_fault::broken_stream ? "id: 1\nda" : "");
+        exchange.abort();
+        return;
+    }
     for (unsigned event = first; event <= event_count_; ++event)
     {
         std::string const text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -30,6 +30,9 @@
     rejects_late,     ///< Answers 503 as full 500 ms after it has read the request, without running.
     slow_body,        ///< Sends the head and half of a plain answer before its work, the rest after it.
     not_found,        ///< Runs and answers 404.
+    empty_stream,     ///< Begins a stream that ends with its connection, and closes without an event.
+    broken_stream,    ///< As above, but closes in the middle of the first event.
+    open_stream,      ///< A whole stream that ends with its connection.
 };
 
 /// An order that a backend stand-in has received, accepted or not.
