--- a/tests/decision/request_controller_test.cpp
+++ b/tests/decision/request_controller_test.cpp
@@ -487,6 +487,28 @@
     cr_assert_eq(fixture.server_of(fixture.send(p)), "e1");
 }
 
+// Guards against one prompt prefix that ends servers under ever new requests, each of which is unknown.
+Test(request_controller, refuses_new_requests_with_a_prefix_that_crashes_servers)
+{
+    request_fixture fixture;
+    fixture.remove_peers();
+    std::uint64_t boot = 1;
+    fixture.report(report_of("e1", {"m"}, 4, boot));
+    auto p = fixture.profile();
+    p.prefix_hash = 55;
+    for (std::uint64_t request = 0; request < 5; ++request)
+    {
+        p.fingerprint = 700 + request;
+        auto const number = fixture.send(p);
+        fixture.finish(number, 1, attempt_result::connection_lost, true);
+        fixture.report(report_of("e1", {"m"}, 4, ++boot));
+        fixture.finish(number, 2, attempt_result::connection_lost, true);
+        fixture.report(report_of("e1", {"m"}, 4, ++boot));
+    }
+    p.fingerprint = 800;
+    cr_expect(fixture.refused(fixture.send(p), refusal_reason::crashes_server, not_run));
+}
+
 // Guards against a request that is sent twice because a permit was granted while it was being placed.
 Test(request_controller, sends_each_request_once_when_a_permit_is_granted_at_once)
 {
