Keep room in the ledger of crashes for parts that were suspected before

A failing test: 512 marks of parts that were suspected once left no room for a part that ended three engines. The oldest such mark now yields, and an instance reports at most 16 suspects of one crash, those with most crashes first. Found by reading, not in the record.

--- a/apps/crash_reporter.cpp
+++ b/apps/crash_reporter.cpp
@@ -34,6 +34,9 @@
 // Store calls of one tick, so that many crashes do not use up the rate of the store's writes.
 constexpr std::size_t calls_per_tick = 8;
 constexpr std::size_t max_prompts_of_check = 64;
+// Suspects that one instance reports for one crash: those with most crashes before. Many requests may run on
+// an engine, and most are there by chance.
+constexpr std::size_t max_suspects_of_check = 16;
 
 std::string ms_text(duration value)
 {
@@ -133,23 +136,17 @@
         metrics.add("siskin_engine_checks_total", crashed ? "crashed" : "alive", 1);
         steady_time const now = boot_now();
         std::string suspected;
-        for (std::vector<std::string> const& parts : prompts)
+        for (crash_suspect const& each :
+             crashed ? suspects_of(engine, prompts) : std::vector<crash_suspect>())
         {
-            if (!crashed)
+            suspected.append(suspected.empty() ? "" : ",").append(each.crash.part);
+            if (each.answered_before)
             {
-                continue;
+                delayed.emplace_back(now, each.crash);
             }
-            for (crash_suspect const& each : ledger.suspects(parts, engine.name, engine.started_at))
+            else
             {
-                suspected.append(suspected.empty() ? "" : ",").append(each.crash.part);
-                if (each.answered_before)
-                {
-                    delayed.emplace_back(now, each.crash);
-                }
-                else
-                {
-                    report(now, each.crash);
-                }
+                report(now, each.crash);
             }
         }
         log.write({"engine_check",
@@ -160,6 +157,27 @@
         log_changes(now);
     }
 
+    std::vector<crash_suspect> suspects_of(backend_entry const& engine,
+                                           std::vector<std::vector<std::string>> const& prompts) const
+    {
+        std::vector<crash_suspect> all;
+        for (std::vector<std::string> const& parts : prompts)
+        {
+            for (crash_suspect& each : ledger.suspects(parts, engine.name, engine.started_at))
+            {
+                if (std::find(all.begin(), all.end(), each) == all.end())
+                {
+                    all.push_back(std::move(each));
+                }
+            }
+        }
+        std::stable_sort(all.begin(), all.end(),
+                         [this](crash_suspect const& a, crash_suspect const& b)
+                         { return ledger.crashes_of(a.crash.part) > ledger.crashes_of(b.crash.part); });
+        all.resize(std::min(all.size(), max_suspects_of_check));
+        return all;
+    }
+
     void report_delayed(steady_time now)
     {
         while (!delayed.empty() && now - delayed.front().first >= answered_part_delay)
--- a/decision/crash_ledger.cpp
+++ b/decision/crash_ledger.cpp
@@ -87,10 +87,36 @@
                                                       { return each.second.crash.part == part; }));
     }
 
+    // Makes room for a mark: drops the oldest one whose part was suspected only once. False when there is
+    // none.
+    bool drop_single_mark()
+    {
+        std::map<std::string, unsigned> counts;
+        for (auto const& [id, each] : marks)
+        {
+            ++counts[each.crash.part];
+        }
+        auto oldest = marks.end();
+        for (auto each = marks.begin(); each != marks.end(); ++each)
+        {
+            bool const single = counts[each->second.crash.part] == 1;
+            if (single && (oldest == marks.end() || each->second.known_since < oldest->second.known_since))
+            {
+                oldest = each;
+            }
+        }
+        if (oldest == marks.end())
+        {
+            return false;
+        }
+        marks.erase(oldest);
+        return true;
+    }
+
     bool insert(steady_time now, part_crash const& crash, bool own)
     {
         std::string const id = id_of(crash);
-        if (marks.count(id) > 0 || marks.size() >= max_marks)
+        if (marks.count(id) > 0 || (marks.size() >= max_marks && !drop_single_mark()))
         {
             return false;
         }
@@ -347,6 +373,11 @@
     return changes;
 }
 
+std::size_t crash_ledger::crashes_of(std::string const& part) const
+{
+    return impl_->marks_of(part);
+}
+
 std::vector<part_crash> crash_ledger::crashes() const
 {
     std::vector<part_crash> all;
--- a/decision/crash_ledger.hpp
+++ b/decision/crash_ledger.hpp
@@ -82,6 +82,8 @@
     /// Changes since the last call, for the log.
     std::vector<part_block_change> take_changes(steady_time now);
 
+    /// Number of marks of the part.
+    std::size_t crashes_of(std::string const& part) const;
     std::vector<part_crash> crashes() const;
     /// The marks of this instance that the lease holder may not have from the store yet.
     std::vector<part_crash> new_crashes(steady_time now) const;
--- a/tests/decision/crash_ledger_test.cpp
+++ b/tests/decision/crash_ledger_test.cpp
@@ -187,6 +187,24 @@
     cr_expect_eq(part_names(prompt)[3], "5c1e07a2");
 }
 
+// Guards against a ledger that is full of parts that were suspected once and has no room for the one that
+// crashes engines.
+Test(crash_ledger, full_ledger_still_recognises_a_part)
+{
+    crash_ledger ledger;
+    for (unsigned part = 0; part < 2000; ++part)
+    {
+        lose(ledger, at(1), {"system", "p" + std::to_string(part)}, part % 40);
+    }
+    for (unsigned engine = 50; engine < 53; ++engine)
+    {
+        lose(ledger, at(2), {"system", "bad"}, engine);
+        lose(ledger, at(2), {"system", "q" + std::to_string(engine)}, engine);
+    }
+    cr_expect(ledger.find_block(at(3), {"bad"}).has_value());
+    cr_expect_leq(ledger.crashes().size(), 512U);
+}
+
 // Guards against a block that appears late or a sound part that is blocked, over random mixes of requests and
 // of crashes that no request causes.
 Test(crash_ledger, random_mixes_block_only_the_bad_part)
