--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -69,6 +69,18 @@
     on_crash_ = std::move(on_crash);
 }
 
+void backend_standin::set_limit(std::string per_second)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    limit_ = std::move(per_second);
+}
+
+std::vector<std::chrono::steady_clock::time_point> backend_standin::arrivals()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return arrival_times_;
+}
+
 void backend_standin::start_again()
 {
     std::unique_lock<std::mutex> lock(mutex_);
@@ -135,6 +147,11 @@
     exchange.set_header("Attempt-Id", fault == backend_fault::wrong_request_id ? "another" : id);
     exchange.set_header("Server-Load", "1,0,8");
     std::unique_lock<std::mutex> lock(mutex_);
+    arrival_times_.push_back(std::chrono::steady_clock::now());
+    if (!limit_.empty())
+    {
+        exchange.set_header("Server-Limit", limit_);
+    }
     for (char const* const header : {"Deadline-Ms", "Expect-Instance", "Hold", "Last-Event-Id"})
     {
         last_headers_[header] = exchange.header(header);
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -73,6 +73,10 @@
     void set_reject_every(unsigned count) { reject_every_ = count; }
     /// Calls `on_crash` instead of an answer to each request with this part in its prompt.
     void set_crash_part(std::string part, std::function<void()> on_crash);
+    /// Names this limit of requests a second in each answer; empty for none.
+    void set_limit(std::string per_second);
+    /// When requests arrived, whether they ran or not.
+    std::vector<std::chrono::steady_clock::time_point> arrivals();
     /// Writes the entry of a new start under the same name.
     void start_again();
     /// Bytes that follow the usual body of a plain answer.
@@ -112,6 +116,8 @@
     std::map<std::string, unsigned> runs_;
     std::vector<received_order> orders_;
     std::map<std::string, std::string> last_headers_;
+    std::string limit_;
+    std::vector<std::chrono::steady_clock::time_point> arrival_times_;
     std::uint64_t sequence_ = 0;
     std::atomic<backend_fault> fault_{backend_fault::none};
     std::atomic<std::int64_t> work_ms_{1};
