Keep the limit that an engine names, for all instances together

Cause: the header Server-Limit was not read at all.

Each answer now tells the limit, or its end. Limits spread with the replies, the newest answer counts, and a new start of the engine has none.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <utility>
 #include <vector>
@@ -19,6 +20,9 @@
 
 using nlohmann::json;
 
+// Limits are sent as whole numbers of this fraction of a request a second.
+constexpr double limit_scale = 1000.0;
+
 std::string to_bytes(json const& value)
 {
     std::vector<std::uint8_t> const bytes = json::to_cbor(value);
@@ -240,6 +244,38 @@
     return crashes;
 }
 
+json encode_limit(server_limit const& limit, unsigned count)
+{
+    bool const ended = limit.per_second < 0.0;
+    auto const per_second = static_cast<std::uint64_t>(std::llround(limit.per_second * limit_scale));
+    return {limit.backend, ended ? 1U : 0U, ended ? 0U : per_second,
+            static_cast<std::uint64_t>(std::max<duration>(limit.age, duration{0}).count()), count};
+}
+
+// Decodes rows of encode_limit as limit reports or grants.
+template <typename Row>
+std::optional<std::vector<Row>> decode_limits(json const& rows)
+{
+    if (!rows.is_array())
+    {
+        return std::nullopt;
+    }
+    std::vector<Row> limits;
+    for (json const& row : rows)
+    {
+        if (!is_row(row, 1, 4))
+        {
+            return std::nullopt;
+        }
+        bool const ended = row[1].get<unsigned>() != 0;
+        double const per_second = row[2].get<double>() / limit_scale;
+        limits.push_back(
+            {{row[0].get<std::string>(), ended ? -1.0 : per_second, duration{row[3].get<duration::rep>()}},
+             row[4].get<unsigned>()});
+    }
+    return limits;
+}
+
 std::optional<std::vector<part_crash>> decode_part_crashes(std::string const& bytes)
 {
     auto const value = field_codec::parse_cbor(bytes);
@@ -256,20 +292,28 @@
         rows.push_back({each.service, each.model, each.adapter, each.priority, each.waiting, each.running,
                         each.arrivals});
     }
+    json limits = json::array();
+    for (limit_report const& each : report.limits)
+    {
+        limits.push_back(encode_limit(each.limit, each.wanted));
+    }
     json const who = json::array({report.instance, report.peer_address});
-    return to_bytes(json::array({who, report.unreachable, rows, encode_running(report.running),
-                                 report.sent_early, encode_position(report.servers_position),
-                                 report.part_crashes_digest, encode_crash_rows(report.new_part_crashes)}));
+    return to_bytes(
+        json::array({who, report.unreachable, rows, encode_running(report.running), report.sent_early,
+                     encode_position(report.servers_position), report.part_crashes_digest,
+                     encode_crash_rows(report.new_part_crashes), limits}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 8);
+    auto const value = list_of(bytes, 9);
     auto running = value ? decode_running((*value)[3]) : std::nullopt;
     auto position = value ? decode_position((*value)[5]) : std::nullopt;
     auto crashes = value ? decode_crash_rows((*value)[7]) : std::nullopt;
-    if (!position || !running || !crashes || !(*value)[4].is_boolean() || !is_row((*value)[0], 2, 0) ||
-        !is_text_list((*value)[1]) || !(*value)[2].is_array() || !(*value)[6].is_number_unsigned())
+    auto limits = value ? decode_limits<limit_report>((*value)[8]) : std::nullopt;
+    if (!position || !running || !crashes || !limits || !(*value)[4].is_boolean() ||
+        !is_row((*value)[0], 2, 0) || !is_text_list((*value)[1]) || !(*value)[2].is_array() ||
+        !(*value)[6].is_number_unsigned())
     {
         return std::nullopt;
     }
@@ -282,6 +326,7 @@
     report.servers_position = std::move(*position);
     report.part_crashes_digest = (*value)[6].get<std::uint64_t>();
     report.new_part_crashes = std::move(*crashes);
+    report.limits = std::move(*limits);
     for (json const& row : (*value)[2])
     {
         if (!is_row(row, 3, 4))
@@ -323,16 +368,22 @@
 }
 
 std::string encode_reply(std::string const& placement, std::string const& update,
-                         std::string const& part_crashes, std::uint64_t config_revision, duration age)
+                         std::string const& part_crashes, std::vector<limit_grant> const& grants,
+                         std::uint64_t config_revision, duration age)
 {
+    json rows = json::array();
+    for (limit_grant const& each : grants)
+    {
+        rows.push_back(encode_limit(each.limit, each.requests));
+    }
     auto const age_us = static_cast<std::uint64_t>(std::max<duration>(age, duration{0}).count());
     return to_bytes(json::array({binary_of(placement), binary_of(update), config_revision, age_us,
-                                 part_crashes.empty() ? json() : binary_of(part_crashes)}));
+                                 part_crashes.empty() ? json() : binary_of(part_crashes), rows}));
 }
 
 std::optional<holder_reply> decode_reply(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 5);
+    auto const value = list_of(bytes, 6);
     if (!value || !(*value)[0].is_binary() || !(*value)[1].is_binary() || !(*value)[2].is_number_unsigned() ||
         !(*value)[3].is_number_unsigned())
     {
@@ -342,10 +393,12 @@
     auto servers = decode_update(bytes_of((*value)[1]));
     json const& crashes = (*value)[4];
     auto part_crashes = crashes.is_binary() ? decode_part_crashes(bytes_of(crashes)) : std::nullopt;
-    if (!placement || !servers || part_crashes.has_value() == crashes.is_null())
+    auto grants = decode_limits<limit_grant>((*value)[5]);
+    if (!placement || !servers || !grants || part_crashes.has_value() == crashes.is_null())
     {
         return std::nullopt;
     }
+    placement->grants = std::move(*grants);
     return holder_reply{std::move(*placement), std::move(*servers), (*value)[2].get<std::uint64_t>(),
                         duration{(*value)[3].get<duration::rep>()}, std::move(part_crashes)};
 }
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -14,13 +14,16 @@
 /// for bytes that do not have the form that the encoder writes.
 std::string encode_demand(demand_report const& report);
 std::optional<demand_report> decode_demand(std::string const& bytes);
-/// The parts of a reply, which many instances get within the same moment and which are encoded once for them.
+/// The parts of a reply but the grants, which many instances get within the same moment and which are encoded
+/// once for them.
 std::string encode_placement_update(placement_update const& placement);
 std::string encode_update(backend_update const& update);
 std::string encode_part_crashes(std::vector<part_crash> const& crashes);
-/// Joins the encoded parts of a reply. `part_crashes` is empty when the instance has the holder's marks.
+/// Joins the encoded parts of a reply with the grants for its receiver. `part_crashes` is empty when the
+/// instance has the holder's marks.
 std::string encode_reply(std::string const& placement, std::string const& update,
-                         std::string const& part_crashes, std::uint64_t config_revision, duration age);
+                         std::string const& part_crashes, std::vector<limit_grant> const& grants,
+                         std::uint64_t config_revision, duration age);
 std::optional<holder_reply> decode_reply(std::string const& bytes);
 
 /// Path of the call that carries a demand report to the lease holder.
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -117,7 +117,7 @@
         : settings(std::move(settings_in)), reload(std::move(reload_in)),
           log(log_in, log_lines_per_second, boot_now), metrics(metrics_in), signals(loop), stop_timer(loop),
           pool(loop), store(settings.store_address, pool, metrics, log),
-          requests({settings.data_centre, settings.region_of}),
+          requests({settings.data_centre, settings.region_of, random_number()}),
           retries(limits_of(settings, assumed_instances)),
           crash_reports(loop, pool, store, crashes, log, metrics, [this] { return placement.holds_lease(); }),
           service(loop, pool, requests, retries, crash_reports, log, metrics, metrics, random_number()),
@@ -134,7 +134,8 @@
                                        false,
                                        {},
                                        0,
-                                       {}};
+                                       {},
+                                       requests.take_limit_reports(boot_now())};
               },
               [this](placement_update const& placement) { on_placement_update(placement); }),
           callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -215,7 +215,8 @@
         {
             load.on_report(now, own);
             planner.on_demand(now, own);
-            placement_update const placement = placement_update_at(now, false);
+            placement_update placement = placement_update_at(now, false);
+            placement.grants = limits.grant(now, own.limits);
             instances = placement.instances;
             on_placement_update(placement);
             return;
@@ -293,7 +294,8 @@
         }
         auto const crashes = state.crashes_since(report.part_crashes_digest);
         return encode_reply(placement, update, crashes ? encode_part_crashes(*crashes) : std::string(),
-                            state.config_revision(), now - lease.confirmed_at());
+                            limits.grant(now, report.limits), state.config_revision(),
+                            now - lease.confirmed_at());
     }
 
     void plan(steady_time now)
@@ -475,6 +477,7 @@
     order_lease lease;
     load_planner planner;
     fleet_load load;
+    fleet_limits limits;
     steady_time next_report;
     steady_time next_full_report;
     steady_time next_plan; ///< Earliest time of the next plan.
--- a/apps/placement_service.hpp
+++ b/apps/placement_service.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/caller_server.hpp"
 #include "core/steady_time.hpp"
+#include "decision/fleet_limits.hpp"
 #include "decision/fleet_load.hpp"
 #include "decision/load_planner.hpp"
 #include "decision/order_lease.hpp"
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -13,7 +13,7 @@
 
 // Callers choose the ids, so that their number and length in a line are limited.
 constexpr std::size_t max_logged_parts = 8;
-constexpr std::size_t max_logged_part_length = 40;
+constexpr std::size_t max_logged_text_length = 40;
 
 std::string ms_text(duration value)
 {
@@ -26,7 +26,7 @@
     std::string text;
     for (std::size_t i = 0; i < std::min(ids.size(), max_logged_parts); ++i)
     {
-        text.append(i == 0 ? "" : ",").append(ids[i].substr(0, max_logged_part_length));
+        text.append(i == 0 ? "" : ",").append(ids[i].substr(0, max_logged_text_length));
     }
     return text;
 }
@@ -75,6 +75,7 @@
                  {"model", open.request.model},
                  {"adapter", open.request.adapter},
                  {"candidates", std::to_string(step.basis.candidates)},
+                 {"limited", std::to_string(step.basis.limited)},
                  {"known_servers", std::to_string(known_servers)},
                  {"waited_ms", ms_text(step.basis.waited)},
                  {"retry_after_ms", ms_text(step.answer.retry_after)}}});
@@ -99,6 +100,7 @@
                  {"model", open.request.model},
                  {"backend", step.target.backend},
                  {"candidates", std::to_string(step.basis.candidates)},
+                 {"limited", std::to_string(step.basis.limited)},
                  {"in_use", std::to_string(step.basis.in_use)},
                  {"load_age_ms", ms_text(step.basis.load_age)},
                  {"waited_ms", ms_text(step.basis.waited)},
@@ -124,6 +126,19 @@
                  {"next", next}}});
 }
 
+void request_log::server_limit(open_exchange const& open, server_attempt const& attempt)
+{
+    platform::answer_info const& facts = *attempt.facts;
+    char const* const outcome = !facts.unreadable_limit.empty() ? "ignored" : facts.limit ? "named" : "ended";
+    metrics_.add("siskin_server_limits_total", outcome, 1);
+    log_.write({"server_limit",
+                {{"backend", attempt.target.backend},
+                 {"outcome", outcome},
+                 {"per_second", facts.limit ? std::to_string(*facts.limit) : ""},
+                 {"unreadable", facts.unreadable_limit.substr(0, max_logged_text_length)},
+                 {"request", open.request.request_id}}});
+}
+
 void request_log::server_silent(open_exchange const& open, std::string const& next, std::string const& reason)
 {
     metrics_.add("siskin_silent_servers_total", next, 1);
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -42,6 +42,8 @@
     /// `next` names what follows, for example "send_again" or "end".
     void attempt_ended(open_exchange const& open, server_attempt const& attempt, std::string const& why,
                        attempt_ender ender, std::string const& next);
+    /// The server of an attempt has named another limit, none any more, or an unreadable one.
+    void server_limit(open_exchange const& open, server_attempt const& attempt);
     /// The server of the current attempt makes no progress. `next` is "look_elsewhere" or "keep"; `reason`
     /// tells why the attempt is kept.
     void server_silent(open_exchange const& open, std::string const& next, std::string const& reason);
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -561,6 +561,7 @@
         {
             requests.on_load(boot_now(), attempt->target.backend, *facts.load);
         }
+        learn_limit(*open, *attempt);
         char const* fault = nullptr;
         if (facts.wrong_request_id)
         {
@@ -593,6 +594,18 @@
         return true;
     }
 
+    void learn_limit(open_exchange const& open, server_attempt const& attempt)
+    {
+        platform::answer_info const& facts = *attempt.facts;
+        bool const says_nothing = facts.from_other_server || !facts.unreadable_limit.empty();
+        bool const changed =
+            !says_nothing && requests.on_limit(boot_now(), attempt.target.backend, facts.limit);
+        if (changed || !facts.unreadable_limit.empty())
+        {
+            log.server_limit(open, attempt);
+        }
+    }
+
     // False for an answer after which another server may be tried.
     static bool is_usable(open_exchange const& open, platform::answer_info const& facts)
     {
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "decision/dispatcher.hpp"
 
 #include "decision/backend_state_table.hpp"
+#include "decision/send_limiter.hpp"
 
 #include <algorithm>
 #include <list>
@@ -84,7 +85,10 @@
 class dispatcher::implementation
 {
 public:
-    explicit implementation(dispatcher_settings settings_in) : settings(std::move(settings_in)) {}
+    explicit implementation(dispatcher_settings settings_in)
+        : settings(std::move(settings_in)), limiter(settings.seed)
+    {
+    }
 
     double distance_ms(std::string const& data_centre) const
     {
@@ -144,6 +148,8 @@
         basis.candidates = static_cast<unsigned>(found.size());
         known_backend* best = nullptr;
         std::pair<bool, double> best_cost{true, 0.0};
+        known_backend const* best_limited = nullptr;
+        std::pair<bool, double> best_limited_cost{true, 0.0};
         for (known_backend* const backend : found)
         {
             if (backend->entry.name == request.running_at || now < backend->avoid_until ||
@@ -153,12 +159,26 @@
             }
             bool const avoided = contains(request.failed_servers, backend->entry.name);
             std::pair<bool, double> const cost{avoided, cost_ms(now, request, *backend)};
+            if (!limiter.may_send(now, backend->entry.name))
+            {
+                ++basis.limited;
+                if (best_limited == nullptr || cost < best_limited_cost)
+                {
+                    best_limited = backend;
+                    best_limited_cost = cost;
+                }
+                continue;
+            }
             if (best == nullptr || cost < best_cost)
             {
                 best = backend;
                 best_cost = cost;
             }
         }
+        if (best_limited != nullptr && (best == nullptr || best_limited_cost < best_cost))
+        {
+            limiter.on_held_back(best_limited->entry.name, request.number);
+        }
         return best;
     }
 
@@ -182,6 +202,7 @@
             backend.load_updated_at == steady_time{} ? duration{0} : now - backend.load_updated_at;
         basis.waited = now - waiting.since;
         ++backend.own_requests;
+        limiter.on_sent(now, backend.entry.name);
         double const unread = unread_tokens(waiting.request, backend.entry.name);
         backend.unread_tokens += unread;
         unread_by_request[waiting.request.number] = {backend.entry.name, unread};
@@ -219,6 +240,7 @@
     dispatcher_settings const settings;
     std::shared_ptr<serving_config const> config;
     backend_state_table table;
+    send_limiter limiter;
     // Sorted by priority, then by deadline.
     std::list<waiting_request> waiting;
     std::map<request_number, dispatch_request> assigned;
@@ -259,16 +281,23 @@
 
 void dispatcher::on_backend(backend_entry const& entry)
 {
+    known_backend const* const known = impl_->table.find(entry.name);
+    if (known != nullptr && known->entry.started_at != entry.started_at)
+    {
+        impl_->limiter.forget(entry.name);
+    }
     impl_->table.on_backend(entry);
 }
 
 void dispatcher::on_backend_gone(backend_name const& name)
 {
+    impl_->limiter.forget(name);
     impl_->table.on_backend_gone(name);
 }
 
 void dispatcher::on_placements(steady_time now, placement_update const& placement)
 {
+    impl_->limiter.on_grants(now, placement.grants, placement.instances);
     impl_->table.on_placements(now, placement);
 }
 
@@ -311,6 +340,11 @@
     impl_->table.on_load(now, backend, load);
 }
 
+bool dispatcher::on_limit(steady_time now, backend_name const& backend, std::optional<double> per_second)
+{
+    return impl_->limiter.on_answer(now, backend, per_second);
+}
+
 void dispatcher::on_attempt_end(steady_time now, attempt_report const& report)
 {
     auto const found = impl_->assigned.find(report.number);
@@ -460,6 +494,11 @@
     return impl_->new_missing_model;
 }
 
+std::vector<limit_report> dispatcher::take_limit_reports(steady_time now)
+{
+    return impl_->limiter.take_reports(now);
+}
+
 std::vector<engine_requests> dispatcher::running_at_engines() const
 {
     return impl_->table.running_at_engines();
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -22,6 +22,7 @@
 {
     std::string data_centre;
     std::map<std::string, std::string> region_of; ///< Region of each data centre.
+    std::uint64_t seed = 0;
 };
 
 struct assign_request
@@ -55,8 +56,8 @@
 /// It is designed for these loads: bursts of one kind of request (the more urgent are served first, then
 /// those with the nearer deadline), requests for models that no engine holds (they wait up to their max_wait
 /// while the lease holder loads the model), failing servers (they are avoided for a while), slow servers
-/// (others are preferred), and services without servers (their requests are refused at once after a short
-/// start-up time).
+/// (others are preferred), servers that name a limit for all instances together (others are used), and
+/// services without servers (their requests are refused at once after a short start-up time).
 class dispatcher
 {
 public:
@@ -77,6 +78,9 @@
     /// latest. Such requests submitted after `limit` are refused at once when no server is free.
     void refuse_waiting_by(steady_time limit);
     void on_load(steady_time now, backend_name const& backend, backend_load const& load);
+    /// An answer of the server has arrived; `per_second` is the limit that it names, if any. Returns true
+    /// when that changes the limit.
+    bool on_limit(steady_time now, backend_name const& backend, std::optional<double> per_second);
     void on_attempt_end(steady_time now, attempt_report const& report);
 
     /// Called when the first event of a request's stream has arrived, so its prompt has been read.
@@ -97,6 +101,9 @@
     /// True when a request began to wait for a model or adapter since the last call of take_demand.
     bool has_new_missing_model() const;
 
+    /// What this instance knows of servers' limits, for the lease holder.
+    std::vector<limit_report> take_limit_reports(steady_time now);
+
     /// This instance's requests at engines.
     std::vector<engine_requests> running_at_engines() const;
 
--- a/domain/dispatch_request.hpp
+++ b/domain/dispatch_request.hpp
@@ -50,6 +50,7 @@
 struct dispatch_basis
 {
     unsigned candidates = 0; ///< Servers that could run the request.
+    unsigned limited = 0;    ///< Candidates that were left out because of the limit that they name.
     unsigned in_use = 0;     ///< Known requests at the chosen server.
     duration load_age{0};    ///< Age of the server's last load report.
     duration waited{0};      ///< Since the request's arrival or its previous attempt.
--- a/domain/placement_exchange.cpp
+++ b/domain/placement_exchange.cpp
@@ -20,9 +20,9 @@
 bool operator==(demand_report const& a, demand_report const& b)
 {
     return std::tie(a.instance, a.peer_address, a.models, a.unreachable, a.running, a.sent_early,
-                    a.servers_position, a.part_crashes_digest, a.new_part_crashes) ==
+                    a.servers_position, a.part_crashes_digest, a.new_part_crashes, a.limits) ==
            std::tie(b.instance, b.peer_address, b.models, b.unreachable, b.running, b.sent_early,
-                    b.servers_position, b.part_crashes_digest, b.new_part_crashes);
+                    b.servers_position, b.part_crashes_digest, b.new_part_crashes, b.limits);
 }
 
 bool operator==(recent_placement const& a, recent_placement const& b)
@@ -33,7 +33,8 @@
 
 bool operator==(placement_update const& a, placement_update const& b)
 {
-    return std::tie(a.placements, a.instances, a.running) == std::tie(b.placements, b.instances, b.running);
+    return std::tie(a.placements, a.instances, a.running, a.grants) ==
+           std::tie(b.placements, b.instances, b.running, b.grants);
 }
 
 bool operator==(holder_reply const& a, holder_reply const& b)
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -4,6 +4,7 @@
 #include "domain/backend_update.hpp"
 #include "domain/identifiers.hpp"
 #include "domain/part_crash.hpp"
+#include "domain/server_limit.hpp"
 
 #include <cstdint>
 #include <map>
@@ -47,6 +48,7 @@
     std::uint64_t part_crashes_digest = 0; ///< Of the marks that this instance has; see crash_ledger.
     /// Marks that this instance found and that the holder may not have from the store yet.
     std::vector<part_crash> new_part_crashes{};
+    std::vector<limit_report> limits{}; ///< Servers that name a limit, or have ceased to.
 };
 
 /// A model or adapter whose load the lease holder ordered recently, so that the engine's entry may not show
@@ -66,6 +68,7 @@
     unsigned instances = 0; ///< Instances that reported to the holder recently; zero when unknown.
     /// Requests of all instances; engines without any are left out. Empty in the reply to an early report.
     std::optional<std::vector<engine_requests>> running{};
+    std::vector<limit_grant> grants{}; ///< For the instance that gets this reply.
 };
 
 /// The lease holder's whole reply to a demand report.
--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -15,6 +15,7 @@
     reply.placement.instances = 9;
     reply.placement.placements = {{"e1", "m0", "a1", false}, {"e2", "m1", "", true}};
     reply.placement.running = std::vector<engine_requests>{{"e1", 7}, {"e2", 0}};
+    reply.placement.grants = {{{"e1", 1.4, milliseconds{250}}, 2}, {{"e2", -1.0, milliseconds{90}}, 0}};
     reply.servers.position = {"h1-77", 12};
     reply.servers.complete = true;
     reply.servers.store_revision = 400;
@@ -40,7 +41,7 @@
 {
     return encode_reply(encode_placement_update(reply.placement), encode_update(reply.servers),
                         reply.part_crashes ? encode_part_crashes(*reply.part_crashes) : std::string(),
-                        reply.config_revision, reply.store_state_age);
+                        reply.placement.grants, reply.config_revision, reply.store_state_age);
 }
 
 } // namespace
@@ -55,9 +56,16 @@
     without.part_crashes.reset();
     auto const shorter = decode_reply(encode(without));
     cr_assert(shorter && *shorter == without);
-    demand_report const report{"i1",          "10.0.0.9:7000",     {{"llm", "m0", "a1", 2, 3, 4, 5}},
-                               {"e4"},        {{"e1", 3}},         true,
-                               {"h1-77", 12}, 987654321098765432U, {{"91bd3f06", 2, "e2", 1774000000124}}};
+    demand_report const report{"i1",
+                               "10.0.0.9:7000",
+                               {{"llm", "m0", "a1", 2, 3, 4, 5}},
+                               {"e4"},
+                               {{"e1", 3}},
+                               true,
+                               {"h1-77", 12},
+                               987654321098765432U,
+                               {{"91bd3f06", 2, "e2", 1774000000124}},
+                               {{{"e1", 0.1, milliseconds{3}}, 4}}};
     auto const read = decode_demand(encode_demand(report));
     cr_assert(read && *read == report);
 }
@@ -75,7 +83,8 @@
                                               false,
                                               {},
                                               0,
-                                              {{"91bd3f06", 2, "e2", 4}}});
+                                              {{"91bd3f06", 2, "e2", 4}},
+                                              {{{"e1", 2.0, {}}, 4}}});
     for (std::string const& whole : {reply, demand})
     {
         for (std::size_t size = 0; size < whole.size(); ++size)
