Exchange marks of crashes while the order lease has run out

Traced: the holder's lease runs out 1.5 s after its last renewal, and then it answers reports with 409 (holder_lost status=409 in the log), so that marks spread only if that happens sooner; a trial with the requests 1.6 s after the outage's begin failed each time. Marks need no lease: the last holder now takes them from every report and puts those that the instance lacks into its 409. The test begins 2 s after the outage, when the lease has certainly run out; it checks as much as before and failed before this change.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -276,12 +276,6 @@
     return limits;
 }
 
-std::optional<std::vector<part_crash>> decode_part_crashes(std::string const& bytes)
-{
-    auto const value = field_codec::parse_cbor(bytes);
-    return value.has_value() ? decode_crash_rows(value.value()) : std::nullopt;
-}
-
 } // namespace
 
 std::string encode_demand(demand_report const& report)
@@ -367,6 +361,12 @@
     return to_bytes(encode_crash_rows(crashes));
 }
 
+std::optional<std::vector<part_crash>> decode_part_crashes(std::string const& bytes)
+{
+    auto const value = field_codec::parse_cbor(bytes);
+    return value.has_value() ? decode_crash_rows(value.value()) : std::nullopt;
+}
+
 std::string encode_reply(std::string const& placement, std::string const& update,
                          std::string const& part_crashes, std::vector<limit_grant> const& grants,
                          std::uint64_t config_revision, duration age)
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -19,6 +19,7 @@
 std::string encode_placement_update(placement_update const& placement);
 std::string encode_update(backend_update const& update);
 std::string encode_part_crashes(std::vector<part_crash> const& crashes);
+std::optional<std::vector<part_crash>> decode_part_crashes(std::string const& bytes);
 /// Joins the encoded parts of a reply with the grants for its receiver. `part_crashes` is empty when the
 /// instance has the holder's marks.
 std::string encode_reply(std::string const& placement, std::string const& update,
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -257,6 +257,10 @@
         }
         else if (outcome.status != 0 || !outcome.sent)
         {
+            if (auto const crashes = outcome.status == 409 ? decode_part_crashes(outcome.body) : std::nullopt)
+            {
+                state.on_peer_crashes(*crashes);
+            }
             state.on_holder_lost();
         }
     }
@@ -404,15 +408,24 @@
         }
         auto const report = decode_demand(call->body());
         steady_time const now = boot_now();
-        if (!report || !lease.may_send_orders(now))
+        if (!report)
         {
-            call->answer(report ? 409 : 400, "", "");
+            call->answer(400, "", "");
+            return;
+        }
+        state.on_peer_crashes(report->new_part_crashes);
+        if (!lease.may_send_orders(now))
+        {
+            // Marks need no lease. In an outage of the store the instances go on reporting to the last
+            // holder.
+            auto const crashes = state.crashes_since(report->part_crashes_digest);
+            call->answer(409, "Content-Type: application/cbor\r\n",
+                         crashes ? encode_part_crashes(*crashes) : std::string());
             return;
         }
         peers[report->peer_address] = now;
         load.on_report(now, *report);
         planner.on_demand(now, *report);
-        state.on_peer_crashes(report->new_part_crashes);
         if (now >= next_plan)
         {
             plan(now);
--- a/tests/platform/crashing_part_test.cpp
+++ b/tests/platform/crashing_part_test.cpp
@@ -253,15 +253,17 @@
     cr_expect_geq(fleet.crashes().size(), std::size_t{3}, "%zu crashes", fleet.crashes().size());
 }
 
-// Guards against instances that do not learn of the part while the store refuses every call.
+// Guards against instances that do not learn of the part while the store refuses every call, so that the
+// order lease has run out.
 Test(crashing_part, is_refused_by_all_instances_during_an_outage_of_the_store)
 {
     crash_fleet fleet(3);
     std::size_t const one = (fleet.holder() + 1) % 3;
     std::size_t const other = (fleet.holder() + 2) % 3;
     fleet.store().set_mode(store_standin::mode::busy);
+    std::this_thread::sleep_for(seconds{2}); // The lease is valid for 1.5 s.
     fleet.send_for(milliseconds{800}, "bad", {one});
-    std::this_thread::sleep_for(milliseconds{700}); // Instances report to the holder every 500 ms.
+    std::this_thread::sleep_for(seconds{2}); // Instances report every 500 ms.
     std::size_t const before = fleet.crashes().size();
     fleet.send_for(milliseconds{800}, "bad", {other});
     fleet.store().set_mode(store_standin::mode::up);
