Drop a reported mark that nothing confirms

Found by reading: when an instance clears a mark before the store has it, the lease holder kept the copy from the report for 15 minutes and returned it with its replies. A mark that only a peer has named is now dropped 2 s after its last report, unless the store has it. Marks from a holder whose lease has run out stay until the store or the next holder tells otherwise. Test: crash_ledger/reported_mark_needs_confirmation.

--- a/apps/crash_reporter.cpp
+++ b/apps/crash_reporter.cpp
@@ -60,6 +60,7 @@
     {
         steady_time const now = boot_now();
         report_delayed(now);
+        ledger.drop_unconfirmed(now);
         if (holds_lease())
         {
             for (part_crash const& each : ledger.expire(now))
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -259,7 +259,7 @@
         {
             if (auto const crashes = outcome.status == 409 ? decode_part_crashes(outcome.body) : std::nullopt)
             {
-                state.on_peer_crashes(*crashes);
+                state.on_former_holder_crashes(*crashes);
             }
             state.on_holder_lost();
         }
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -379,8 +379,17 @@
 void state_follower::on_peer_crashes(std::vector<part_crash> const& found)
 {
     for (part_crash const& each : found)
+    {
+        impl_->crashes.add_reported(boot_now(), each);
+    }
+}
+
+void state_follower::on_former_holder_crashes(std::vector<part_crash> const& told)
+{
+    for (part_crash const& each : told)
     {
         impl_->crashes.add(boot_now(), each);
+        impl_->crash_watch.mark_known(id_of(each), 0);
     }
 }
 
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -82,6 +82,8 @@
     std::vector<part_crash> new_crashes() const;
     /// Takes over the marks that a peer has found: it may not reach the store, or this instance may not.
     void on_peer_crashes(std::vector<part_crash> const& found);
+    /// Takes over the marks of an instance whose lease has run out, until the store or a holder tells others.
+    void on_former_holder_crashes(std::vector<part_crash> const& told);
     /// The marks for a peer that has those with the digest `known`; empty when they are the same ones, or
     /// when this instance does not know all of them.
     std::optional<std::vector<part_crash>> crashes_since(std::uint64_t known) const;
--- a/decision/crash_ledger.cpp
+++ b/decision/crash_ledger.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -40,6 +41,8 @@
     steady_time known_since;
     bool own = false;         ///< Not in the store yet.
     steady_time kept_until{}; ///< A reply without the mark does not remove it before.
+    /// Set while only reports of a peer name the mark: it is dropped then unless another report comes.
+    std::optional<steady_time> unconfirmed_until{};
 };
 
 struct blocked_part
@@ -120,7 +123,7 @@
         {
             return false;
         }
-        marks[id] = {crash, now, own, {}};
+        marks[id] = {crash, now, own, {}, {}};
         find_blocked();
         return true;
     }
@@ -282,13 +285,49 @@
 
 void crash_ledger::add(steady_time now, part_crash const& crash)
 {
-    auto const dropped = impl_->dropped_until.find(id_of(crash));
+    std::string const id = id_of(crash);
+    auto const found = impl_->marks.find(id);
+    if (found != impl_->marks.end())
+    {
+        found->second.unconfirmed_until.reset();
+        return;
+    }
+    auto const dropped = impl_->dropped_until.find(id);
     if (dropped == impl_->dropped_until.end() || now >= dropped->second)
     {
         (void)impl_->insert(now, crash, false);
     }
 }
 
+void crash_ledger::add_reported(steady_time now, part_crash const& crash)
+{
+    std::string const id = id_of(crash);
+    bool const known = impl_->marks.count(id) > 0;
+    if (!known)
+    {
+        add(now, crash);
+    }
+    auto const found = impl_->marks.find(id);
+    if (found != impl_->marks.end() && (!known || found->second.unconfirmed_until))
+    {
+        found->second.unconfirmed_until = now + change_spread_time;
+    }
+}
+
+void crash_ledger::drop_unconfirmed(steady_time now)
+{
+    std::size_t const before = impl_->marks.size();
+    for (auto each = impl_->marks.begin(); each != impl_->marks.end();)
+    {
+        bool const drop = each->second.unconfirmed_until && now >= *each->second.unconfirmed_until;
+        each = drop ? impl_->marks.erase(each) : std::next(each);
+    }
+    if (impl_->marks.size() != before)
+    {
+        impl_->find_blocked();
+    }
+}
+
 void crash_ledger::remove(std::string const& id)
 {
     if (impl_->marks.erase(id) > 0)
--- a/decision/crash_ledger.hpp
+++ b/decision/crash_ledger.hpp
@@ -69,6 +69,10 @@
     void on_saved(steady_time now, std::string const& id);
     /// Adds a mark that was read from the store.
     void add(steady_time now, part_crash const& crash);
+    /// Adds a mark that a peer has found and may not have saved. It is dropped when neither the store nor
+    /// another report confirms it for a while, because the peer may have cleared it.
+    void add_reported(steady_time now, part_crash const& crash);
+    void drop_unconfirmed(steady_time now);
     /// Drops a mark that the store no longer has.
     void remove(std::string const& id);
     /// Replaces all marks by those of another instance, except recent changes that it may not know yet.
--- a/tests/decision/crash_ledger_test.cpp
+++ b/tests/decision/crash_ledger_test.cpp
@@ -163,6 +163,26 @@
     cr_expect(later[0] == cleared || later[1] == cleared);
 }
 
+// Guards against a mark that its finder has cleared before it was saved, and that stays at the lease holder.
+Test(crash_ledger, reported_mark_needs_confirmation)
+{
+    crash_ledger ledger;
+    ledger.add_reported(at(0), crash_of("cleared", 1));
+    ledger.add_reported(at(0), crash_of("saved", 1));
+    ledger.add_reported(at(0), crash_of("unsaved", 1));
+    ledger.add(at(100), crash_of("saved", 1));
+    ledger.add_reported(at(200), crash_of("saved", 1));
+    ledger.add_reported(at(1500), crash_of("unsaved", 1));
+    ledger.drop_unconfirmed(at(1900));
+    cr_expect_eq(ledger.crashes().size(), 3U);
+    ledger.drop_unconfirmed(at(2100));
+    cr_expect_eq(ledger.crashes().size(), 2U);
+    ledger.drop_unconfirmed(at(3600));
+    auto const left = ledger.crashes();
+    cr_assert_eq(left.size(), 1U);
+    cr_expect(left[0] == crash_of("saved", 1));
+}
+
 // Guards against memory and store objects that grow with the parts that callers invent.
 Test(crash_ledger, marks_are_limited)
 {
