Wait a second after a failed store call for a mark

Unsaved marks were written again every 100 ms while the store refused, by every instance; refused calls are priced.

--- a/apps/crash_reporter.cpp
+++ b/apps/crash_reporter.cpp
@@ -33,6 +33,8 @@
 constexpr duration tick_interval = milliseconds{100};
 // Store calls of one tick, so that many crashes do not use up the rate of the store's writes.
 constexpr std::size_t calls_per_tick = 8;
+// The store prices refused calls too.
+constexpr duration failed_call_delay = milliseconds{1000};
 constexpr std::size_t max_prompts_of_check = 64;
 // Suspects that one instance reports for one crash: those with most crashes before. Many requests may run on
 // an engine, and most are there by chance.
@@ -203,6 +205,10 @@
 
     void save()
     {
+        if (boot_now() < next_call)
+        {
+            return;
+        }
         for (auto const& [id, crash] : unsaved)
         {
             if (calls_in_progress.size() >= calls_per_tick)
@@ -231,15 +237,21 @@
     void on_saved(std::string const& id, bool saved)
     {
         calls_in_progress.erase(id);
-        if (saved)
+        if (!saved)
         {
-            unsaved.erase(id);
-            ledger.on_saved(boot_now(), id);
+            next_call = boot_now() + failed_call_delay;
+            return;
         }
+        unsaved.erase(id);
+        ledger.on_saved(boot_now(), id);
     }
 
     void remove()
     {
+        if (boot_now() < next_call)
+        {
+            return;
+        }
         for (auto const& [id, crash] : removals)
         {
             if (calls_in_progress.size() >= calls_per_tick)
@@ -259,10 +271,12 @@
                                  return;
                              }
                              self->calls_in_progress.erase(id);
-                             if (!failure)
+                             if (failure)
                              {
-                                 self->removals.erase(id);
+                                 self->next_call = boot_now() + failed_call_delay;
+                                 return;
                              }
+                             self->removals.erase(id);
                          });
         }
     }
@@ -306,6 +320,7 @@
     std::map<std::string, part_crash> unsaved;
     std::map<std::string, part_crash> removals;
     std::set<std::string> calls_in_progress;
+    steady_time next_call; ///< No call is made before, after one that failed.
 };
 
 crash_reporter::crash_reporter(boost::asio::io_context& loop, outbound_pool& pool,
