Test crashing parts with an instance that is cut off, and wait for the fleet to form

New: an instance whose link to the store is cut reports the part to the others, and knows it after a restart. They now begin when all instances know the holder.

--- a/tests/platform/crashing_part_test.cpp
+++ b/tests/platform/crashing_part_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/adapters/tcp_relay.hpp"
 #include "tests/wire/crashing_engine.hpp"
 #include "tests/wire/request_checks.hpp"
 #include "tests/wire/small_fleet.hpp"
@@ -9,6 +10,7 @@
 #include <csignal>
 #include <memory>
 #include <mutex>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -50,17 +52,21 @@
         }
         for (unsigned i = 0; i < instances; ++i)
         {
-            edges_.push_back(std::make_unique<edge_child>("edge-" + std::to_string(i), store_.address()));
+            store_links_.push_back(
+                std::make_unique<siskinusher::tcp_relay>(Poco::Net::SocketAddress(store_.address()).port()));
+            edges_.push_back(
+                std::make_unique<edge_child>("edge-" + std::to_string(i), store_links_.back()->address()));
         }
         for (auto const& edge : edges_)
         {
             cr_assert(edge->wait_ready(), "%s", edge->log_text().c_str());
         }
-        cr_assert(eventually([this] { return holder() < edges_.size(); }));
+        cr_assert(eventually([this] { return all_know_the_holder(); }));
     }
 
     store_standin& store() { return store_; }
     edge_child& edge(std::size_t index) { return *edges_[index]; }
+    siskinusher::tcp_relay& store_link(std::size_t index) { return *store_links_[index]; }
     crashing_engine& engine(std::size_t index) { return *engines_[index]; }
 
     /// Index of the instance that gained the lease last; the number of instances when none has.
@@ -78,6 +84,21 @@
         return edges_.size();
     }
 
+    /// False until each other instance has reported to the lease holder: before that it has no peer to learn
+    /// from while the store is away.
+    bool all_know_the_holder() const
+    {
+        std::size_t const held_by = holder();
+        for (std::size_t i = 0; i < edges_.size(); ++i)
+        {
+            if (i != held_by && edges_[i]->log_text().find("event=holder_reached") == std::string::npos)
+            {
+                return false;
+            }
+        }
+        return held_by < edges_.size();
+    }
+
     /// Sends a request with the middle part `part`; its last part is its own.
     sent_request send(std::size_t edge, std::string const& part)
     {
@@ -147,6 +168,25 @@
         return found;
     }
 
+    /// Lines of all instances that show what they know of crashes, and from whom.
+    std::string log_of_marks() const
+    {
+        std::string lines;
+        for (auto const& edge : edges_)
+        {
+            std::istringstream text(edge->log_text());
+            for (std::string line; std::getline(text, line);)
+            {
+                for (char const* const event : {"event=part_", "event=engine_check", "event=holder_",
+                                                "event=lease_", "event=state_source", "event=start"})
+                {
+                    lines += line.find(event) == std::string::npos ? "" : line + "\n";
+                }
+            }
+        }
+        return lines;
+    }
+
     void expect_few_late_bad_runs()
     {
         auto const all = crashes();
@@ -163,6 +203,7 @@
 private:
     store_standin store_;
     std::vector<std::unique_ptr<crashing_engine>> engines_;
+    std::vector<std::unique_ptr<siskinusher::tcp_relay>> store_links_;
     std::vector<std::unique_ptr<edge_child>> edges_;
     std::atomic<unsigned> last_id_{0};
     std::mutex mutex_;
@@ -189,7 +230,7 @@
     std::vector<std::thread> callers;
     for (std::string const part : {"bad", "good", "fine"})
     {
-        callers.emplace_back([&fleet, part] { fleet.send_for(seconds{9}, part, {0, 1, 2}); });
+        callers.emplace_back([&fleet, part] { fleet.send_for(seconds{13}, part, {0, 1, 2}); });
     }
     for (std::thread& each : callers)
     {
@@ -268,7 +309,33 @@
     fleet.send_for(milliseconds{800}, "bad", {other});
     fleet.store().set_mode(store_standin::mode::up);
     cr_expect_geq(before, std::size_t{3}, "%zu crashes", before);
-    cr_expect_eq(fleet.crashes().size(), before, "%zu more crashes", fleet.crashes().size() - before);
+    cr_expect_eq(fleet.crashes().size(), before, "%zu more crashes\n%s", fleet.crashes().size() - before,
+                 fleet.log_of_marks().c_str());
+}
+
+// Guards against an instance that neither tells the others of the part nor learns of it while its link to the
+// store is cut.
+Test(crashing_part, is_refused_by_all_instances_when_one_is_cut_off_from_the_store)
+{
+    crash_fleet fleet(3);
+    std::size_t const cut_off = (fleet.holder() + 1) % 3;
+    std::size_t const other = (fleet.holder() + 2) % 3;
+    fleet.store_link(cut_off).cut(true);
+    fleet.send_for(seconds{1}, "bad", {cut_off});
+    std::this_thread::sleep_for(seconds{2});
+    std::size_t const before = fleet.crashes().size();
+    fleet.send_for(seconds{1}, "bad", {other});
+    cr_expect_geq(before, std::size_t{3}, "%zu crashes", before);
+    cr_expect_eq(fleet.crashes().size(), before, "%zu more crashes\n%s", fleet.crashes().size() - before,
+                 fleet.log_of_marks().c_str());
+    fleet.edge(cut_off).process().send(SIGKILL);
+    cr_assert(fleet.edge(cut_off).process().wait(seconds{5}));
+    fleet.store_link(cut_off).heal();
+    fleet.edge(cut_off).start();
+    cr_assert(fleet.edge(cut_off).wait_ready());
+    fleet.send_for(seconds{1}, "bad", {cut_off});
+    cr_expect_leq(fleet.crashes().size() - before, allowed_late_requests, "%zu more after the restart",
+                  fleet.crashes().size() - before);
 }
 
 // Guards against blaming the sound requests that run on an engine when another one ends it.
