--- a/apps/crash_reporter.cpp
+++ b/apps/crash_reporter.cpp
@@ -136,7 +136,7 @@
     {
         std::vector<std::vector<std::string>> const prompts = std::exchange(checks[key], {});
         checks.erase(key);
-        metrics.add("siskin_engine_checks_total", crashed ? "crashed" : "alive", 1);
+        metrics.add("siskin_engine_checks_total", crashed ? "crashed" : "not_refused", 1);
         steady_time const now = boot_now();
         std::string suspected;
         for (crash_suspect const& each :
@@ -154,7 +154,7 @@
         }
         log.write({"engine_check",
                    {{"backend", engine.name},
-                    {"outcome", crashed ? "crashed" : "alive"},
+                    {"outcome", crashed ? "crashed" : "not_refused"},
                     {"lost_requests", std::to_string(prompts.size())},
                     {"suspected_parts", suspected}}});
         log_changes(now);
