--- a/tests/platform/server_limit_test.cpp
+++ b/tests/platform/server_limit_test.cpp
@@ -87,6 +87,7 @@
     {
         std::atomic<unsigned> served{0};
         std::vector<std::thread> callers;
+        callers.reserve(edges.size());
         for (std::size_t const edge : edges)
         {
             callers.emplace_back([this, edge, span, &served] { served += send_from(edge, span); });
