--- a/adapters/http_connection.hpp
+++ b/adapters/http_connection.hpp
@@ -25,6 +25,8 @@
 {
     int status = 0;
     std::string etag;
+    /// All headers of the answer, in their order; only outbound_pool fills them in.
+    std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     bool refused = false; ///< Nothing listens at the address.
     bool sent = false;    ///< At least one byte of the call was written.
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -529,6 +529,7 @@
     handlers.on_head = [state](Poco::Net::HTTPResponse const& head)
     {
         state->outcome.status = head.getStatus();
+        state->outcome.headers.assign(head.begin(), head.end());
         return true;
     };
     handlers.on_body = [state](std::string const& part) { state->outcome.body.append(part); };
