--- /dev/null
+++ b/tests/platform/restored_store_test.cpp
@@ -0,0 +1,178 @@
+#include "tests/adapters/tcp_relay.hpp"
+#include "tests/wire/small_fleet.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace siskinusher::standins;
+
+namespace
+{
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using steady = std::chrono::steady_clock;
+
+// Within this time after its acknowledgement a configuration is in force, and a leaving server gets nothing
+// new.
+constexpr milliseconds change_time{2500};
+
+// The example's configuration with one more route for each version after the first.
+json config_with_routes(std::uint64_t version)
+{
+    json config = example_config(version);
+    for (std::uint64_t each = 2; each <= version; ++each)
+    {
+        json route = config["routes"][1];
+        route["name"] = "added-" + std::to_string(each);
+        route["path_prefix"] = "/added-" + std::to_string(each) + "/";
+        config["routes"].push_back(route);
+    }
+    return config;
+}
+
+/// Three instances before two plain servers and two engines, with a store that can go back to a copy.
+class restored_fleet
+{
+public:
+    restored_fleet()
+    {
+        write_config(1);
+        for (unsigned i = 0; i < 3; ++i)
+        {
+            edges_.push_back(std::make_unique<edge_child>("edge-" + std::to_string(i), store.address()));
+        }
+        for (auto const& edge : edges_)
+        {
+            cr_assert(edge->wait_ready(), "%s", edge->log_text().c_str());
+        }
+        std::this_thread::sleep_for(seconds{1}); // Each instance follows the lease holder.
+    }
+
+    void write_config(std::uint64_t version)
+    {
+        store.write("config", "main", config_with_routes(version));
+    }
+
+    /// Raises the store's revision, so that after a restoration the next writes get revisions that were given
+    /// out before.
+    void write_elsewhere(unsigned count)
+    {
+        for (unsigned i = 0; i < count; ++i)
+        {
+            store.write("elsewhere", "x", {{"count", ++elsewhere_}});
+        }
+    }
+
+    /// The store is away for the time and comes back from the copy.
+    void restore(milliseconds away)
+    {
+        store.set_mode(store_standin::mode::silent);
+        std::this_thread::sleep_for(away);
+        store.restore();
+        store.set_mode(store_standin::mode::up);
+    }
+
+    /// Names the instances that answer 404 on the route that the version added.
+    std::string without_route_of(std::uint64_t version)
+    {
+        std::string missing;
+        for (std::size_t i = 0; i < edges_.size(); ++i)
+        {
+            auto const answer = edges_[i]->call("GET", "/added-" + std::to_string(version) + "/1",
+                                                "r" + std::to_string(++last_id_));
+            if (!answer || answer->status != 200)
+            {
+                missing += std::to_string(i) + " ";
+            }
+        }
+        return missing;
+    }
+
+    void expect_in_force(std::uint64_t version, char const* when)
+    {
+        bool const in_force = eventually([&] { return without_route_of(version).empty(); }, change_time);
+        cr_expect(in_force, "%s: version %d is not in force at the instances %s", when,
+                  static_cast<int>(version), without_route_of(version).c_str());
+    }
+
+    edge_child& edge(std::size_t index) { return *edges_[index]; }
+
+    store_standin store;
+    backend_standin plain_1{store, "p1", "plain"};
+    backend_standin plain_2{store, "p2", "plain"};
+    backend_standin engine_1{store, "e1", "llm", {"m0"}};
+    backend_standin engine_2{store, "e2", "llm", {"m0"}};
+
+private:
+    std::vector<std::unique_ptr<edge_child>> edges_;
+    unsigned elsewhere_ = 0;
+    unsigned last_id_ = 0;
+};
+
+} // namespace
+
+// Guards against instances that ignore a new configuration because its revision was given out before.
+Test(restored_store, new_configuration_is_in_force_in_time)
+{
+    restored_fleet fleet;
+    fleet.store.keep_copy();
+    fleet.write_elsewhere(50);
+    fleet.write_config(2);
+    fleet.expect_in_force(2, "before the restoration");
+    fleet.restore(seconds{2});
+    fleet.write_config(2);
+    std::this_thread::sleep_for(seconds{1});
+    fleet.write_config(3);
+    fleet.expect_in_force(3, "after the restoration");
+    fleet.restore(milliseconds{300});
+    fleet.write_config(4);
+    fleet.expect_in_force(4, "after a second, short restoration");
+}
+
+// Guards against an older configuration in force while the operators have not written theirs again.
+Test(restored_store, confirmed_configuration_stays_in_force)
+{
+    restored_fleet fleet;
+    fleet.store.keep_copy();
+    fleet.write_elsewhere(20);
+    fleet.write_config(2);
+    fleet.expect_in_force(2, "before the restoration");
+    fleet.restore(seconds{1});
+    for (auto const end = steady::now() + seconds{4}; steady::now() < end;)
+    {
+        std::string const missing = fleet.without_route_of(2);
+        cr_assert(missing.empty(), "the instances %s took the version of the copy", missing.c_str());
+        std::this_thread::sleep_for(milliseconds{50});
+    }
+}
+
+// Guards against requests to a server that has announced its end by a revision that was given out before.
+Test(restored_store, leaving_server_gets_nothing_new)
+{
+    restored_fleet fleet;
+    fleet.store.keep_copy();
+    fleet.write_elsewhere(50);
+    // Two changes, so that the instances know the entry by a revision that the copy does not have.
+    fleet.plain_1.publish_address("127.0.0.1:1");
+    fleet.plain_1.publish_address(fleet.plain_1.address());
+    std::this_thread::sleep_for(seconds{1});
+    fleet.restore(seconds{1});
+    std::this_thread::sleep_for(seconds{3});
+    fleet.plain_1.write_entry("draining");
+    std::this_thread::sleep_for(change_time);
+    unsigned const before = fleet.plain_1.total_runs();
+    for (unsigned i = 0; i < 60; ++i)
+    {
+        (void)fleet.edge(i % 3).call("GET", "/again/1", "s" + std::to_string(i));
+    }
+    cr_expect_eq(fleet.plain_1.total_runs(), before, "%u requests reached the leaving server",
+                 fleet.plain_1.total_runs() - before);
+}
--- a/tests/wire/store_standin.cpp
+++ b/tests/wire/store_standin.cpp
@@ -89,6 +89,31 @@
     changed_.notify_all();
 }
 
+void store_standin::keep_copy()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    copy_ = {kinds_, revision_};
+}
+
+void store_standin::restore()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    kinds_ = copy_.kinds;
+    revision_ = copy_.revision;
+    while (!history_.empty() && history_.back().revision > revision_)
+    {
+        history_.pop_back();
+    }
+    era_ = std::to_string(1 + ++restorations_);
+    changed_.notify_all();
+}
+
+void store_standin::set_era(std::optional<std::string> era)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    era_ = std::move(era);
+}
+
 unsigned store_standin::server_entry_reads()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -108,6 +133,10 @@
     {
         std::lock_guard<std::mutex> const lock(mutex_);
         now = mode_;
+        if (era_)
+        {
+            exchange.set_header("Store-Era", *era_);
+        }
     }
     if (now == mode::silent)
     {
@@ -175,15 +204,16 @@
     auto const until =
         std::chrono::steady_clock::now() + std::chrono::milliseconds{std::stoll(exchange.query("wait_ms"))};
     std::unique_lock<std::mutex> lock(mutex_);
+    std::uint64_t const restorations = restorations_;
     for (;;)
     {
-        if (mode_ != mode::up || stopping_)
+        if (mode_ != mode::up || stopping_ || restorations_ != restorations)
         {
             lock.unlock();
             exchange.abort();
             return;
         }
-        if (since < dropped_revision_)
+        if (since < dropped_revision_ || since > revision_)
         {
             lock.unlock();
             exchange.reply(410, "{}");
--- a/tests/wire/store_standin.hpp
+++ b/tests/wire/store_standin.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace siskinusher::standins
@@ -38,6 +39,13 @@
     void set_mode(mode value);
     /// Drops the history, so that every watch of an older revision is answered 410.
     void drop_history();
+    /// Keeps a copy of all objects, for restore().
+    void keep_copy();
+    /// Goes back to the latest copy, as after a loss: later writes are gone, their revisions are given out
+    /// again, and the era of the answers rises by one.
+    void restore();
+    /// Sets the text of the era header; nothing leaves the header out.
+    void set_era(std::optional<std::string> era);
     /// Number of lists and watches of the servers' entries so far.
     unsigned server_entry_reads();
     nlohmann::json spec_of(std::string const& kind, std::string const& name);
@@ -56,6 +64,12 @@
         nlohmann::json event;
     };
 
+    struct copy
+    {
+        std::map<std::string, std::map<std::string, object>> kinds;
+        std::uint64_t revision = 1;
+    };
+
     void serve(http_exchange& exchange);
     void list(http_exchange& exchange, std::string const& kind);
     void watch(http_exchange& exchange, std::string const& kind);
@@ -68,6 +82,9 @@
     std::map<std::string, std::map<std::string, object>> kinds_;
     std::deque<change> history_;
     std::uint64_t revision_ = 1;
+    copy copy_;
+    std::uint64_t restorations_ = 0;
+    std::optional<std::string> era_{"1"};
     std::uint64_t dropped_revision_ = 0; ///< The history up to this revision is dropped.
     mode mode_{mode::up};
     bool stopping_ = false;
