Compare revisions of the store together with its era

Such a store gives out revisions again; watches, the directory of servers, the followers' configuration revision and the lease compared bare numbers, so that each object written after the loss was taken for outdated until the numbers had passed the earlier ones.

A revision is now a value of era and number (store_revision), compared by era first, everywhere it is kept or sent: watches, directory, updates to followers, lease.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -82,6 +82,18 @@
                : std::nullopt;
 }
 
+json encode_revision(store_revision const& revision)
+{
+    return json::array({revision.era, revision.number});
+}
+
+std::optional<store_revision> decode_revision(json const& value)
+{
+    return is_row(value, 0, 2)
+               ? std::optional(store_revision{value[0].get<std::uint64_t>(), value[1].get<std::uint64_t>()})
+               : std::nullopt;
+}
+
 json encode_server(revised_backend const& server)
 {
     backend_entry const& entry = server.entry;
@@ -97,13 +109,15 @@
     }
     json const facts = json::array({entry.name, entry.service, entry.address, entry.data_centre, entry.places,
                                     entry.leaving ? 1U : 0U, entry.is_engine ? 1U : 0U,
-                                    static_cast<std::uint64_t>(entry.started_at), server.revision});
-    return json::array({facts, models});
+                                    static_cast<std::uint64_t>(entry.started_at)});
+    return json::array({facts, models, encode_revision(server.revision)});
 }
 
 std::optional<revised_backend> decode_server(json const& value)
 {
-    if (!value.is_array() || value.size() != 2 || !is_row(value[0], 4, 5) || !value[1].is_array())
+    bool const has_parts = value.is_array() && value.size() == 3;
+    auto const revision = has_parts ? decode_revision(value[2]) : std::nullopt;
+    if (!revision || !is_row(value[0], 4, 4) || !value[1].is_array())
     {
         return std::nullopt;
     }
@@ -118,7 +132,7 @@
     entry.leaving = facts[5].get<unsigned>() != 0;
     entry.is_engine = facts[6].get<unsigned>() != 0;
     entry.started_at = facts[7].get<std::int64_t>();
-    server.revision = facts[8].get<std::uint64_t>();
+    server.revision = *revision;
     for (json const& names : value[1])
     {
         if (!is_text_list(names) || names.empty())
@@ -192,15 +206,16 @@
 {
     auto const value = list_of(bytes, 5);
     auto position = value ? decode_position((*value)[0]) : std::nullopt;
-    if (!position || !(*value)[1].is_boolean() || !(*value)[2].is_number_unsigned() ||
-        !(*value)[3].is_array() || !is_text_list((*value)[4]))
+    auto const followed = value ? decode_revision((*value)[2]) : std::nullopt;
+    if (!position || !followed || !(*value)[1].is_boolean() || !(*value)[3].is_array() ||
+        !is_text_list((*value)[4]))
     {
         return std::nullopt;
     }
     backend_update update;
     update.position = std::move(*position);
     update.complete = (*value)[1].get<bool>();
-    update.store_revision = (*value)[2].get<std::uint64_t>();
+    update.followed = *followed;
     for (json const& each : (*value)[3])
     {
         auto server = decode_server(each);
@@ -352,8 +367,8 @@
     {
         servers.push_back(encode_server(each));
     }
-    return to_bytes(json::array(
-        {encode_position(update.position), update.complete, update.store_revision, servers, update.removed}));
+    return to_bytes(json::array({encode_position(update.position), update.complete,
+                                 encode_revision(update.followed), servers, update.removed}));
 }
 
 std::string encode_part_crashes(std::vector<part_crash> const& crashes)
@@ -369,7 +384,7 @@
 
 std::string encode_reply(std::string const& placement, std::string const& update,
                          std::string const& part_crashes, std::vector<limit_grant> const& grants,
-                         std::uint64_t config_revision, duration age)
+                         store_revision const& config_revision, duration age)
 {
     json rows = json::array();
     for (limit_grant const& each : grants)
@@ -377,15 +392,14 @@
         rows.push_back(encode_limit(each.limit, each.requests));
     }
     auto const age_us = static_cast<std::uint64_t>(std::max<duration>(age, duration{0}).count());
-    return to_bytes(json::array({binary_of(placement), binary_of(update), config_revision, age_us,
-                                 part_crashes.empty() ? json() : binary_of(part_crashes), rows}));
+    return to_bytes(json::array({binary_of(placement), binary_of(update), encode_revision(config_revision),
+                                 age_us, part_crashes.empty() ? json() : binary_of(part_crashes), rows}));
 }
 
 std::optional<holder_reply> decode_reply(std::string const& bytes)
 {
     auto const value = list_of(bytes, 6);
-    if (!value || !(*value)[0].is_binary() || !(*value)[1].is_binary() || !(*value)[2].is_number_unsigned() ||
-        !(*value)[3].is_number_unsigned())
+    if (!value || !(*value)[0].is_binary() || !(*value)[1].is_binary() || !(*value)[3].is_number_unsigned())
     {
         return std::nullopt;
     }
@@ -394,12 +408,14 @@
     json const& crashes = (*value)[4];
     auto part_crashes = crashes.is_binary() ? decode_part_crashes(bytes_of(crashes)) : std::nullopt;
     auto grants = decode_limits<limit_grant>((*value)[5]);
-    if (!placement || !servers || !grants || part_crashes.has_value() == crashes.is_null())
+    auto const config_revision = decode_revision((*value)[2]);
+    if (!placement || !servers || !grants || !config_revision ||
+        part_crashes.has_value() == crashes.is_null())
     {
         return std::nullopt;
     }
     placement->grants = std::move(*grants);
-    return holder_reply{std::move(*placement), std::move(*servers), (*value)[2].get<std::uint64_t>(),
+    return holder_reply{std::move(*placement), std::move(*servers), *config_revision,
                         duration{(*value)[3].get<duration::rep>()}, std::move(part_crashes)};
 }
 
--- a/apps/crash_reporter.cpp
+++ b/apps/crash_reporter.cpp
@@ -220,7 +220,7 @@
                 continue;
             }
             store.put(
-                platform::part_crash_kind, id, 0, platform::encode_part_crash(crash),
+                platform::part_crash_kind, id, {}, platform::encode_part_crash(crash),
                 [weak = weak_from_this(), id = id](platform::store_answer<platform::store_object> answer)
                 {
                     if (auto const self = weak.lock())
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -144,7 +144,7 @@
                       }
                       else if (std::get<platform::store_failure>(answer) == platform::store_failure::absent)
                       {
-                          self->lease.on_read(now, std::nullopt, 0);
+                          self->lease.on_read(now, std::nullopt, {self->store.era(), 0});
                       }
                       else
                       {
@@ -454,7 +454,9 @@
                                 // been done.
                                 int const no_answer = outcome.sent ? 502 : 503;
                                 call->answer(outcome.status == 0 ? no_answer : outcome.status,
-                                             "Content-Type: application/json\r\n", outcome.body);
+                                             "Content-Type: application/json\r\n" +
+                                                 platform::encode_relayed_headers(outcome),
+                                             outcome.body);
                             });
     }
 
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -115,8 +115,8 @@
                 crashes.add(boot_now(), *crash);
                 return;
             }
-            log.write({"part_crash_ignored",
-                       {{"name", object.name}, {"revision", std::to_string(object.revision)}}});
+            log.write(
+                {"part_crash_ignored", {{"name", object.name}, {"revision", to_string(object.revision)}}});
         };
         result.on_deleted = [this](std::string const& name) { crashes.remove(name); };
         result.on_listed = [this] { crashes_known = true; };
@@ -135,7 +135,7 @@
         if (!decoded || (config && decoded->version < config->version))
         {
             why = decoded ? "an older version" : why;
-            log.write({"config_ignored", {{"revision", std::to_string(object.revision)}, {"reason", why}}});
+            log.write({"config_ignored", {{"revision", to_string(object.revision)}, {"reason", why}}});
             return;
         }
         if (config && decoded->version == config->version)
@@ -146,7 +146,7 @@
         log.write({"config_in_force",
                    {{"version", std::to_string(config->version)},
                     {"routes", std::to_string(config->routes.size())},
-                    {"revision", std::to_string(object.revision)}}});
+                    {"revision", to_string(object.revision)}}});
         handlers.on_config(config);
     }
 
@@ -155,8 +155,8 @@
         auto const entry = platform::decode_backend_entry(object.name, object.spec);
         if (!entry)
         {
-            log.write({"backend_ignored",
-                       {{"backend", object.name}, {"revision", std::to_string(object.revision)}}});
+            log.write(
+                {"backend_ignored", {{"backend", object.name}, {"revision", to_string(object.revision)}}});
             return;
         }
         switch (directory.put(*entry, object.revision))
@@ -172,7 +172,7 @@
         handlers.on_backend(*entry);
     }
 
-    void log_backend(backend_entry const& entry, std::uint64_t revision)
+    void log_backend(backend_entry const& entry, store_revision const& revision)
     {
         log.write({"backend",
                    {{"backend", entry.name},
@@ -180,7 +180,7 @@
                     {"state", entry.leaving ? "leaving" : "ready"},
                     {"models", names_of(entry.models)},
                     {"on_disk", std::to_string(entry.copies_on_disk.size())},
-                    {"revision", std::to_string(revision)},
+                    {"revision", to_string(revision)},
                     {"source", to_string(source)}}});
     }
 
@@ -239,7 +239,7 @@
         crashes_known = true;
         for (part_crash const& each : crashes.crashes())
         {
-            crash_watch.mark_known(id_of(each), 0);
+            crash_watch.mark_known(id_of(each), {});
         }
     }
 
@@ -256,8 +256,8 @@
         metrics.add("siskin_state_source_changes_total", to_string(source), 1);
         log.write({"state_source",
                    {{"source", to_string(source)},
-                    {"servers_revision", std::to_string(backend_watch.revision())},
-                    {"config_revision", std::to_string(config_revision)}}});
+                    {"servers_revision", to_string(backend_watch.revision())},
+                    {"config_revision", to_string(config_revision)}}});
         for (platform::object_watch* const watch : {&config_watch, &backend_watch, &crash_watch})
         {
             if (follow_holder)
@@ -295,7 +295,7 @@
     state_source source{state_source::store};
     update_position holder_position; ///< Position in the holder's changes.
     std::shared_ptr<serving_config const> config;
-    std::uint64_t config_revision = 0;
+    store_revision config_revision;
     bool servers_known = false;
     bool servers_fresh = false;
     bool crashes_known = false; ///< All marks have been read once, from the store or from a holder.
@@ -389,7 +389,7 @@
     for (part_crash const& each : told)
     {
         impl_->crashes.add(boot_now(), each);
-        impl_->crash_watch.mark_known(id_of(each), 0);
+        impl_->crash_watch.mark_known(id_of(each), {});
     }
 }
 
@@ -399,7 +399,7 @@
     return same || !impl_->crashes_known ? std::nullopt : std::optional(impl_->crashes.crashes());
 }
 
-std::uint64_t state_follower::config_revision() const
+store_revision state_follower::config_revision() const
 {
     return impl_->config_revision;
 }
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -76,7 +76,7 @@
     update_position position() const;
     /// The changes that follow the position `known` of a peer.
     backend_update servers_since(update_position const& known) const;
-    std::uint64_t config_revision() const;
+    store_revision config_revision() const;
     /// Digest of the marks that this instance knows, and those that it found lately.
     std::uint64_t crashes_digest() const;
     std::vector<part_crash> new_crashes() const;
--- a/decision/backend_directory.cpp
+++ b/decision/backend_directory.cpp
@@ -66,7 +66,7 @@
 
 backend_directory::~backend_directory() = default;
 
-directory_change backend_directory::put(backend_entry const& entry, std::uint64_t revision)
+directory_change backend_directory::put(backend_entry const& entry, store_revision const& revision)
 {
     auto const [found, is_new] = impl_->servers.try_emplace(entry.name);
     implementation::known_server& server = found->second;
@@ -99,11 +99,11 @@
 }
 
 backend_update backend_directory::changes_since(update_position const& known,
-                                                std::uint64_t store_revision) const
+                                                store_revision const& followed) const
 {
     backend_update update;
     update.position = impl_->position;
-    update.store_revision = store_revision;
+    update.followed = followed;
     update.complete = known.source != impl_->position.source || known.sequence < impl_->pruned_until ||
                       known.sequence > impl_->position.sequence;
     auto each = update.complete ? impl_->changes.begin() : impl_->changes.upper_bound(known.sequence);
@@ -142,7 +142,7 @@
         {
             // A server that was written after the state of the sender is absent there only because that
             // state is older.
-            if (listed.count(name) == 0 && server.value.revision <= update.store_revision)
+            if (listed.count(name) == 0 && server.value.revision <= update.followed)
             {
                 effect.removed.push_back(name);
             }
--- a/decision/backend_directory.hpp
+++ b/decision/backend_directory.hpp
@@ -32,14 +32,14 @@
     backend_directory(backend_directory const&) = delete;
     backend_directory& operator=(backend_directory const&) = delete;
 
-    directory_change put(backend_entry const& entry, std::uint64_t revision);
+    directory_change put(backend_entry const& entry, store_revision const& revision);
     /// False when the server was not known.
     bool remove(backend_name const& name);
 
     /// The changes after the position `known` of a peer. The update is complete (all servers) when the
-    /// position is of another process or too old. `store_revision` is the revision up to which this process
+    /// position is of another process or too old. `followed` is the revision up to which this process
     /// has followed the store.
-    backend_update changes_since(update_position const& known, std::uint64_t store_revision) const;
+    backend_update changes_since(update_position const& known, store_revision const& followed) const;
     /// Applies a peer's update. Returns what it changed here: the changed entries and the names of the
     /// removed servers.
     backend_update merge(backend_update const& update);
--- a/decision/order_lease.cpp
+++ b/decision/order_lease.cpp
@@ -81,7 +81,7 @@
     std::string const proposed_peer_key;
     order_lease_times const times;
     std::optional<order_lease_record> record;
-    std::uint64_t revision = 0;
+    store_revision revision;
     bool revision_current = false; ///< The object was read after the last call that may have changed it.
     bool object_read = false;      ///< The object was read or found absent.
     steady_time revision_seen_at;
@@ -137,7 +137,8 @@
     return it.start_read();
 }
 
-void order_lease::on_read(steady_time now, std::optional<order_lease_record> record, std::uint64_t revision)
+void order_lease::on_read(steady_time now, std::optional<order_lease_record> record,
+                          store_revision const& revision)
 {
     implementation& it = *impl_;
     it.call_in_flight = false;
@@ -159,7 +160,7 @@
     it.next_call = std::clamp(it.claim_at(), now, it.next_call);
 }
 
-void order_lease::on_written(steady_time now, std::uint64_t revision)
+void order_lease::on_written(steady_time now, store_revision const& revision)
 {
     implementation& it = *impl_;
     it.call_in_flight = false;
--- a/decision/order_lease.hpp
+++ b/decision/order_lease.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/steady_time.hpp"
+#include "domain/store_revision.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -44,10 +45,10 @@
     /// show an epoch that this instance has already passed.
     bool allow_stale = false;
 };
-/// A write on the condition that the object has `revision`; zero means that it must not exist.
+/// A write on the condition that the object has `revision`; number zero means that it must not exist.
 struct lease_write
 {
-    std::uint64_t revision = 0;
+    store_revision revision;
     order_lease_record record;
 };
 using lease_call = std::variant<lease_read, lease_write>;
@@ -71,8 +72,8 @@
     std::optional<lease_call> next_call(steady_time now);
 
     /// The object as read; empty when it does not exist.
-    void on_read(steady_time now, std::optional<order_lease_record> record, std::uint64_t revision);
-    void on_written(steady_time now, std::uint64_t revision);
+    void on_read(steady_time now, std::optional<order_lease_record> record, store_revision const& revision);
+    void on_written(steady_time now, store_revision const& revision);
     /// The condition did not hold: another instance has written.
     void on_write_conflict(steady_time now);
     /// The store answered that it did not carry out the write.
--- a/domain/backend_update.cpp
+++ b/domain/backend_update.cpp
@@ -17,8 +17,8 @@
 
 bool operator==(backend_update const& a, backend_update const& b)
 {
-    return std::tie(a.position, a.complete, a.store_revision, a.changed, a.removed) ==
-           std::tie(b.position, b.complete, b.store_revision, b.changed, b.removed);
+    return std::tie(a.position, a.complete, a.followed, a.changed, a.removed) ==
+           std::tie(b.position, b.complete, b.followed, b.changed, b.removed);
 }
 
 } // namespace siskinusher
--- a/domain/backend_update.hpp
+++ b/domain/backend_update.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "domain/backend_entry.hpp"
+#include "domain/store_revision.hpp"
 
 #include <cstdint>
 #include <string>
@@ -20,16 +21,16 @@
 struct revised_backend
 {
     backend_entry entry;
-    std::uint64_t revision = 0;
+    store_revision revision;
 };
 
 /// Changes of the backend servers, sent by one instance to another. The copies of weights that engines keep
 /// are not included: only the lease holder needs them, and it reads the store itself.
 struct backend_update
 {
-    update_position position;         ///< The position after this update.
-    bool complete = false;            ///< Lists every server: a known server that is not listed is gone.
-    std::uint64_t store_revision = 0; ///< Up to which the sender knows the changes in the store.
+    update_position position; ///< The position after this update.
+    bool complete = false;    ///< Lists every server: a known server that is not listed is gone.
+    store_revision followed;  ///< Up to which the sender knows the changes in the store.
     std::vector<revised_backend> changed;
     std::vector<backend_name> removed;
 };
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -5,6 +5,7 @@
 #include "domain/identifiers.hpp"
 #include "domain/part_crash.hpp"
 #include "domain/server_limit.hpp"
+#include "domain/store_revision.hpp"
 
 #include <cstdint>
 #include <map>
@@ -76,8 +77,8 @@
 {
     placement_update placement;
     backend_update servers;
-    std::uint64_t config_revision = 0; ///< The store's revision of the configuration that the holder has.
-    duration store_state_age{0};       ///< Since the holder sent its latest call that the store answered.
+    store_revision config_revision; ///< The store's revision of the configuration that the holder has.
+    duration store_state_age{0};    ///< Since the holder sent its latest call that the store answered.
     /// All marks of the holder; empty when the reported digest shows that the instance has the same ones.
     std::optional<std::vector<part_crash>> part_crashes{};
 };
--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -18,7 +18,7 @@
     reply.placement.grants = {{{"e1", 1.4, milliseconds{250}}, 2}, {{"e2", -1.0, milliseconds{90}}, 0}};
     reply.servers.position = {"h1-77", 12};
     reply.servers.complete = true;
-    reply.servers.store_revision = 400;
+    reply.servers.followed = {2, 400};
     backend_entry entry;
     entry.name = "e1";
     entry.service = "llm";
@@ -29,9 +29,9 @@
     entry.is_engine = true;
     entry.models = {{"m0", {"a1", "a2"}}, {"m1", {}}};
     entry.started_at = 1774000000123;
-    reply.servers.changed = {{entry, 399}};
+    reply.servers.changed = {{entry, {2, 399}}};
     reply.servers.removed = {"e7", "e8"};
-    reply.config_revision = 88;
+    reply.config_revision = {2, 88};
     reply.store_state_age = milliseconds{340};
     reply.part_crashes = std::vector<part_crash>{{"5c1e07a2", 1, "e1", 1774000000123}};
     return reply;
--- a/tests/decision/backend_directory_test.cpp
+++ b/tests/decision/backend_directory_test.cpp
@@ -24,6 +24,11 @@
     return entry;
 }
 
+store_revision at(std::uint64_t number)
+{
+    return {1, number};
+}
+
 std::vector<std::string> changed_names(backend_update const& update)
 {
     std::vector<std::string> names;
@@ -43,21 +48,21 @@
 Test(backend_directory, peer_gets_the_changes_since_its_position)
 {
     backend_directory holder("h1");
-    holder.put(server("e1"), 5);
-    holder.put(server("e2"), 6);
+    holder.put(server("e1"), at(5));
+    holder.put(server("e2"), at(6));
     backend_directory peer("p1");
-    backend_update const first = holder.changes_since({}, 6);
+    backend_update const first = holder.changes_since({}, at(6));
     cr_assert(first.complete);
     cr_assert_eq(changed_names(peer.merge(first)), (names{"e1", "e2"}));
     cr_assert(first.changed[0].entry.copies_on_disk.empty(), "copies are left out");
-    holder.put(server("e2", true), 8);
+    holder.put(server("e2", true), at(8));
     holder.remove("e1");
-    backend_update const second = holder.changes_since(first.position, 9);
+    backend_update const second = holder.changes_since(first.position, at(9));
     cr_assert_not(second.complete);
     backend_update const effect = peer.merge(second);
     cr_assert_eq(changed_names(effect), (names{"e2"}));
     cr_assert_eq(effect.removed, (names{"e1"}));
-    backend_update const third = holder.changes_since(second.position, 9);
+    backend_update const third = holder.changes_since(second.position, at(9));
     cr_assert(third.changed.empty() && third.removed.empty());
 }
 
@@ -65,23 +70,23 @@
 Test(backend_directory, copies_are_not_sent_to_peers)
 {
     backend_directory holder("h1");
-    holder.put(server("e1"), 5);
-    update_position const before = holder.changes_since({}, 5).position;
+    holder.put(server("e1"), at(5));
+    update_position const before = holder.changes_since({}, at(5)).position;
     backend_entry more = server("e1");
     more.copies_on_disk.insert("m2");
-    cr_assert(holder.put(more, 6) == directory_change::same);
-    cr_assert_eq(holder.changes_since(before, 6).changed.size(), 0);
+    cr_assert(holder.put(more, at(6)) == directory_change::same);
+    cr_assert_eq(holder.changes_since(before, at(6)).changed.size(), 0);
 }
 
 // Guards against a new lease holder with a slightly older state that reverts newer entries of a peer.
 Test(backend_directory, older_state_does_not_replace_a_newer_one)
 {
     backend_directory peer("p1");
-    peer.put(server("e1", true), 20);
-    peer.put(server("e2"), 21);
+    peer.put(server("e1", true), at(20));
+    peer.put(server("e2"), at(21));
     backend_directory holder("h2");
-    holder.put(server("e1"), 10);
-    backend_update const effect = peer.merge(holder.changes_since({}, 15));
+    holder.put(server("e1"), at(10));
+    backend_update const effect = peer.merge(holder.changes_since({}, at(15)));
     cr_assert(effect.changed.empty(), "the peer has e1 as leaving since revision 20");
     cr_assert(effect.removed.empty(), "e2 was written after the holder's state");
 }
@@ -90,11 +95,11 @@
 Test(backend_directory, complete_update_removes_servers_that_it_does_not_list)
 {
     backend_directory peer("p1");
-    peer.put(server("e1"), 3);
-    peer.put(server("e2"), 4);
+    peer.put(server("e1"), at(3));
+    peer.put(server("e2"), at(4));
     backend_directory holder("h1");
-    holder.put(server("e2"), 4);
-    cr_assert_eq(peer.merge(holder.changes_since({"h0", 7}, 9)).removed, (names{"e1"}));
+    holder.put(server("e2"), at(4));
+    cr_assert_eq(peer.merge(holder.changes_since({"h0", 7}, at(9))).removed, (names{"e1"}));
 }
 
 // Guards against memory that grows with each replaced server, and against a peer that is far behind and
@@ -102,15 +107,15 @@
 Test(backend_directory, peer_that_is_far_behind_gets_a_complete_update)
 {
     backend_directory holder("h1");
-    holder.put(server("kept"), 1);
-    update_position const early = holder.changes_since({}, 1).position;
+    holder.put(server("kept"), at(1));
+    update_position const early = holder.changes_since({}, at(1)).position;
     for (unsigned i = 0; i < 2000; ++i)
     {
         std::string const name = "e" + std::to_string(i);
-        holder.put(server(name), i + 2);
+        holder.put(server(name), at(i + 2));
         holder.remove(name);
     }
-    backend_update const update = holder.changes_since(early, 3000);
+    backend_update const update = holder.changes_since(early, at(3000));
     cr_assert(update.complete);
     cr_assert_eq(changed_names(update), (names{"kept"}));
 }
@@ -119,9 +124,30 @@
 Test(backend_directory, position_of_another_source_gets_a_complete_update)
 {
     backend_directory holder("h1");
-    holder.put(server("e1"), 1);
-    update_position other = holder.changes_since({}, 1).position;
+    holder.put(server("e1"), at(1));
+    update_position other = holder.changes_since({}, at(1)).position;
     other.source = "h1-earlier";
-    cr_assert(holder.changes_since(other, 1).complete);
-    cr_assert(holder.changes_since({"h1", 99}, 1).complete);
+    cr_assert(holder.changes_since(other, at(1)).complete);
+    cr_assert(holder.changes_since({"h1", 99}, at(1)).complete);
+}
+
+// Guards against entries that are ignored after the store has come back from an older copy, because their
+// revisions are lower than before.
+Test(backend_directory, entry_of_a_later_era_replaces_one_with_a_higher_number)
+{
+    backend_directory directory("h1");
+    directory.put(server("e1"), {1, 50});
+    cr_assert(directory.put(server("e1", true), {2, 10}) == directory_change::changed);
+    cr_assert(directory.put(server("e1"), {1, 60}) == directory_change::outdated);
+}
+
+// Guards against dropping servers that were written after the restoration, because the holder has not noticed
+// it yet.
+Test(backend_directory, complete_update_of_an_earlier_era_removes_nothing_of_a_later_one)
+{
+    backend_directory peer("p1");
+    peer.put(server("e1"), {2, 10});
+    backend_directory const holder("h1");
+    cr_assert(peer.merge(holder.changes_since({}, {1, 90})).removed.empty());
+    cr_assert_eq(peer.merge(holder.changes_since({}, {2, 11})).removed, (names{"e1"}));
 }
--- a/tests/decision/order_lease_test.cpp
+++ b/tests/decision/order_lease_test.cpp
@@ -28,7 +28,7 @@
 
     bool write(lease_write const& what)
     {
-        if (what.revision != (record ? revision : 0))
+        if (what.revision.number != (record ? revision : 0))
         {
             return false;
         }
@@ -47,11 +47,11 @@
     }
     if (std::holds_alternative<lease_read>(*step))
     {
-        lease.on_read(now, store.record, store.revision);
+        lease.on_read(now, store.record, {1, store.revision});
     }
     else if (store.write(std::get<lease_write>(*step)))
     {
-        lease.on_written(now, store.revision);
+        lease.on_written(now, {1, store.revision});
     }
     else
     {
@@ -284,7 +284,7 @@
                         past_states[past_states.size() - 1 -
                                     random.below(std::min(past_states.size(), visible_states))];
                     fault == 0 ? lease.on_call_lost(at(ms))
-                               : lease.on_read(at(ms), shown.record, shown.revision);
+                               : lease.on_read(at(ms), shown.record, {1, shown.revision});
                     continue;
                 }
                 auto const& write = std::get<lease_write>(*step);
@@ -307,7 +307,7 @@
                 }
                 else if (store.write(write))
                 {
-                    lease.on_written(at(ms), store.revision);
+                    lease.on_written(at(ms), {1, store.revision});
                 }
                 else
                 {
