Keep one holder of the order lease when the store comes back from a copy

A store that has lost its latest writes shows a lease of the past: an instance that the copy named as the holder claimed at once beside the current one, a claim could get an epoch that engines had seen before, a renewal on a revision that was given out again could replace another holder's lease, and a lost record gave the peers a new key.

Records name the era in which they were written. One of an earlier era proves nothing: each instance waits as for a lease that has just been renewed, except the latest holder while no other can have claimed. Epochs of a later era are higher. No write is made on a revision that a stale read showed, and a write whose condition was of another era does not count.

--- a/decision/order_lease.cpp
+++ b/decision/order_lease.cpp
@@ -12,6 +12,12 @@
 // Delay of the holder after a call without a clear answer. Other instances wait for read_interval instead, so
 // that a fleet does not flood a store that is unavailable.
 constexpr duration holder_retry_delay = milliseconds{200};
+// Era of a store that has never come back from a copy.
+constexpr std::uint64_t first_era = 1;
+// Epochs of a later era begin at this multiple of the era, plus the revision number of the claim's condition,
+// which rises with each claim. Neither instances that have all started again nor a record that a delayed
+// write has replaced tell the epochs that engines have seen.
+constexpr std::uint64_t epochs_per_era = std::uint64_t{1} << 32U;
 
 } // namespace
 
@@ -24,29 +30,42 @@
     {
     }
 
-    bool is_holder() const { return record && record->holder == self; }
+    // True when the record, or its absence, is that of a copy from which the store has come back.
+    bool is_restored() const { return record ? record->store_era < revision.era : revision.era > first_era; }
+
+    bool is_holder() const { return record && record->holder == self && !is_restored(); }
+
+    // True while no other instance can have claimed a lease after that of this process.
+    bool was_holder_until_now(steady_time now) const
+    {
+        return valid_until != steady_time{} && now < valid_until + times.holder_gap;
+    }
 
     // The earliest time at which this instance may claim the lease if it does not hold it.
-    steady_time claim_at() const
+    steady_time claim_at(steady_time now) const
     {
-        if (is_holder())
+        if (is_holder() || (is_restored() && was_holder_until_now(now)))
         {
             return steady_time{};
         }
-        if (!record)
+        if (!record && !is_restored())
         {
             return revision_seen_at + times.claim_delay;
         }
-        duration const lease_left = record->holder.empty() ? duration{0} : times.lease_duration;
+        bool const released = record && record->holder.empty() && !is_restored();
+        duration const lease_left = released ? duration{0} : times.lease_duration;
         return revision_seen_at + lease_left + times.holder_gap + times.clock_allowance + times.claim_delay;
     }
 
     order_lease_record next_record(bool claim) const
     {
         order_lease_record next;
-        next.epoch = (record ? record->epoch : 0) + (claim ? 1 : 0);
+        std::uint64_t const lowest =
+            revision.era > first_era ? revision.era * epochs_per_era + revision.number : 0;
+        next.epoch = claim ? std::max(highest_epoch, lowest) + 1 : record->epoch;
         next.write_count = (record ? record->write_count : 0) + 1;
-        next.peer_key = record && !record->peer_key.empty() ? record->peer_key : proposed_peer_key;
+        next.peer_key = peer_key.empty() ? proposed_peer_key : peer_key;
+        next.store_era = revision.era;
         if (!retired)
         {
             next.holder = self;
@@ -69,11 +88,29 @@
         return is_holder() || !revision_current ? holder_retry_delay : times.read_interval;
     }
 
-    lease_call start_read()
+    // A stale read may show the state before a restoration, whose revisions are given out again: no write is
+    // made on such a revision.
+    lease_call start_read(bool allow_stale)
     {
         call_in_flight = true;
         last_call_is_write = false;
-        return lease_read{revision_current};
+        reads_stale = allow_stale;
+        return lease_read{allow_stale};
+    }
+
+    void set_record(std::optional<order_lease_record> fresh, store_revision const& fresh_revision)
+    {
+        record = std::move(fresh);
+        revision = fresh_revision;
+        highest_epoch = std::max(highest_epoch, record ? record->epoch : 0);
+        peer_key = record && !record->peer_key.empty() ? record->peer_key : peer_key;
+    }
+
+    // A stale read that shows less than is known.
+    bool is_stale(std::optional<order_lease_record> const& read, store_revision const& read_revision) const
+    {
+        bool const earlier_era = read && record && read->store_era < record->store_era;
+        return revision_current && reads_stale && (read_revision < revision || earlier_era);
     }
 
     std::string const self;
@@ -82,8 +119,12 @@
     order_lease_times const times;
     std::optional<order_lease_record> record;
     store_revision revision;
-    bool revision_current = false; ///< The object was read after the last call that may have changed it.
-    bool object_read = false;      ///< The object was read or found absent.
+    std::uint64_t highest_epoch = 0; ///< Of all records read or written.
+    std::string peer_key;            ///< Of the latest record that had one.
+    bool reads_stale = false;        ///< The read in flight may show an earlier state.
+    bool revision_stale = false;     ///< The revision is from such a read.
+    bool revision_current = false;   ///< The object was read after the last call that may have changed it.
+    bool object_read = false;        ///< The object was read or found absent.
     steady_time revision_seen_at;
     steady_time next_call;
     steady_time valid_until;
@@ -113,7 +154,7 @@
     }
     if (!it.revision_current)
     {
-        return it.start_read();
+        return it.start_read(false);
     }
     if (it.retired)
     {
@@ -124,17 +165,14 @@
         }
         return std::nullopt;
     }
-    if (it.is_holder())
+    bool const may_write = now >= it.claim_at(now);
+    if (may_write && !it.revision_stale)
     {
         // A lease of an earlier process on this machine is claimed again, so that the two do not share an
         // epoch.
-        return it.start_write(now, !it.claimed_here);
+        return it.start_write(now, !it.is_holder() || !it.claimed_here);
     }
-    if (now >= it.claim_at())
-    {
-        return it.start_write(now, true);
-    }
-    return it.start_read();
+    return it.start_read(!may_write && !it.is_restored());
 }
 
 void order_lease::on_read(steady_time now, std::optional<order_lease_record> record,
@@ -143,30 +181,39 @@
     implementation& it = *impl_;
     it.call_in_flight = false;
     it.next_call = now + it.times.read_interval;
-    if (it.revision_current && revision < it.revision)
+    if (it.is_stale(record, revision))
     {
-        return; // The read was stale.
+        return;
     }
     it.revision_current = true;
-    // The same revision as before a lost or refused call shows that the holder has not renewed since.
-    if (!it.object_read || revision != it.revision)
+    // The same revision as before a lost or refused call shows that the holder has not renewed since, unless
+    // a stale read showed it from before a restoration.
+    bool const same = it.object_read && revision == it.revision && record == it.record &&
+                      !(it.revision_stale && it.is_restored());
+    it.revision_stale = it.reads_stale;
+    if (!same)
     {
         it.object_read = true;
         it.revision_seen_at = now;
-        it.record = std::move(record);
-        it.revision = revision;
+        it.set_record(std::move(record), revision);
         it.claimed_here = it.claimed_here && it.is_holder();
     }
-    it.next_call = std::clamp(it.claim_at(), now, it.next_call);
+    it.next_call = std::clamp(it.claim_at(now), now, it.next_call);
 }
 
 void order_lease::on_written(steady_time now, store_revision const& revision)
 {
     implementation& it = *impl_;
+    if (revision.era != it.pending_write->revision.era)
+    {
+        // The condition was of another era, in which its number may have meant another record.
+        on_write_conflict(now);
+        return;
+    }
     it.call_in_flight = false;
     it.revision_seen_at = now;
-    it.revision = revision;
-    it.record = it.pending_write->record;
+    it.set_record(it.pending_write->record, revision);
+    it.revision_stale = false;
     it.claimed_here = it.is_holder();
     it.valid_until = it.claimed_here ? it.write_sent_at + it.times.lease_duration : steady_time{};
     it.next_call = now + it.times.renew_interval;
--- a/tests/decision/order_lease_test.cpp
+++ b/tests/decision/order_lease_test.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,6 +26,7 @@
 {
     std::optional<order_lease_record> record;
     std::uint64_t revision = 0;
+    std::uint64_t era = 1;
 
     bool write(lease_write const& what)
     {
@@ -47,11 +49,11 @@
     }
     if (std::holds_alternative<lease_read>(*step))
     {
-        lease.on_read(now, store.record, {1, store.revision});
+        lease.on_read(now, store.record, {store.era, store.revision});
     }
     else if (store.write(std::get<lease_write>(*step)))
     {
-        lease.on_written(now, {1, store.revision});
+        lease.on_written(now, {store.era, store.revision});
     }
     else
     {
@@ -336,3 +338,148 @@
     cr_assert(large->may_send_orders(at(1000)));
     cr_assert_not(small.may_send_orders(at(1000)));
 }
+
+// Guards against two holders, and against epochs that fall, when the store comes back from older copies:
+// leases in them are of the past, and revisions are given out again, also to delayed writes and stale reads.
+Test(order_lease, random_restorations_never_make_two_holders)
+{
+    constexpr std::size_t instances = 3;
+    constexpr std::size_t stale_states = 40;
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed)
+    {
+        random_source random(seed);
+        lease_store store;
+        std::uint64_t era = 1;
+        std::vector<lease_store> states; // All of the past, for copies and stale reads.
+        std::vector<std::unique_ptr<order_lease>> all;
+        std::vector<std::vector<std::pair<std::int64_t, lease_write>>> delayed(instances);
+        std::vector<std::int64_t> suspended_until(instances, 0);
+        std::string const names = "abc";
+        for (char const name : names)
+        {
+            all.push_back(make_lease(std::string(1, name)));
+        }
+        std::size_t last_holder = instances;
+        std::int64_t last_order = -100000;
+        std::uint64_t last_epoch = 0;
+        for (std::int64_t ms = 0; ms < 60000; ms += 50)
+        {
+            states.push_back(store);
+            if (random.below(160) == 0)
+            {
+                store = states[states.size() - 1 - random.below(std::min<std::size_t>(states.size(), 200))];
+                ++era;
+            }
+            for (std::size_t i = 0; i < instances; ++i)
+            {
+                for (auto each = delayed[i].begin(); each != delayed[i].end();)
+                {
+                    bool const due = ms >= each->first;
+                    if (due)
+                    {
+                        (void)store.write(each->second);
+                    }
+                    each = due ? delayed[i].erase(each) : std::next(each);
+                }
+                if (random.below(400) == 0)
+                {
+                    suspended_until[i] = ms + static_cast<std::int64_t>(random.below(6000));
+                }
+                if (random.below(600) == 0)
+                {
+                    all[i] = make_lease(std::string(1, names[i])); // Started again.
+                    suspended_until[i] = ms + 500;
+                }
+                if (ms < suspended_until[i])
+                {
+                    continue;
+                }
+                order_lease& lease = *all[i];
+                if (lease.may_send_orders(at(ms)))
+                {
+                    cr_assert(last_holder == i || ms - last_order >= 3000,
+                              "seed %lu at %ld ms: %zu after %zu", static_cast<unsigned long>(seed),
+                              static_cast<long>(ms), i, last_holder);
+                    cr_assert(lease.epoch() > last_epoch || (lease.epoch() == last_epoch && last_holder == i),
+                              "seed %lu at %ld ms: epoch %lu after %lu", static_cast<unsigned long>(seed),
+                              static_cast<long>(ms), static_cast<unsigned long>(lease.epoch()),
+                              static_cast<unsigned long>(last_epoch));
+                    last_holder = i;
+                    last_order = ms;
+                    last_epoch = lease.epoch();
+                }
+                auto const step = lease.next_call(at(ms));
+                if (!step)
+                {
+                    continue;
+                }
+                std::uint64_t const fault = random.below(10);
+                if (auto const* const read = std::get_if<lease_read>(&*step))
+                {
+                    std::size_t const visible = read->allow_stale ? std::min(states.size(), stale_states) : 1;
+                    std::size_t const back = random.below(visible);
+                    lease_store const& shown = back == 0 ? store : states[states.size() - back];
+                    fault == 0 ? lease.on_call_lost(at(ms))
+                               : lease.on_read(at(ms), shown.record, {era, shown.revision});
+                    continue;
+                }
+                auto const& write = std::get<lease_write>(*step);
+                if (fault == 0)
+                {
+                    delayed[i].emplace_back(ms + static_cast<std::int64_t>(random.below(5000)), write);
+                    lease.on_call_lost(at(ms));
+                }
+                else if (store.write(write))
+                {
+                    fault == 1 ? lease.on_call_lost(at(ms)) : lease.on_written(at(ms), {era, store.revision});
+                }
+                else
+                {
+                    lease.on_write_conflict(at(ms));
+                }
+            }
+        }
+        cr_assert_lt(last_holder, instances, "seed %lu: never held", static_cast<unsigned long>(seed));
+    }
+}
+
+// Guards against seconds without a holder after a restoration, while the last holder can prove that no other
+// one has followed it.
+Test(order_lease, last_holder_goes_on_after_a_restoration)
+{
+    lease_store store;
+    auto holder = make_lease("a");
+    for (int ms = 0; ms < 2000; ms += 50)
+    {
+        run_step(*holder, store, at(ms));
+    }
+    cr_assert(holder->may_send_orders(at(2000)));
+    std::uint64_t const epoch = holder->epoch();
+    // The copy has the lease of another instance.
+    store.record->holder = "b";
+    store.revision = 1;
+    store.era = 2;
+    for (int ms = 2000; ms < 3000; ms += 50)
+    {
+        run_step(*holder, store, at(ms));
+    }
+    cr_assert(holder->may_send_orders(at(3000)));
+    cr_assert_gt(holder->epoch(), epoch);
+    cr_assert_eq(store.record->peer_key, "key-a");
+}
+
+// Guards against peers with two keys, and against a claim while a holder that the copy does not name may
+// still send orders.
+Test(order_lease, started_after_a_restoration_waits_for_an_unknown_holder)
+{
+    lease_store store;
+    store.era = 2;
+    auto fresh = make_lease("a");
+    std::int64_t held_at = 0;
+    for (std::int64_t ms = 0; ms < 20000 && held_at == 0; ms += 50)
+    {
+        run_step(*fresh, store, at(ms));
+        held_at = fresh->may_send_orders(at(ms)) ? ms : 0;
+    }
+    cr_assert(held_at >= 4500 && held_at < 6500, "held after %ld ms", static_cast<long>(held_at));
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -178,7 +178,7 @@
 // Guards against an object that another program wrote being read as a lease record.
 Test(lease_record_codec, foreign_objects_are_not_records)
 {
-    order_lease_record const record{"n@a:1", "a:1", 4, 9, "key"};
+    order_lease_record const record{"n@a:1", "a:1", 4, 9, "key", 2};
     auto const back = decode_lease_record(encode_lease_record(record));
     cr_assert(back.has_value() && *back == record);
     json foreign = encode_lease_record(record);
