List again when the store's era rises

A watch or a listing that is answered in another era than the latest listing is not continued, and each answer of the store that names a higher era makes all watches list again, so that a call that waits for changes does not put it off.

--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -79,6 +79,15 @@
     {
         backend_watch.set_batch_delay(share_of(settings.leaving_time, batch_delay_share));
         config_watch.set_batch_delay(share_of(settings.change_time, config_batch_delay_share));
+        store.on_restored([this] { on_store_restored(); });
+    }
+
+    void on_store_restored()
+    {
+        for (platform::object_watch* const watch : {&config_watch, &backend_watch, &crash_watch})
+        {
+            watch->on_store_restored();
+        }
     }
 
     platform::object_watch_handlers config_handlers()
--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -56,10 +56,7 @@
         std::this_thread::sleep_for(seconds{1}); // Each instance follows the lease holder.
     }
 
-    void write_config(std::uint64_t version)
-    {
-        store.write("config", "main", config_with_routes(version));
-    }
+    void write_config(std::uint64_t version) { store.write("config", "main", config_with_routes(version)); }
 
     /// Raises the store's revision, so that after a restoration the next writes get revisions that were given
     /// out before.
@@ -176,3 +173,30 @@
     cr_expect_eq(fleet.plain_1.total_runs(), before, "%u requests reached the leaving server",
                  fleet.plain_1.total_runs() - before);
 }
+
+// Guards against changes that are missed by a watch that goes on from a revision of before the restoration.
+Test(restored_store, suspended_instance_learns_what_was_written_meanwhile)
+{
+    small_fleet fleet;
+    fleet.store.keep_copy();
+    for (unsigned i = 0; i < 50; ++i)
+    {
+        fleet.store.write("elsewhere", "x", {{"count", i}});
+    }
+    std::this_thread::sleep_for(seconds{4}); // The instance's next watch begins at the latest revision.
+    fleet.edge.process().send(SIGSTOP);
+    std::this_thread::sleep_for(seconds{4}); // The store answers the watch, as nothing has changed.
+    fleet.store.restore();
+    fleet.store.write("config", "main", config_with_routes(2));
+    for (unsigned i = 0; i < 100; ++i)
+    {
+        fleet.store.write("elsewhere", "x", {{"count", 100 + i}});
+    }
+    fleet.edge.process().send(SIGCONT);
+    auto const added_route_is_served = [&fleet]
+    {
+        auto const answer = fleet.edge.call("GET", "/added-2/1", "r1");
+        return answer && answer->status == 200;
+    };
+    cr_expect(eventually(added_route_is_served, change_time), "version 2 is not in force");
+}
