Let an instance that is cut off relay calls although its record names itself

An instance without a path to the store makes its calls through the holder that its latest lease record names, or, if that is itself, through the peer that reported to it last. A claim of the instance whose condition was of an earlier era is written without giving it the lease: then no peer reports to it, the record names it, and it neither reads the store nor finds the new holder.

It now uses the holder that it knew before. Each claim has a log line with its condition and outcome.

--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -153,36 +153,57 @@
                   });
     }
 
+    void log_claim(lease_write const& write,
+                   platform::store_answer<platform::store_object> const& answer) const
+    {
+        auto const* const failure = std::get_if<platform::store_failure>(&answer);
+        log.write({"lease_claim",
+                   {{"epoch", std::to_string(write.record.epoch)},
+                    {"condition", to_string(write.revision)},
+                    {"outcome", failure == nullptr ? "written" : platform::to_string(*failure)}}});
+    }
+
     void write_lease(lease_write const& write)
     {
-        store.put(platform::lease_kind, platform::lease_name, write.revision,
-                  platform::encode_lease_record(write.record),
-                  [self = shared_from_this()](platform::store_answer<platform::store_object> answer)
-                  {
-                      steady_time const now = boot_now();
-                      if (auto const* const object = std::get_if<platform::store_object>(&answer))
-                      {
-                          self->lease.on_written(now, object->revision);
-                          return;
-                      }
-                      auto const failure = std::get<platform::store_failure>(answer);
-                      switch (failure)
-                      {
-                      case platform::store_failure::unclear:
-                          self->lease.on_call_lost(now);
-                          break;
-                      case platform::store_failure::rejected:
-                          self->lease.on_write_refused(now);
-                          break;
-                      default:
-                          self->lease.on_write_conflict(now);
-                          break;
-                      }
-                  });
+        bool const claims = write.record.epoch != lease.epoch();
+        store.put(
+            platform::lease_kind, platform::lease_name, write.revision,
+            platform::encode_lease_record(write.record),
+            [self = shared_from_this(), claims, write](platform::store_answer<platform::store_object> answer)
+            {
+                steady_time const now = boot_now();
+                if (claims)
+                {
+                    self->log_claim(write, answer);
+                }
+                if (auto const* const object = std::get_if<platform::store_object>(&answer))
+                {
+                    self->lease.on_written(now, object->revision);
+                    return;
+                }
+                auto const failure = std::get<platform::store_failure>(answer);
+                switch (failure)
+                {
+                case platform::store_failure::unclear:
+                    self->lease.on_call_lost(now);
+                    break;
+                case platform::store_failure::rejected:
+                    self->lease.on_write_refused(now);
+                    break;
+                default:
+                    self->lease.on_write_conflict(now);
+                    break;
+                }
+            });
     }
 
     void update_lease_state(steady_time now)
     {
+        order_lease_record const* const record = lease.record();
+        if (record != nullptr && record->holder != settings.name && !record->peer_address.empty())
+        {
+            other_holder_address = record->peer_address;
+        }
         bool const holds = lease.may_send_orders(now);
         if (holds != lease_held)
         {
@@ -460,7 +481,9 @@
                             });
     }
 
-    // The lease holder uses the peer that sent the latest report; the other instances use the holder.
+    // The lease holder uses the peer that sent the latest report; the other instances use the holder. An
+    // instance that its latest record names may not hold the lease and have no reports: it uses the holder
+    // that it knew before.
     std::optional<platform::store_relay> relay() const
     {
         order_lease_record const* const record = lease.record();
@@ -468,16 +491,12 @@
         {
             return std::nullopt;
         }
-        if (record->holder != settings.name)
-        {
-            return record->peer_address.empty()
-                       ? std::nullopt
-                       : std::optional(platform::store_relay{record->peer_address, record->peer_key});
-        }
         auto const latest = std::max_element(
             peers.begin(), peers.end(), [](auto const& a, auto const& b) { return a.second < b.second; });
-        return latest == peers.end() ? std::nullopt
-                                     : std::optional(platform::store_relay{latest->first, record->peer_key});
+        bool const use_report = record->holder == settings.name && latest != peers.end();
+        std::string const& address = use_report ? latest->first : other_holder_address;
+        return address.empty() ? std::nullopt
+                               : std::optional(platform::store_relay{address, record->peer_key});
     }
 
     outbound_pool& pool;
@@ -503,6 +522,8 @@
     bool reporting = false;
     bool holder_reached = false;
     bool lease_held = false;
+    std::string
+        other_holder_address; ///< Of the latest holder beside this instance; empty when none is known.
     std::map<std::string, steady_time> peers; ///< Time of the last report by peer address.
 };
 
--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -200,3 +200,28 @@
     };
     cr_expect(eventually(added_route_is_served, change_time), "version 2 is not in force");
 }
+
+// Guards against an instance that is cut off from the store and takes what a peer passes on for outdated.
+Test(restored_store, instance_that_is_cut_off_follows_through_a_peer)
+{
+    restored_fleet fleet;
+    siskinusher::tcp_relay link(Poco::Net::SocketAddress(fleet.store.address()).port());
+    edge_child cut_off("edge-cut-off", link.address());
+    cr_assert(cut_off.wait_ready());
+    fleet.store.keep_copy();
+    fleet.write_elsewhere(50);
+    fleet.write_config(2);
+    fleet.expect_in_force(2, "before the restoration");
+    link.refuse();
+    fleet.restore(seconds{2});
+    fleet.write_config(2);
+    std::this_thread::sleep_for(seconds{5});
+    fleet.write_config(3);
+    auto const added_route_is_served = [&cut_off]
+    {
+        auto const answer = cut_off.call("GET", "/added-3/1", "r1");
+        return answer && answer->status == 200;
+    };
+    cr_expect(eventually(added_route_is_served, change_time), "version 3 is not in force: %s",
+              cut_off.log_text().c_str());
+}
