Keep servers out of use that announced their end before the store went back

The copy's entry has a later revision, by its era, and was taken for news of the server.

A server does not take back its end; it starts again under another start time. The directory keeps an announced end for the same start, also for a number of servers that have left, whatever the store or a peer reports.

Measured: restored_store/server_that_announced_its_end_stays_out_of_use fails without the change (60 of 60 requests reach the leaving server), passes with it.

--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -161,24 +161,25 @@
 
     void on_backend_object(platform::store_object const& object)
     {
-        auto const entry = platform::decode_backend_entry(object.name, object.spec);
-        if (!entry)
+        auto const decoded = platform::decode_backend_entry(object.name, object.spec);
+        if (!decoded)
         {
             log.write(
                 {"backend_ignored", {{"backend", object.name}, {"revision", to_string(object.revision)}}});
             return;
         }
-        switch (directory.put(*entry, object.revision))
+        backend_entry const entry = directory.settled(*decoded);
+        switch (directory.put(entry, object.revision))
         {
         case directory_change::outdated:
             return;
         case directory_change::changed:
-            log_backend(*entry, object.revision);
+            log_backend(entry, object.revision);
             break;
         case directory_change::same:
             break; // The copies of weights may have changed; the lease holder needs them.
         }
-        handlers.on_backend(*entry);
+        handlers.on_backend(entry);
     }
 
     void log_backend(backend_entry const& entry, store_revision const& revision)
--- a/decision/backend_directory.cpp
+++ b/decision/backend_directory.cpp
@@ -14,6 +14,8 @@
 // Number of removals that are kept for peers that are a little behind. A peer that is further behind gets a
 // complete update.
 constexpr std::size_t max_kept_removals = 512;
+// Servers that have left and whose starts are remembered; twice as many at most.
+constexpr std::size_t max_kept_ends = 512;
 
 // The part of an entry that is sent to peers.
 backend_entry without_copies(backend_entry entry)
@@ -52,11 +54,41 @@
         }
     }
 
+    void record_end(backend_entry const& entry)
+    {
+        if (!entry.leaving || entry.started_at == 0)
+        {
+            return;
+        }
+        if (ended.size() >= max_kept_ends)
+        {
+            ended_earlier = std::exchange(ended, {});
+        }
+        ended[entry.name] = entry.started_at;
+    }
+
+    bool has_ended(backend_entry const& entry) const
+    {
+        for (auto const* const each : {&ended, &ended_earlier})
+        {
+            auto const found = each->find(entry.name);
+            if (found != each->end() && found->second == entry.started_at)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
     update_position position;
     std::uint64_t pruned_until = 0; ///< Removals up to this sequence are no longer kept.
     std::map<backend_name, known_server> servers;
     std::map<std::uint64_t, backend_name> changes;  ///< The last change of each server, by sequence.
     std::map<std::uint64_t, backend_name> removals; ///< Those of `changes` that are removals.
+    // The start that had announced its end, by name of a server that has left. When the first map is full, it
+    // replaces the second one.
+    std::map<backend_name, std::int64_t> ended;
+    std::map<backend_name, std::int64_t> ended_earlier;
 };
 
 backend_directory::backend_directory(std::string source) : impl_(std::make_unique<implementation>())
@@ -86,6 +118,15 @@
     return directory_change::changed;
 }
 
+backend_entry backend_directory::settled(backend_entry entry) const
+{
+    auto const known = impl_->servers.find(entry.name);
+    bool const announced = known != impl_->servers.end() && known->second.value.entry.leaving &&
+                           known->second.value.entry.started_at == entry.started_at;
+    entry.leaving = entry.leaving || (entry.started_at != 0 && (announced || impl_->has_ended(entry)));
+    return entry;
+}
+
 bool backend_directory::remove(backend_name const& name)
 {
     auto const found = impl_->servers.find(name);
@@ -93,6 +134,7 @@
     {
         return false;
     }
+    impl_->record_end(found->second.value.entry);
     impl_->record_removal(name, found->second.sequence);
     impl_->servers.erase(found);
     return true;
@@ -130,9 +172,10 @@
     for (revised_backend const& each : update.changed)
     {
         listed.insert(each.entry.name);
-        if (put(each.entry, each.revision) == directory_change::changed)
+        backend_entry const entry = settled(each.entry);
+        if (put(entry, each.revision) == directory_change::changed)
         {
-            effect.changed.push_back(each);
+            effect.changed.push_back({entry, each.revision});
         }
     }
     effect.removed = update.removed;
--- a/tests/decision/backend_directory_test.cpp
+++ b/tests/decision/backend_directory_test.cpp
@@ -151,3 +151,25 @@
     cr_assert(peer.merge(holder.changes_since({}, {1, 90})).removed.empty());
     cr_assert_eq(peer.merge(holder.changes_since({}, {2, 11})).removed, (names{"e1"}));
 }
+
+// Guards against a server that is used again because the store has come back from a copy in which it had not
+// announced its end yet.
+Test(backend_directory, server_does_not_take_back_its_end)
+{
+    backend_entry ready = server("e1");
+    ready.started_at = 7;
+    backend_entry leaving = server("e1", true);
+    leaving.started_at = 7;
+    backend_directory directory("h1");
+    directory.put(leaving, {1, 50});
+    cr_assert(directory.settled(ready).leaving);
+    directory.remove("e1");
+    cr_assert(directory.settled(ready).leaving, "also when it had left");
+    backend_entry started_again = ready;
+    started_again.started_at = 8;
+    cr_assert_not(directory.settled(started_again).leaving);
+    backend_directory holder("h2");
+    holder.put(ready, {2, 10});
+    backend_update const effect = directory.merge(holder.changes_since({}, {2, 10}));
+    cr_assert(effect.changed.size() == 1 && effect.changed[0].entry.leaving, "also when a peer reports it");
+}
--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -100,6 +100,17 @@
                   static_cast<int>(version), without_route_of(version).c_str());
     }
 
+    void expect_unused(backend_standin& server)
+    {
+        unsigned const before = server.total_runs();
+        for (unsigned i = 0; i < 60; ++i)
+        {
+            (void)edges_[i % edges_.size()]->call("GET", "/again/1", "r" + std::to_string(++last_id_));
+        }
+        cr_expect_eq(server.total_runs(), before, "%u of 60 requests reached the leaving server %s",
+                     server.total_runs() - before, server.name().c_str());
+    }
+
     edge_child& edge(std::size_t index) { return *edges_[index]; }
 
     store_standin store;
@@ -165,13 +176,30 @@
     std::this_thread::sleep_for(seconds{3});
     fleet.plain_1.write_entry("draining");
     std::this_thread::sleep_for(change_time);
-    unsigned const before = fleet.plain_1.total_runs();
-    for (unsigned i = 0; i < 60; ++i)
-    {
-        (void)fleet.edge(i % 3).call("GET", "/again/1", "s" + std::to_string(i));
-    }
-    cr_expect_eq(fleet.plain_1.total_runs(), before, "%u requests reached the leaving server",
-                 fleet.plain_1.total_runs() - before);
+    fleet.expect_unused(fleet.plain_1);
+}
+
+// Guards against requests to servers that have announced their end, and may have left, when the copy shows
+// them as ready.
+Test(restored_store, server_that_announced_its_end_stays_out_of_use)
+{
+    restored_fleet fleet;
+    backend_standin gone{fleet.store, "p3", "plain"};
+    std::this_thread::sleep_for(seconds{1});
+    fleet.store.keep_copy();
+    fleet.plain_1.write_entry("draining");
+    gone.write_entry("draining");
+    std::this_thread::sleep_for(seconds{1});
+    fleet.store.remove("servers", "p3");
+    std::this_thread::sleep_for(change_time);
+    fleet.expect_unused(fleet.plain_1);
+    fleet.restore(seconds{1});
+    std::this_thread::sleep_for(seconds{1});
+    fleet.expect_unused(fleet.plain_1);
+    fleet.expect_unused(gone);
+    std::this_thread::sleep_for(seconds{3}); // The instances follow a holder again.
+    fleet.expect_unused(fleet.plain_1);
+    fleet.expect_unused(gone);
 }
 
 // Guards against changes that are missed by a watch that goes on from a revision of before the restoration.
