Write the marks of crashes again that the store has lost

A mark that is missing in the first listing of an era is kept, and the lease holder writes it again.

--- a/apps/crash_reporter.cpp
+++ b/apps/crash_reporter.cpp
@@ -70,6 +70,11 @@
                 unsaved.erase(id_of(each));
                 removals[id_of(each)] = each;
             }
+            for (part_crash const& each : ledger.take_lost())
+            {
+                unsaved[id_of(each)] = each;
+                log.write({"part_crash_lost", {{"part", each.part}, {"backend", each.engine}}});
+            }
         }
         log_changes(now);
         save();
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -128,6 +128,7 @@
                 {"part_crash_ignored", {{"name", object.name}, {"revision", to_string(object.revision)}}});
         };
         result.on_deleted = [this](std::string const& name) { crashes.remove(name); };
+        result.on_lost = [this](std::string const& name) { crashes.on_lost(name); };
         result.on_listed = [this] { crashes_known = true; };
         return result;
     }
--- a/decision/crash_ledger.cpp
+++ b/decision/crash_ledger.cpp
@@ -43,6 +43,7 @@
     steady_time kept_until{}; ///< A reply without the mark does not remove it before.
     /// Set while only reports of a peer name the mark: it is dropped then unless another report comes.
     std::optional<steady_time> unconfirmed_until{};
+    bool lost = false; ///< By the store, and not written again.
 };
 
 struct blocked_part
@@ -123,7 +124,7 @@
         {
             return false;
         }
-        marks[id] = {crash, now, own, {}, {}};
+        marks[id] = {crash, now, own, {}, {}, false};
         find_blocked();
         return true;
     }
@@ -299,6 +300,28 @@
     }
 }
 
+void crash_ledger::on_lost(std::string const& id)
+{
+    auto const found = impl_->marks.find(id);
+    if (found != impl_->marks.end())
+    {
+        found->second.lost = true;
+    }
+}
+
+std::vector<part_crash> crash_ledger::take_lost()
+{
+    std::vector<part_crash> lost;
+    for (auto& [id, each] : impl_->marks)
+    {
+        if (std::exchange(each.lost, false))
+        {
+            lost.push_back(each.crash);
+        }
+    }
+    return lost;
+}
+
 void crash_ledger::add_reported(steady_time now, part_crash const& crash)
 {
     std::string const id = id_of(crash);
--- a/decision/crash_ledger.hpp
+++ b/decision/crash_ledger.hpp
@@ -75,6 +75,11 @@
     void drop_unconfirmed(steady_time now);
     /// Drops a mark that the store no longer has.
     void remove(std::string const& id);
+    /// The store has come back from a copy without the mark, which is kept.
+    void on_lost(std::string const& id);
+    /// The marks that the store has lost since the last call, for writing them again. To be called on the
+    /// lease holder only.
+    std::vector<part_crash> take_lost();
     /// Replaces all marks by those of another instance, except recent changes that it may not know yet.
     void replace(steady_time now, std::vector<part_crash> const& crashes);
     /// Drops the marks that are too old. Returns them, for removal from the store. To be called on the lease
--- a/tests/decision/crash_ledger_test.cpp
+++ b/tests/decision/crash_ledger_test.cpp
@@ -257,3 +257,15 @@
         cr_expect_not(ledger.find_block(at(now), {"system"}), "round %d", round);
     }
 }
+
+// Guards against marks that are gone because the store has lost them.
+Test(crash_ledger, marks_that_the_store_has_lost_are_kept_and_returned_once)
+{
+    crash_ledger ledger;
+    part_crash const crash{"p", 1, "e1", 7};
+    ledger.add(at(0), crash);
+    ledger.on_lost(id_of(crash));
+    cr_assert_eq(ledger.crashes_of("p"), 1);
+    cr_assert_eq(ledger.take_lost().size(), 1);
+    cr_assert(ledger.take_lost().empty());
+}
--- a/tests/platform/crashing_part_test.cpp
+++ b/tests/platform/crashing_part_test.cpp
@@ -272,6 +272,30 @@
                   "%zu engines ended after the restart", fleet.crashes().size() - before);
 }
 
+// Guards against forgetting the part when the store comes back from a copy without the marks, also when all
+// instances restart afterwards.
+Test(crashing_part, is_still_refused_after_the_store_has_lost_the_marks)
+{
+    crash_fleet fleet(3);
+    fleet.store().keep_copy();
+    fleet.send_for(seconds{4}, "bad", {0, 1, 2});
+    fleet.store().restore();
+    fleet.send_for(seconds{3}, "bad", {0, 1, 2});
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        fleet.edge(i).process().send(SIGKILL);
+        cr_assert(fleet.edge(i).process().wait(seconds{5}));
+        fleet.edge(i).start();
+    }
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        cr_assert(fleet.edge(i).wait_ready());
+    }
+    std::this_thread::sleep_for(contact_time);
+    fleet.send_for(seconds{3}, "bad", {0, 1, 2});
+    fleet.expect_few_late_bad_runs();
+}
+
 // Guards against a fleet in which nobody learns of the part while the lease holder is suspended.
 Test(crashing_part, is_refused_by_all_instances_without_a_lease_holder)
 {
