Take another text of the configuration by the version that is in force

After the store has come back from an older copy, operators may write their next change by a version that was lost. It was ignored, because its number was the one in force.

A text that differs is taken when its revision is not older; a text with a lower version is still never taken.

Measured: restored_store/another_text_by_the_same_version_is_in_force fails without the change, passes with it.

--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -148,7 +148,8 @@
             log.write({"config_ignored", {{"revision", to_string(object.revision)}, {"reason", why}}});
             return;
         }
-        if (config && decoded->version == config->version)
+        // Operators may write another text by a version that the store has lost.
+        if (config && *decoded == *config)
         {
             return;
         }
--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -162,6 +162,21 @@
     }
 }
 
+// Guards against a text that is never in force because a lost one had the same version.
+Test(restored_store, another_text_by_the_same_version_is_in_force)
+{
+    restored_fleet fleet;
+    fleet.store.keep_copy();
+    fleet.write_elsewhere(20);
+    fleet.write_config(2);
+    fleet.expect_in_force(2, "before the restoration");
+    fleet.restore(seconds{1});
+    json other = config_with_routes(3);
+    other["version"] = 2;
+    fleet.store.write("config", "main", other);
+    fleet.expect_in_force(3, "after the restoration");
+}
+
 // Guards against requests to a server that has announced its end by a revision that was given out before.
 Test(restored_store, leaving_server_gets_nothing_new)
 {
