Give instances the configuration that the store has lost

An instance that started after the store had come back from a copy took the copy's configuration and kept it until the operators wrote again, beside instances that kept the confirmed one.

Reports to the lease holder and its replies name the version in force and the latest revision that was read. An instance that has read all that its peer has read, and has an older version in force, gets the text from the peer, in either direction. A lower version is never taken.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -94,6 +94,22 @@
                : std::nullopt;
 }
 
+json encode_config(known_config const& config)
+{
+    return json::array({config.version, encode_revision(config.revision), binary_of(config.text)});
+}
+
+std::optional<known_config> decode_config(json const& value)
+{
+    bool const has_parts = value.is_array() && value.size() == 3;
+    auto const revision = has_parts ? decode_revision(value[1]) : std::nullopt;
+    if (!revision || !value[0].is_number_unsigned() || !value[2].is_binary())
+    {
+        return std::nullopt;
+    }
+    return known_config{value[0].get<std::uint64_t>(), *revision, bytes_of(value[2])};
+}
+
 json encode_server(revised_backend const& server)
 {
     backend_entry const& entry = server.entry;
@@ -310,17 +326,18 @@
     return to_bytes(
         json::array({who, report.unreachable, rows, encode_running(report.running), report.sent_early,
                      encode_position(report.servers_position), report.part_crashes_digest,
-                     encode_crash_rows(report.new_part_crashes), limits}));
+                     encode_crash_rows(report.new_part_crashes), limits, encode_config(report.config)}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 9);
+    auto const value = list_of(bytes, 10);
     auto running = value ? decode_running((*value)[3]) : std::nullopt;
     auto position = value ? decode_position((*value)[5]) : std::nullopt;
     auto crashes = value ? decode_crash_rows((*value)[7]) : std::nullopt;
     auto limits = value ? decode_limits<limit_report>((*value)[8]) : std::nullopt;
-    if (!position || !running || !crashes || !limits || !(*value)[4].is_boolean() ||
+    auto config = value ? decode_config((*value)[9]) : std::nullopt;
+    if (!position || !running || !crashes || !limits || !config || !(*value)[4].is_boolean() ||
         !is_row((*value)[0], 2, 0) || !is_text_list((*value)[1]) || !(*value)[2].is_array() ||
         !(*value)[6].is_number_unsigned())
     {
@@ -336,6 +353,7 @@
     report.part_crashes_digest = (*value)[6].get<std::uint64_t>();
     report.new_part_crashes = std::move(*crashes);
     report.limits = std::move(*limits);
+    report.config = std::move(*config);
     for (json const& row : (*value)[2])
     {
         if (!is_row(row, 3, 4))
@@ -384,7 +402,7 @@
 
 std::string encode_reply(std::string const& placement, std::string const& update,
                          std::string const& part_crashes, std::vector<limit_grant> const& grants,
-                         store_revision const& config_revision, duration age)
+                         known_config const& config, duration age)
 {
     json rows = json::array();
     for (limit_grant const& each : grants)
@@ -392,8 +410,8 @@
         rows.push_back(encode_limit(each.limit, each.requests));
     }
     auto const age_us = static_cast<std::uint64_t>(std::max<duration>(age, duration{0}).count());
-    return to_bytes(json::array({binary_of(placement), binary_of(update), encode_revision(config_revision),
-                                 age_us, part_crashes.empty() ? json() : binary_of(part_crashes), rows}));
+    return to_bytes(json::array({binary_of(placement), binary_of(update), encode_config(config), age_us,
+                                 part_crashes.empty() ? json() : binary_of(part_crashes), rows}));
 }
 
 std::optional<holder_reply> decode_reply(std::string const& bytes)
@@ -408,14 +426,13 @@
     json const& crashes = (*value)[4];
     auto part_crashes = crashes.is_binary() ? decode_part_crashes(bytes_of(crashes)) : std::nullopt;
     auto grants = decode_limits<limit_grant>((*value)[5]);
-    auto const config_revision = decode_revision((*value)[2]);
-    if (!placement || !servers || !grants || !config_revision ||
-        part_crashes.has_value() == crashes.is_null())
+    auto config = decode_config((*value)[2]);
+    if (!placement || !servers || !grants || !config || part_crashes.has_value() == crashes.is_null())
     {
         return std::nullopt;
     }
     placement->grants = std::move(*grants);
-    return holder_reply{std::move(*placement), std::move(*servers), *config_revision,
+    return holder_reply{std::move(*placement), std::move(*servers), std::move(*config),
                         duration{(*value)[3].get<duration::rep>()}, std::move(part_crashes)};
 }
 
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -24,7 +24,7 @@
 /// instance has the holder's marks.
 std::string encode_reply(std::string const& placement, std::string const& update,
                          std::string const& part_crashes, std::vector<limit_grant> const& grants,
-                         store_revision const& config_revision, duration age);
+                         known_config const& config, duration age);
 std::optional<holder_reply> decode_reply(std::string const& bytes);
 
 /// Path of the call that carries a demand report to the lease holder.
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -223,6 +223,7 @@
         own.servers_position = state.position();
         own.part_crashes_digest = state.crashes_digest();
         own.new_part_crashes = state.new_crashes();
+        own.config = state.config_for(holder_config);
         own.sent_early = now < next_full_report;
         next_full_report = own.sent_early ? next_full_report : now + report_interval;
         bool const waits = std::any_of(own.models.begin(), own.models.end(),
@@ -273,6 +274,8 @@
         if (reply)
         {
             instances = reply->placement.instances;
+            holder_config = reply->config;
+            holder_config.text.clear();
             state.on_reply(*reply);
             on_placement_update(reply->placement);
         }
@@ -319,7 +322,7 @@
         }
         auto const crashes = state.crashes_since(report.part_crashes_digest);
         return encode_reply(placement, update, crashes ? encode_part_crashes(*crashes) : std::string(),
-                            limits.grant(now, report.limits), state.config_revision(),
+                            limits.grant(now, report.limits), state.config_for(report.config),
                             now - lease.confirmed_at());
     }
 
@@ -435,6 +438,7 @@
             return;
         }
         state.on_peer_crashes(report->new_part_crashes);
+        state.on_peer_config(report->config);
         if (!lease.may_send_orders(now))
         {
             // Marks need no lease. In an outage of the store the instances go on reporting to the last
@@ -522,6 +526,7 @@
     bool reporting = false;
     bool holder_reached = false;
     bool lease_held = false;
+    known_config holder_config; ///< Without the text; of the latest reply.
     std::string
         other_holder_address; ///< Of the latest holder beside this instance; empty when none is known.
     std::map<std::string, steady_time> peers; ///< Time of the last report by peer address.
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -5,6 +5,7 @@
 #include "decision/backend_directory.hpp"
 #include "decision/state_source_selector.hpp"
 #include "platform/backend_entry_codec.hpp"
+#include "platform/json_fields.hpp"
 #include "platform/metadata_store.hpp"
 #include "platform/object_watch.hpp"
 #include "platform/part_crash_codec.hpp"
@@ -139,13 +140,34 @@
         {
             return;
         }
-        config_revision = std::max(config_revision, object.revision);
+        known.revision = std::max(known.revision, object.revision);
+        apply_config(object.spec, object.revision);
+    }
+
+    void on_peer_config(known_config const& told)
+    {
+        if (told.text.empty() || told.version <= known.version)
+        {
+            return;
+        }
+        auto const spec = platform::parse_json(told.text);
+        if (!spec)
+        {
+            log.write({"config_ignored",
+                       {{"revision", to_string(told.revision)}, {"reason", "a peer's text is not valid"}}});
+            return;
+        }
+        apply_config(*spec, told.revision);
+    }
+
+    void apply_config(nlohmann::json const& spec, store_revision const& revision)
+    {
         std::string why;
-        auto decoded = platform::decode_serving_config(object.spec, why);
+        auto decoded = platform::decode_serving_config(spec, why);
         if (!decoded || (config && decoded->version < config->version))
         {
             why = decoded ? "an older version" : why;
-            log.write({"config_ignored", {{"revision", to_string(object.revision)}, {"reason", why}}});
+            log.write({"config_ignored", {{"revision", to_string(revision)}, {"reason", why}}});
             return;
         }
         // Operators may write another text by a version that the store has lost.
@@ -154,10 +176,12 @@
             return;
         }
         config = std::make_shared<serving_config const>(std::move(*decoded));
+        known.version = config->version;
+        known.text = spec.dump();
         log.write({"config_in_force",
                    {{"version", std::to_string(config->version)},
                     {"routes", std::to_string(config->routes.size())},
-                    {"revision", to_string(object.revision)}}});
+                    {"revision", to_string(revision)}}});
         handlers.on_config(config);
     }
 
@@ -216,8 +240,9 @@
         {
             apply_crashes(*reply.part_crashes);
         }
+        on_peer_config(reply.config);
         choose_source();
-        if (source == state_source::holder && reply.config_revision > config_revision)
+        if (source == state_source::holder && reply.config.revision > known.revision)
         {
             config_watch.refresh();
         }
@@ -269,7 +294,7 @@
         log.write({"state_source",
                    {{"source", to_string(source)},
                     {"servers_revision", to_string(backend_watch.revision())},
-                    {"config_revision", to_string(config_revision)}}});
+                    {"config_revision", to_string(known.revision)}}});
         for (platform::object_watch* const watch : {&config_watch, &backend_watch, &crash_watch})
         {
             if (follow_holder)
@@ -307,7 +332,7 @@
     state_source source{state_source::store};
     update_position holder_position; ///< Position in the holder's changes.
     std::shared_ptr<serving_config const> config;
-    store_revision config_revision;
+    known_config known; ///< With the text of the configuration in force.
     bool servers_known = false;
     bool servers_fresh = false;
     bool crashes_known = false; ///< All marks have been read once, from the store or from a holder.
@@ -411,9 +436,19 @@
     return same || !impl_->crashes_known ? std::nullopt : std::optional(impl_->crashes.crashes());
 }
 
-store_revision state_follower::config_revision() const
+known_config state_follower::config_for(known_config const& peer) const
+{
+    known_config result = impl_->known;
+    if (!needs_text(peer, impl_->known))
+    {
+        result.text.clear();
+    }
+    return result;
+}
+
+void state_follower::on_peer_config(known_config const& told)
 {
-    return impl_->config_revision;
+    impl_->on_peer_config(told);
 }
 
 } // namespace siskinusher
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -76,7 +76,11 @@
     update_position position() const;
     /// The changes that follow the position `known` of a peer.
     backend_update servers_since(update_position const& known) const;
-    store_revision config_revision() const;
+    /// The configuration that this instance knows, with its text when the peer needs it.
+    known_config config_for(known_config const& peer) const;
+    /// Takes over the text that a peer sends: the store may have lost it, or this instance may have started
+    /// after the loss.
+    void on_peer_config(known_config const& told);
     /// Digest of the marks that this instance knows, and those that it found lately.
     std::uint64_t crashes_digest() const;
     std::vector<part_crash> new_crashes() const;
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -3,9 +3,9 @@
 #include "core/steady_time.hpp"
 #include "domain/backend_update.hpp"
 #include "domain/identifiers.hpp"
+#include "domain/known_config.hpp"
 #include "domain/part_crash.hpp"
 #include "domain/server_limit.hpp"
-#include "domain/store_revision.hpp"
 
 #include <cstdint>
 #include <map>
@@ -50,6 +50,7 @@
     /// Marks that this instance found and that the holder may not have from the store yet.
     std::vector<part_crash> new_part_crashes{};
     std::vector<limit_report> limits{}; ///< Servers that name a limit, or have ceased to.
+    known_config config{};
 };
 
 /// A model or adapter whose load the lease holder ordered recently, so that the engine's entry may not show
@@ -77,8 +78,8 @@
 {
     placement_update placement;
     backend_update servers;
-    store_revision config_revision; ///< The store's revision of the configuration that the holder has.
-    duration store_state_age{0};    ///< Since the holder sent its latest call that the store answered.
+    known_config config{};
+    duration store_state_age{0}; ///< Since the holder sent its latest call that the store answered.
     /// All marks of the holder; empty when the reported digest shows that the instance has the same ones.
     std::optional<std::vector<part_crash>> part_crashes{};
 };
--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -31,7 +31,7 @@
     entry.started_at = 1774000000123;
     reply.servers.changed = {{entry, {2, 399}}};
     reply.servers.removed = {"e7", "e8"};
-    reply.config_revision = {2, 88};
+    reply.config = {17, {2, 88}, "{}"};
     reply.store_state_age = milliseconds{340};
     reply.part_crashes = std::vector<part_crash>{{"5c1e07a2", 1, "e1", 1774000000123}};
     return reply;
@@ -41,7 +41,7 @@
 {
     return encode_reply(encode_placement_update(reply.placement), encode_update(reply.servers),
                         reply.part_crashes ? encode_part_crashes(*reply.part_crashes) : std::string(),
-                        reply.placement.grants, reply.config_revision, reply.store_state_age);
+                        reply.placement.grants, reply.config, reply.store_state_age);
 }
 
 } // namespace
@@ -65,7 +65,8 @@
                                {"h1-77", 12},
                                987654321098765432U,
                                {{"91bd3f06", 2, "e2", 1774000000124}},
-                               {{{"e1", 0.1, milliseconds{3}}, 4}}};
+                               {{{"e1", 0.1, milliseconds{3}}, 4}},
+                               {16, {2, 80}, "text"}};
     auto const read = decode_demand(encode_demand(report));
     cr_assert(read && *read == report);
 }
--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -23,6 +23,8 @@
 // Within this time after its acknowledgement a configuration is in force, and a leaving server gets nothing
 // new.
 constexpr milliseconds change_time{2500};
+// An instance is bound by that from this time after its start.
+constexpr milliseconds contact_time{3000};
 
 // The example's configuration with one more route for each version after the first.
 json config_with_routes(std::uint64_t version)
@@ -93,9 +95,9 @@
         return missing;
     }
 
-    void expect_in_force(std::uint64_t version, char const* when)
+    void expect_in_force(std::uint64_t version, char const* when, milliseconds time = change_time)
     {
-        bool const in_force = eventually([&] { return without_route_of(version).empty(); }, change_time);
+        bool const in_force = eventually([&] { return without_route_of(version).empty(); }, time);
         cr_expect(in_force, "%s: version %d is not in force at the instances %s", when,
                   static_cast<int>(version), without_route_of(version).c_str());
     }
@@ -268,3 +270,25 @@
     cr_expect(eventually(added_route_is_served, change_time), "version 3 is not in force: %s",
               cut_off.log_text().c_str());
 }
+
+// Guards against an older configuration at instances that start while the store has only the copy, also when
+// one of them then holds the lease.
+Test(restored_store, instance_that_starts_with_the_copy_takes_the_configuration_of_its_peers)
+{
+    restored_fleet fleet;
+    fleet.store.keep_copy();
+    fleet.write_elsewhere(20);
+    fleet.write_config(2);
+    fleet.expect_in_force(2, "before the restoration");
+    fleet.restore(seconds{1});
+    for (std::size_t const restarted : {0U, 1U})
+    {
+        fleet.edge(restarted).process().send(SIGKILL);
+        cr_assert(fleet.edge(restarted).process().wait(seconds{5}));
+        fleet.edge(restarted).start();
+        cr_assert(fleet.edge(restarted).wait_ready());
+    }
+    fleet.expect_in_force(2, "after the restart of two of three instances", contact_time + change_time);
+    std::this_thread::sleep_for(seconds{4}); // A new holder may have been chosen.
+    fleet.expect_in_force(2, "later");
+}
