Test that siskin-entry does not run a recorded call again after its store went back

The test passes on the code as it is; siskin-entry's store stand-in names no era, and a store that goes back while all instances restart loses the record.

--- a/tests/decision/call_recorder_test.cpp
+++ b/tests/decision/call_recorder_test.cpp
@@ -353,3 +353,26 @@
     }
     cr_assert_eq(invariant_violations(), 0);
 }
+
+// Guards against a second run of a keyed call whose record the store has lost.
+Test(call_recorder, a_recorded_call_is_not_granted_again_after_the_store_went_back)
+{
+    recorder_pair pair;
+    pair.run(seconds{1});
+    pair.store.keep_copy();
+    pair.begin(0, 1, started("k", 11));
+    pair.run(seconds{1});
+    cr_assert_eq(pair.outcome(1), call_start_outcome::granted);
+    pair.finish(0, done("k", 11, "paid"));
+    pair.run(seconds{1});
+    pair.store.restore();
+    pair.begin(1, 2, started("k", 12));
+    pair.run(seconds{10});
+    cr_assert_neq(pair.outcome(2), call_start_outcome::granted);
+    // Another call makes the recorder read and write its segment again.
+    pair.begin(1, 3, started("other", 13));
+    pair.run(seconds{10});
+    pair.begin(1, 4, started("k", 14));
+    pair.run(seconds{10});
+    cr_assert_neq(pair.outcome(4), call_start_outcome::granted);
+}
--- a/tests/decision/fake_store.hpp
+++ b/tests/decision/fake_store.hpp
@@ -5,6 +5,8 @@
 
 #include <map>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <variant>
 
 namespace siskinusher::testing
@@ -54,6 +56,11 @@
         return found == objects_.end() ? nullptr : std::get_if<Value>(&found->second.value);
     }
 
+    /// Keeps a copy of all objects, for restore().
+    void keep_copy() { copy_ = {objects_, next_version_}; }
+    /// Goes back to the latest copy: later writes are gone, and their versions are given out again.
+    void restore() { std::tie(objects_, next_version_) = copy_; }
+
     std::uint64_t calls = 0;
     std::uint64_t writes = 0;
 
@@ -97,6 +104,7 @@
     random_source random_;
     std::map<std::string, store_found> objects_;
     object_version next_version_ = 0;
+    std::pair<std::map<std::string, store_found>, object_version> copy_;
 };
 
 } // namespace siskinusher::testing
