--- /dev/null
+++ b/tests/platform/software_version_test.cpp
@@ -0,0 +1,289 @@
+#include "tests/wire/small_fleet.hpp"
+#include "tests/wire/wire_caller.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace siskinusher::standins;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using steady = std::chrono::steady_clock;
+
+// The platform's rule: at most two joined streams, and of those that are taken up at instances which run for
+// the contact time, at least half as large a share goes on as of new streams.
+constexpr std::size_t allowed_joined_streams = 2;
+constexpr milliseconds contact_time{3000};
+
+struct caller_stream
+{
+    std::string first_id;
+    std::string taken_up_id; ///< Empty while the first attempt is the only one.
+    unsigned last_event = 0;
+    bool whole = false;
+};
+
+/// Three instances before engines of one model; streams take 3 s.
+class version_fleet
+{
+public:
+    explicit version_fleet(std::vector<std::string> const& versions)
+    {
+        store.write("config", "main", example_config(1));
+        for (std::string const& version : versions)
+        {
+            add_engine(version);
+        }
+        for (unsigned i = 0; i < 3; ++i)
+        {
+            edges_.push_back(std::make_unique<edge_child>("edge-" + std::to_string(i), store.address()));
+        }
+        for (auto const& edge : edges_)
+        {
+            cr_assert(edge->wait_ready(), "%s", edge->log_text().c_str());
+        }
+        std::this_thread::sleep_for(contact_time);
+    }
+
+    void add_engine(std::string const& version)
+    {
+        engines_.push_back(std::make_unique<backend_standin>(store, "e" + std::to_string(engines_.size()),
+                                                             "llm", std::set<std::string>{"m0"}));
+        engines_.back()->set_version(version);
+        engines_.back()->set_work_time(milliseconds{100});
+        engines_.back()->set_event_count(30);
+    }
+
+    backend_standin& engine(std::size_t index) { return *engines_[index]; }
+    edge_child& edge(std::size_t index) { return *edges_[index]; }
+
+    /// Starts streams at all instances and returns at once.
+    void begin(std::size_t count)
+    {
+        streams_.resize(count);
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            streams_[i].first_id = "s" + std::to_string(i);
+            callers_.emplace_back([this, i]
+                                  { receive(streams_[i], i % edges_.size(), streams_[i].first_id); });
+        }
+    }
+
+    void kill(std::vector<std::size_t> const& edges)
+    {
+        for (std::size_t const each : edges)
+        {
+            edges_[each]->process().send(SIGKILL);
+        }
+        for (std::size_t const each : edges)
+        {
+            cr_assert(edges_[each]->process().wait(seconds{5}));
+        }
+    }
+
+    void restart(std::vector<std::size_t> const& edges)
+    {
+        for (std::size_t const each : edges)
+        {
+            edges_[each]->start();
+        }
+        for (std::size_t const each : edges)
+        {
+            cr_assert(edges_[each]->wait_ready());
+        }
+    }
+
+    void wait_for_ends()
+    {
+        for (std::thread& each : callers_)
+        {
+            each.join();
+        }
+        callers_.clear();
+    }
+
+    /// Takes up the streams that were cut, each a few times if it is refused. Returns how many there were.
+    std::size_t take_up(std::vector<std::size_t> const& edges)
+    {
+        std::size_t cut = 0;
+        for (std::size_t i = 0; i < streams_.size(); ++i)
+        {
+            if (!streams_[i].whole && streams_[i].last_event > 0)
+            {
+                ++cut;
+                callers_.emplace_back([this, i, to = edges[i % edges.size()]] { take_up(streams_[i], to); });
+            }
+        }
+        wait_for_ends();
+        return cut;
+    }
+
+    std::size_t gone_on() const
+    {
+        return static_cast<std::size_t>(std::count_if(streams_.begin(), streams_.end(),
+                                                      [](caller_stream const& each)
+                                                      { return each.whole && !each.taken_up_id.empty(); }));
+    }
+
+    /// Streams whose attempts ran at engines of more than one version, so that the caller has events of each.
+    std::size_t joined()
+    {
+        std::size_t count = 0;
+        for (caller_stream const& each : streams_)
+        {
+            std::set<std::string> versions;
+            for (auto const& engine : engines_)
+            {
+                auto const runs = engine->runs();
+                if (runs.count(each.first_id) > 0 || runs.count(each.taken_up_id) > 0)
+                {
+                    versions.insert(engine->version());
+                }
+            }
+            count += each.whole && versions.size() > 1 ? 1 : 0;
+        }
+        return count;
+    }
+
+    void expect_not_joined()
+    {
+        cr_expect_leq(joined(), allowed_joined_streams, "%zu of %zu streams are of two versions", joined(),
+                      streams_.size());
+    }
+
+    store_standin store;
+
+private:
+    int receive(caller_stream& stream, std::size_t edge, std::string const& id)
+    {
+        std::map<std::string, std::string> headers{{"Host", "h"}, {"Attempt-Id", id}, {"Model", "m0"}};
+        if (id != stream.first_id)
+        {
+            headers["Resumes"] = stream.first_id;
+            headers["Last-Event-Id"] = std::to_string(stream.last_event);
+        }
+        wire_caller caller(false);
+        caller_answer const answer =
+            caller.send(edges_[edge]->caller_address(), "POST", "/stream/1", headers);
+        std::size_t const ends = answer.body.rfind("\n\n");
+        std::string const events = ends == std::string::npos ? "" : answer.body.substr(0, ends);
+        std::size_t const last = events.rfind("id: ");
+        if (answer.status == 200 && last != std::string::npos)
+        {
+            stream.last_event = static_cast<unsigned>(std::stoul(events.substr(last + 4)));
+        }
+        stream.whole = answer.status == 200 && answer.whole;
+        return answer.status;
+    }
+
+    void take_up(caller_stream& stream, std::size_t edge)
+    {
+        for (unsigned attempt = 0; attempt < 3; ++attempt)
+        {
+            stream.taken_up_id = stream.first_id + "-" + std::to_string(attempt);
+            if (receive(stream, edge, stream.taken_up_id) == 200)
+            {
+                return;
+            }
+            std::this_thread::sleep_for(milliseconds{300});
+        }
+    }
+
+    std::vector<std::unique_ptr<backend_standin>> engines_;
+    std::vector<std::unique_ptr<edge_child>> edges_;
+    std::vector<caller_stream> streams_;
+    std::vector<std::thread> callers_;
+};
+
+std::vector<std::size_t> const all_edges{0, 1, 2};
+
+} // namespace
+
+// Guards against one answer with events of two software versions when an engine breaks off its stream.
+Test(software_version, broken_stream_goes_on_at_its_version_only)
+{
+    version_fleet fleet({"v1", "v1", "v2", "v2"});
+    for (std::size_t const each : {0U, 2U})
+    {
+        fleet.engine(each).set_fault(backend_fault::breaks_stream);
+    }
+    fleet.begin(60);
+    fleet.wait_for_ends();
+    fleet.expect_not_joined();
+}
+
+// Guards against streams that callers take up at another instance and that go on at another version, or not
+// at all.
+Test(software_version, streams_of_a_killed_instance_go_on_at_their_version)
+{
+    version_fleet fleet({"v1", "v1", "v2", "v2"});
+    fleet.begin(45);
+    std::this_thread::sleep_for(milliseconds{1500});
+    fleet.kill({0});
+    fleet.wait_for_ends();
+    std::size_t const cut = fleet.take_up({1, 2});
+    cr_assert_geq(cut, std::size_t{12}, "%zu streams were cut", cut);
+    fleet.expect_not_joined();
+    cr_expect_geq(fleet.gone_on() * 2, cut, "%zu of %zu go on", fleet.gone_on(), cut);
+}
+
+// Guards against joined streams when nothing is left in any instance's memory.
+Test(software_version, streams_go_on_at_their_version_after_all_instances_were_killed)
+{
+    version_fleet fleet({"v1", "v1", "v2", "v2"});
+    fleet.begin(45);
+    std::this_thread::sleep_for(milliseconds{1500});
+    fleet.kill(all_edges);
+    fleet.wait_for_ends();
+    fleet.restart(all_edges);
+    std::size_t const cut = fleet.take_up(all_edges);
+    fleet.expect_not_joined();
+    cr_expect_geq(fleet.gone_on() * 2, cut, "%zu of %zu go on", fleet.gone_on(), cut);
+}
+
+// Guards against joined streams when the engines of the old version have just left.
+Test(software_version, streams_of_a_version_that_has_left_do_not_go_on_elsewhere)
+{
+    version_fleet fleet({"v1", "v1"});
+    fleet.add_engine("v2");
+    fleet.add_engine("v2");
+    std::this_thread::sleep_for(seconds{1});
+    fleet.begin(45);
+    std::this_thread::sleep_for(milliseconds{500});
+    for (std::size_t const each : {0U, 1U})
+    {
+        fleet.engine(each).write_entry("draining");
+        fleet.store.remove("servers", fleet.engine(each).name());
+    }
+    std::this_thread::sleep_for(milliseconds{500});
+    fleet.kill(all_edges);
+    fleet.wait_for_ends();
+    fleet.restart(all_edges);
+    (void)fleet.take_up(all_edges);
+    fleet.expect_not_joined();
+}
+
+// Guards against refusing streams that are taken up while only one version has served.
+Test(software_version, streams_of_the_only_version_go_on)
+{
+    version_fleet fleet({"v1", "v1", "v1", "v1"});
+    fleet.begin(45);
+    std::this_thread::sleep_for(milliseconds{1500});
+    fleet.kill(all_edges);
+    fleet.wait_for_ends();
+    fleet.restart(all_edges);
+    std::size_t const cut = fleet.take_up(all_edges);
+    cr_assert_geq(cut, std::size_t{12}, "%zu streams were cut", cut);
+    cr_expect_geq(fleet.gone_on() * 2, cut, "%zu of %zu go on", fleet.gone_on(), cut);
+}
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -44,7 +44,7 @@
 {
     std::unique_lock<std::mutex> lock(mutex_);
     std::string const address = published_address_.empty() ? server_.address() : published_address_;
-    json entry{{"service", service_}, {"address", address}, {"zone", "here"},     {"version", "v1"},
+    json entry{{"service", service_}, {"address", address}, {"zone", "here"},     {"version", version_},
                {"slots", 8},          {"state", state},     {"born", started_at_}};
     if (engine_)
     {
@@ -55,6 +55,20 @@
     store_.write("servers", name_, entry);
 }
 
+void backend_standin::set_version(std::string version)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    version_ = std::move(version);
+    lock.unlock();
+    write_entry();
+}
+
+std::string backend_standin::version()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return version_;
+}
+
 void backend_standin::publish_address(std::string address)
 {
     std::unique_lock<std::mutex> lock(mutex_);
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -56,6 +56,9 @@
 
     /// Writes the server's entry into the store.
     void write_entry(std::string const& state = "ready");
+    /// Writes another software version into the entry; the first one is "v1".
+    void set_version(std::string version);
+    std::string version();
     /// Writes another address, for example that of a relay, into the entry.
     void publish_address(std::string address);
     std::string address() const { return server_.address(); }
@@ -111,6 +114,7 @@
     std::function<void()> on_crash_;
     std::mutex mutex_;
     std::int64_t started_at_ = 1;
+    std::string version_{"v1"};
     std::string published_address_; ///< Empty when the entry has the server's own address.
     std::set<std::string> models_;
     std::map<std::string, unsigned> runs_;
