Let a stream go on only at the software version that began it

- Each attempt knows its engine's version; once a stream has begun, only engines of that version are chosen, and a take-up is refused at once when none is left.
- The lease holder records in the store which versions of a service may begin streams, before the first stream begins at a new one, and until the lifetime of a stream after the last engine of an old one.
While one version is recorded, take-ups cost nothing and go on anywhere.
- While there are more, instances report each begun stream to the holder within 0.1 s, and the holder writes them to the store in batches.
A take-up is looked up in the instance, at the holder, in the store; one that nobody knows is refused as not run.

Weighed: one record for each stream before its first event (a write of 4 to 200 ms before each first event, 15,000/s at the target); a version derived from the id and the shares (every change of the shares leaves a part of the ids in doubt for a stream's lifetime); asking the engines (their caches forget, and sessions share parts). Batches cost 0.7 KB/s for each of 360 instances while two versions serve, and the streams of the last 0.2 s.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -14,6 +14,7 @@
 {
 
 char const* const demand_path = "/siskin/demand";
+char const* const stream_path = "/siskin/stream";
 
 namespace
 {
@@ -94,6 +95,63 @@
                : std::nullopt;
 }
 
+json encode_streams(std::vector<begun_stream> const& streams)
+{
+    json rows = json::array();
+    for (begun_stream const& each : streams)
+    {
+        rows.push_back(json::array({each.request_id, each.version}));
+    }
+    return rows;
+}
+
+std::optional<std::vector<begun_stream>> decode_streams(json const& rows)
+{
+    if (!rows.is_array())
+    {
+        return std::nullopt;
+    }
+    std::vector<begun_stream> streams;
+    for (json const& row : rows)
+    {
+        if (!is_row(row, 2, 0))
+        {
+            return std::nullopt;
+        }
+        streams.push_back({row[0].get<std::string>(), row[1].get<std::string>()});
+    }
+    return streams;
+}
+
+json encode_stream_versions(std::vector<stream_versions> const& records)
+{
+    json rows = json::array();
+    for (stream_versions const& each : records)
+    {
+        rows.push_back(json::array({json::array({each.service}), each.versions}));
+    }
+    return rows;
+}
+
+std::optional<std::vector<stream_versions>> decode_stream_versions(json const& rows)
+{
+    if (!rows.is_array())
+    {
+        return std::nullopt;
+    }
+    std::vector<stream_versions> records;
+    for (json const& row : rows)
+    {
+        bool const has_parts = row.is_array() && row.size() == 2;
+        if (!has_parts || !is_row(row[0], 1, 0) || !is_text_list(row[1]))
+        {
+            return std::nullopt;
+        }
+        records.push_back({row[0][0].get<std::string>(), row[1].get<std::vector<std::string>>()});
+    }
+    return records;
+}
+
 json encode_config(known_config const& config)
 {
     return json::array({config.version, encode_revision(config.revision), binary_of(config.text)});
@@ -123,9 +181,9 @@
         }
         models.push_back(std::move(names));
     }
-    json const facts = json::array({entry.name, entry.service, entry.address, entry.data_centre, entry.places,
-                                    entry.leaving ? 1U : 0U, entry.is_engine ? 1U : 0U,
-                                    static_cast<std::uint64_t>(entry.started_at)});
+    json const facts = json::array({entry.name, entry.service, entry.address, entry.data_centre,
+                                    entry.software_version, entry.places, entry.leaving ? 1U : 0U,
+                                    entry.is_engine ? 1U : 0U, static_cast<std::uint64_t>(entry.started_at)});
     return json::array({facts, models, encode_revision(server.revision)});
 }
 
@@ -133,7 +191,7 @@
 {
     bool const has_parts = value.is_array() && value.size() == 3;
     auto const revision = has_parts ? decode_revision(value[2]) : std::nullopt;
-    if (!revision || !is_row(value[0], 4, 4) || !value[1].is_array())
+    if (!revision || !is_row(value[0], 5, 4) || !value[1].is_array())
     {
         return std::nullopt;
     }
@@ -144,10 +202,11 @@
     entry.service = facts[1].get<std::string>();
     entry.address = facts[2].get<std::string>();
     entry.data_centre = facts[3].get<std::string>();
-    entry.places = facts[4].get<unsigned>();
-    entry.leaving = facts[5].get<unsigned>() != 0;
-    entry.is_engine = facts[6].get<unsigned>() != 0;
-    entry.started_at = facts[7].get<std::int64_t>();
+    entry.software_version = facts[4].get<std::string>();
+    entry.places = facts[5].get<unsigned>();
+    entry.leaving = facts[6].get<unsigned>() != 0;
+    entry.is_engine = facts[7].get<unsigned>() != 0;
+    entry.started_at = facts[8].get<std::int64_t>();
     server.revision = *revision;
     for (json const& names : value[1])
     {
@@ -323,21 +382,22 @@
         limits.push_back(encode_limit(each.limit, each.wanted));
     }
     json const who = json::array({report.instance, report.peer_address});
-    return to_bytes(
-        json::array({who, report.unreachable, rows, encode_running(report.running), report.sent_early,
-                     encode_position(report.servers_position), report.part_crashes_digest,
-                     encode_crash_rows(report.new_part_crashes), limits, encode_config(report.config)}));
+    return to_bytes(json::array({who, report.unreachable, rows, encode_running(report.running),
+                                 report.sent_early, encode_position(report.servers_position),
+                                 report.part_crashes_digest, encode_crash_rows(report.new_part_crashes),
+                                 limits, encode_config(report.config), encode_streams(report.streams)}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 10);
+    auto const value = list_of(bytes, 11);
     auto running = value ? decode_running((*value)[3]) : std::nullopt;
     auto position = value ? decode_position((*value)[5]) : std::nullopt;
     auto crashes = value ? decode_crash_rows((*value)[7]) : std::nullopt;
     auto limits = value ? decode_limits<limit_report>((*value)[8]) : std::nullopt;
     auto config = value ? decode_config((*value)[9]) : std::nullopt;
-    if (!position || !running || !crashes || !limits || !config || !(*value)[4].is_boolean() ||
+    auto streams = value ? decode_streams((*value)[10]) : std::nullopt;
+    if (!position || !running || !crashes || !limits || !config || !streams || !(*value)[4].is_boolean() ||
         !is_row((*value)[0], 2, 0) || !is_text_list((*value)[1]) || !(*value)[2].is_array() ||
         !(*value)[6].is_number_unsigned())
     {
@@ -354,6 +414,7 @@
     report.new_part_crashes = std::move(*crashes);
     report.limits = std::move(*limits);
     report.config = std::move(*config);
+    report.streams = std::move(*streams);
     for (json const& row : (*value)[2])
     {
         if (!is_row(row, 3, 4))
@@ -402,7 +463,8 @@
 
 std::string encode_reply(std::string const& placement, std::string const& update,
                          std::string const& part_crashes, std::vector<limit_grant> const& grants,
-                         known_config const& config, duration age)
+                         known_config const& config, std::vector<stream_versions> const& versions,
+                         duration age)
 {
     json rows = json::array();
     for (limit_grant const& each : grants)
@@ -411,12 +473,13 @@
     }
     auto const age_us = static_cast<std::uint64_t>(std::max<duration>(age, duration{0}).count());
     return to_bytes(json::array({binary_of(placement), binary_of(update), encode_config(config), age_us,
-                                 part_crashes.empty() ? json() : binary_of(part_crashes), rows}));
+                                 part_crashes.empty() ? json() : binary_of(part_crashes), rows,
+                                 encode_stream_versions(versions)}));
 }
 
 std::optional<holder_reply> decode_reply(std::string const& bytes)
 {
-    auto const value = list_of(bytes, 6);
+    auto const value = list_of(bytes, 7);
     if (!value || !(*value)[0].is_binary() || !(*value)[1].is_binary() || !(*value)[3].is_number_unsigned())
     {
         return std::nullopt;
@@ -427,13 +490,16 @@
     auto part_crashes = crashes.is_binary() ? decode_part_crashes(bytes_of(crashes)) : std::nullopt;
     auto grants = decode_limits<limit_grant>((*value)[5]);
     auto config = decode_config((*value)[2]);
-    if (!placement || !servers || !grants || !config || part_crashes.has_value() == crashes.is_null())
+    auto versions = decode_stream_versions((*value)[6]);
+    if (!placement || !servers || !grants || !config || !versions ||
+        part_crashes.has_value() == crashes.is_null())
     {
         return std::nullopt;
     }
     placement->grants = std::move(*grants);
-    return holder_reply{std::move(*placement), std::move(*servers), std::move(*config),
-                        duration{(*value)[3].get<duration::rep>()}, std::move(part_crashes)};
+    return holder_reply{std::move(*placement),   std::move(*servers),
+                        std::move(*config),      duration{(*value)[3].get<duration::rep>()},
+                        std::move(part_crashes), std::move(*versions)};
 }
 
 } // namespace siskinusher
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -24,10 +24,14 @@
 /// instance has the holder's marks.
 std::string encode_reply(std::string const& placement, std::string const& update,
                          std::string const& part_crashes, std::vector<limit_grant> const& grants,
-                         known_config const& config, duration age);
+                         known_config const& config, std::vector<stream_versions> const& versions,
+                         duration age);
 std::optional<holder_reply> decode_reply(std::string const& bytes);
 
 /// Path of the call that carries a demand report to the lease holder.
 extern char const* const demand_path;
+/// Path of the call that asks for the software version at which a stream began: the request id is the body,
+/// the version the body of a 200.
+extern char const* const stream_path;
 
 } // namespace siskinusher
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -10,6 +10,7 @@
 #include "apps/placement_service.hpp"
 #include "apps/request_service.hpp"
 #include "apps/state_follower.hpp"
+#include "apps/stream_keeper.hpp"
 #include "platform/metadata_store.hpp"
 #include "platform/request_codec.hpp"
 
@@ -120,10 +121,11 @@
           requests({settings.data_centre, settings.region_of, random_number()}),
           retries(limits_of(settings, assumed_instances)),
           crash_reports(loop, pool, store, crashes, log, metrics, [this] { return placement.holds_lease(); }),
-          service(loop, pool, requests, retries, crash_reports, log, metrics, metrics, random_number()),
+          service(loop, pool, requests, retries, crash_reports, streams, log, metrics, metrics,
+                  random_number()),
           state(loop, store, log, metrics, crashes, follower_settings(settings), make_state_handlers()),
           placement(
-              loop, pool, store, log, metrics, placement_settings(settings), state,
+              loop, pool, store, log, metrics, placement_settings(settings), state, streams,
               [this]
               {
                   return demand_report{settings.name,
@@ -137,7 +139,10 @@
                                        {},
                                        requests.take_limit_reports(boot_now())};
               },
-              [this](placement_update const& placement) { on_placement_update(placement); }),
+              [this](placement_update const& placement) { on_placement_update(placement); },
+              [this](std::vector<begun_stream> const& begun) { stream_records.on_reported(begun); }),
+          stream_records(loop, pool, store, streams, log, metrics, "b" + std::to_string(random_number()),
+                         {[this] { return placement.holds_lease(); }, [this] { return placement.holder(); }}),
           callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
                   [this](std::shared_ptr<caller_exchange> exchange)
                   { service.on_request(std::move(exchange)); }),
@@ -160,6 +165,9 @@
     std::string run()
     {
         service.on_missing_model([this] { placement.report_soon(); });
+        service.on_unknown_stream(
+            [this](std::string const& id, std::function<void(std::optional<std::string>)> done)
+            { stream_records.ask(id, std::move(done)); });
         for (caller_server* const server : {&callers, &readiness, &peers})
         {
             std::string error = server->start();
@@ -181,6 +189,7 @@
         state.start();
         crash_reports.start();
         placement.start();
+        stream_records.start();
         log.write({"start",
                    {{"instance", settings.name},
                     {"data_centre", settings.data_centre},
@@ -303,6 +312,7 @@
     void on_backend(backend_entry const& entry)
     {
         requests.on_backend(entry);
+        streams.on_backend(boot_now(), entry);
         placement.on_backend(entry);
         service.run_dispatcher();
     }
@@ -310,6 +320,7 @@
     void on_backend_gone(backend_name const& name)
     {
         requests.on_backend_gone(name);
+        streams.on_backend_gone(boot_now(), name);
         placement.on_backend_gone(name);
     }
 
@@ -336,10 +347,12 @@
     dispatcher requests;
     service_retry_budget retries;
     crash_ledger crashes;
+    stream_register streams;
     crash_reporter crash_reports;
     request_service service;
     state_follower state;
     placement_service placement;
+    stream_keeper stream_records;
     caller_server callers;
     caller_server readiness;
     caller_server peers;
--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -29,6 +29,7 @@
     std::optional<platform::answer_info> facts;
     std::string body; ///< Body of an answer that is forwarded as a whole.
     event_splitter events;
+    std::string version;        ///< Of the server's software.
     steady_time first_event_at; ///< Zero until an event has arrived.
     bool counted_as_answered = false;
     std::string withdrawn; ///< Why it was not sent, for a reason that says nothing about the server.
@@ -71,6 +72,8 @@
     unsigned events_forwarded = 0;
     std::optional<std::uint64_t> last_event; ///< The last event that was forwarded to the caller.
     bool events_without_id = false;
+    /// Software version at which the stream must go on, once it has begun here or at another instance.
+    std::optional<std::string> version;
     std::string last_failure;
     // Failure answer of a server; forwarded when no further attempt is made.
     std::optional<platform::answer_info> failed_facts;
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -6,6 +6,7 @@
 #include "adapters/placement_codec.hpp"
 #include "adapters/ports.hpp"
 #include "apps/state_follower.hpp"
+#include "decision/stream_register.hpp"
 #include "platform/backend_entry_codec.hpp"
 #include "platform/lease_record_codec.hpp"
 #include "platform/metadata_store.hpp"
@@ -44,6 +45,8 @@
 // An engine answers an order after one round trip between regions; a longer wait means that it does not
 // answer.
 constexpr duration order_time_limit = milliseconds{700};
+// Begun streams are reported after this time, so that few are unknown when their instance is lost.
+constexpr duration stream_report_interval = milliseconds{100};
 constexpr duration report_time_limit = milliseconds{400};
 // Limit for a store call that is made for a peer; a watch is the call that waits longest.
 constexpr duration max_relay_time = seconds{4};
@@ -81,11 +84,12 @@
 public:
     implementation(boost::asio::io_context& loop, outbound_pool& pool_in, platform::metadata_store& store_in,
                    log_port& log_in, metric_port& metrics_in, placement_service_settings settings_in,
-                   state_follower& state_in, demand_source demand_in,
-                   placement_update_handler on_placement_update_in)
+                   state_follower& state_in, stream_register& streams_in, demand_source demand_in,
+                   placement_update_handler on_placement_update_in, streams_handler on_streams_in)
         : pool(pool_in), store(store_in), log(log_in), metrics(metrics_in), settings(std::move(settings_in)),
-          state(state_in), demand(std::move(demand_in)),
-          on_placement_update(std::move(on_placement_update_in)), timer(loop),
+          state(state_in), streams(streams_in), demand(std::move(demand_in)),
+          on_placement_update(std::move(on_placement_update_in)), on_streams(std::move(on_streams_in)),
+          timer(loop),
           lease(settings.name, settings.peer_address, settings.proposed_peer_key, settings.lease),
           planner(settings.rotation)
     {
@@ -96,7 +100,9 @@
         steady_time const now = boot_now();
         step_lease(now);
         update_lease_state(now);
-        if (now >= next_report && !reporting)
+        bool const tells_streams =
+            !lease_held && now - streams_reported_at >= stream_report_interval && streams.has_unreported();
+        if ((now >= next_report || tells_streams) && !reporting)
         {
             report(now);
         }
@@ -224,6 +230,7 @@
         own.part_crashes_digest = state.crashes_digest();
         own.new_part_crashes = state.new_crashes();
         own.config = state.config_for(holder_config);
+        own.streams = streams.unreported();
         own.sent_early = now < next_full_report;
         next_full_report = own.sent_early ? next_full_report : now + report_interval;
         bool const waits = std::any_of(own.models.begin(), own.models.end(),
@@ -233,6 +240,7 @@
         auto const waiting_interval = std::chrono::duration_cast<duration>(
             waiting_report_interval * std::sqrt(static_cast<double>(std::max(instances, 9U))));
         next_report = now + (waits ? std::min(waiting_interval, report_interval) : report_interval);
+        streams_reported_at = now;
         if (lease.may_send_orders(now))
         {
             load.on_report(now, own);
@@ -256,11 +264,12 @@
         call.body = encode_demand(own);
         reporting = true;
         pool.call(record->peer_address, call, report_time_limit,
-                  [self = shared_from_this()](http_outcome const& outcome)
-                  { self->on_report_answer(outcome); });
+                  [self = shared_from_this(), told = own.streams.size()](http_outcome const& outcome)
+                  { self->on_report_answer(outcome, told); });
     }
 
-    void on_report_answer(http_outcome const& outcome)
+    // `told` is the number of begun streams in the report.
+    void on_report_answer(http_outcome const& outcome, std::size_t told)
     {
         reporting = false;
         auto const reply = outcome.status == 200 ? decode_reply(outcome.body) : std::nullopt;
@@ -276,6 +285,11 @@
             instances = reply->placement.instances;
             holder_config = reply->config;
             holder_config.text.clear();
+            streams.on_reported(told);
+            for (stream_versions const& each : reply->versions)
+            {
+                streams.on_recorded(boot_now(), each, true);
+            }
             state.on_reply(*reply);
             on_placement_update(reply->placement);
         }
@@ -323,7 +337,7 @@
         auto const crashes = state.crashes_since(report.part_crashes_digest);
         return encode_reply(placement, update, crashes ? encode_part_crashes(*crashes) : std::string(),
                             limits.grant(now, report.limits), state.config_for(report.config),
-                            now - lease.confirmed_at());
+                            streams.recorded(), now - lease.confirmed_at());
     }
 
     void plan(steady_time now)
@@ -425,6 +439,12 @@
             relay_store_call(call);
             return;
         }
+        if (call->head().getURI() == stream_path)
+        {
+            auto const version = streams.find(call->body());
+            call->answer(version ? 200 : 404, "Content-Type: text/plain\r\n", version.value_or(""));
+            return;
+        }
         if (call->head().getURI() != demand_path)
         {
             call->answer(404, "", "");
@@ -449,6 +469,7 @@
             return;
         }
         peers[report->peer_address] = now;
+        on_streams(report->streams);
         load.on_report(now, *report);
         planner.on_demand(now, *report);
         if (now >= next_plan)
@@ -509,8 +530,10 @@
     metric_port& metrics;
     placement_service_settings const settings;
     state_follower& state;
+    stream_register& streams;
     demand_source const demand;
     placement_update_handler const on_placement_update;
+    streams_handler const on_streams;
     boost::asio::steady_timer timer;
     order_lease lease;
     load_planner planner;
@@ -518,6 +541,7 @@
     fleet_limits limits;
     steady_time next_report;
     steady_time next_full_report;
+    steady_time streams_reported_at;
     steady_time next_plan; ///< Earliest time of the next plan.
     steady_time encoded_at;
     std::array<std::string, 2> placement_bytes; ///< For replies to full reports, then to early ones.
@@ -535,9 +559,11 @@
 placement_service::placement_service(boost::asio::io_context& loop, outbound_pool& pool,
                                      platform::metadata_store& store, log_port& log, metric_port& metrics,
                                      placement_service_settings settings, state_follower& state,
-                                     demand_source demand, placement_update_handler on_placement_update)
+                                     stream_register& streams, demand_source demand,
+                                     placement_update_handler on_placement_update, streams_handler on_streams)
     : impl_(std::make_shared<implementation>(loop, pool, store, log, metrics, std::move(settings), state,
-                                             std::move(demand), std::move(on_placement_update)))
+                                             streams, std::move(demand), std::move(on_placement_update),
+                                             std::move(on_streams)))
 {
 }
 
@@ -568,6 +594,15 @@
     impl_->next_report = {};
 }
 
+std::optional<platform::store_relay> placement_service::holder() const
+{
+    order_lease_record const* const record = impl_->lease.record();
+    bool const known =
+        record != nullptr && record->holder != impl_->settings.name && !record->peer_address.empty();
+    return known ? std::optional(platform::store_relay{record->peer_address, record->peer_key})
+                 : std::nullopt;
+}
+
 std::optional<platform::store_relay> placement_service::relay() const
 {
     return impl_->relay();
--- a/apps/placement_service.hpp
+++ b/apps/placement_service.hpp
@@ -25,6 +25,7 @@
 
 class outbound_pool;
 class state_follower;
+class stream_register;
 struct log_port;
 struct metric_port;
 
@@ -50,12 +51,13 @@
 public:
     using demand_source = std::function<demand_report()>;
     using placement_update_handler = std::function<void(placement_update const&)>;
+    using streams_handler = std::function<void(std::vector<begun_stream> const&)>;
 
     /// All references must outlive the service.
     placement_service(boost::asio::io_context& loop, outbound_pool& pool, platform::metadata_store& store,
                       log_port& log, metric_port& metrics, placement_service_settings settings,
-                      state_follower& state, demand_source demand,
-                      placement_update_handler on_placement_update);
+                      state_follower& state, stream_register& streams, demand_source demand,
+                      placement_update_handler on_placement_update, streams_handler on_streams);
     ~placement_service();
     placement_service(placement_service const&) = delete;
     placement_service& operator=(placement_service const&) = delete;
@@ -66,6 +68,8 @@
     void on_backend_gone(backend_name const& name);
     /// A request waits for a model that no engine holds: sends a demand report at the next opportunity.
     void report_soon();
+    /// The lease holder; empty when this instance holds the lease or knows none.
+    std::optional<platform::store_relay> holder() const;
     /// A peer that can make store calls when this instance does not reach the store; empty when none is
     /// known.
     std::optional<platform::store_relay> relay() const;
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -8,6 +8,7 @@
 #include "core/random_source.hpp"
 #include "decision/attempt_policy.hpp"
 #include "decision/route_table.hpp"
+#include "decision/stream_register.hpp"
 #include "platform/request_codec.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +16,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -39,6 +41,9 @@
 constexpr char const* broken_event = "stream_ends_in_event";
 constexpr char const* no_event = "stream_without_event";
 constexpr char const* blocked_reason = "crashing_part";
+constexpr char const* unknown_version_reason = "unknown_version";
+// The lease holder may learn of the stream, or answer again, within this time.
+constexpr duration unknown_stream_retry_after = milliseconds{500};
 // Requests that wait when the stop begins may still be assigned to a server within this time.
 constexpr duration stopping_wait_limit = seconds{1};
 // New streams are accepted for this long after the stop signal: until then new callers still arrive, and most
@@ -111,10 +116,11 @@
     using open_pointer = std::shared_ptr<open_exchange>;
 
     implementation(boost::asio::io_context& loop_in, outbound_pool& pool_in, dispatcher& requests_in,
-                   service_retry_budget& retries_in, crash_reporter& crashes_in, log_port& log_in,
-                   metric_port& metrics_in, latency_port& latencies_in, std::uint64_t seed)
+                   service_retry_budget& retries_in, crash_reporter& crashes_in, stream_register& streams_in,
+                   log_port& log_in, metric_port& metrics_in, latency_port& latencies_in, std::uint64_t seed)
         : loop(loop_in), pool(pool_in), requests(requests_in), retries(retries_in), crashes(crashes_in),
-          log(log_in, metrics_in, latencies_in), metrics(metrics_in), random(seed), dispatch_timer(loop_in)
+          streams(streams_in), log(log_in, metrics_in, latencies_in), metrics(metrics_in), random(seed),
+          dispatch_timer(loop_in)
     {
     }
 
@@ -159,10 +165,98 @@
             return;
         }
         arm_deadline(open);
+        if (is_take_up(*open) && !find_version(open))
+        {
+            return;
+        }
+        submit(open);
+        run_dispatcher();
+    }
+
+    static bool is_resumable(open_exchange const& open)
+    {
+        return open.route.streaming && open.route.repeat == repeat_rule::resumable_stream;
+    }
+
+    static bool is_take_up(open_exchange const& open)
+    {
+        return is_resumable(open) && open.request.resume_after.value_or(0) > 0;
+    }
+
+    // Sets the version at which a stream that the caller takes up must go on. Returns false when the request
+    // is answered, or goes on later.
+    bool find_version(open_pointer const& open)
+    {
+        std::string const& id = open->request.taken_up_id;
+        take_up_choice const choice = streams.choose(open->service, id);
+        if (auto const* const known = std::get_if<only_version>(&choice))
+        {
+            open->version = known->version;
+            return true;
+        }
+        if (std::holds_alternative<any_version>(choice))
+        {
+            return true;
+        }
+        if (id.empty() || !unknown_stream_handler)
+        {
+            refuse(*open, unknown_stream_retry_after, unknown_version_reason);
+            return false;
+        }
+        unknown_stream_handler(id,
+                               [weak = weak_from_this(), open](std::optional<std::string> const& version)
+                               {
+                                   if (auto const self = weak.lock())
+                                   {
+                                       self->on_version_told(open, version);
+                                   }
+                               });
+        return false;
+    }
+
+    void on_version_told(open_pointer const& open, std::optional<std::string> const& version)
+    {
+        if (exchanges.count(open->number) == 0)
+        {
+            return; // The caller has gone, or its time is over.
+        }
+        if (!version)
+        {
+            refuse(*open, unknown_stream_retry_after, unknown_version_reason);
+            return;
+        }
+        open->version = version;
         submit(open);
         run_dispatcher();
     }
 
+    // A stream begins only at a recorded version, and goes on only at its own.
+    std::set<std::string> usable_versions(open_exchange const& open) const
+    {
+        if (open.version)
+        {
+            return {*open.version};
+        }
+        return is_resumable(open) ? streams.versions_to_begin(open.service) : std::set<std::string>();
+    }
+
+    void remember_stream(open_exchange& open)
+    {
+        if (!is_resumable(open))
+        {
+            return;
+        }
+        open.version = open.current->version;
+        streams.on_begun(boot_now(), open.service, {stream_id(open), *open.version});
+    }
+
+    // The id by which callers name the stream when they take it up.
+    static std::string const& stream_id(open_exchange const& open)
+    {
+        return is_take_up(open) && !open.request.taken_up_id.empty() ? open.request.taken_up_id
+                                                                     : open.request.request_id;
+    }
+
     // Ends a request with a part that crashes engines. Returns false when it has none.
     bool refuse_blocked(open_pointer const& open)
     {
@@ -234,6 +328,7 @@
         request.deadline = open->deadline;
         request.prompt = open->request.prompt;
         request.failed_servers = open->failed_servers;
+        request.versions = usable_versions(*open);
         steady_time const now = boot_now();
         request.max_wait = max_wait(*open);
         request.may_be_refused = !open->answer_started && !open->is_running();
@@ -378,6 +473,8 @@
         attempt->number = step.number;
         attempt->target = step.target;
         attempt->begun_at = boot_now();
+        backend_entry const* const server = requests.find_backend(step.target.backend);
+        attempt->version = server == nullptr ? std::string() : server->software_version;
         log.attempt_started(*open, step);
         ++open->attempts;
         exchange_handlers handlers;
@@ -747,6 +844,7 @@
         if (!open->answer_started)
         {
             open->answer_started = true;
+            remember_stream(*open);
             open->first_event_after = boot_now() - open->caller->arrived();
             open->caller->begin(open->current->facts->status, open->current->facts->header_lines);
         }
@@ -799,6 +897,7 @@
                 open->caller->begin(facts.status, facts.header_lines);
             }
             open->caller->end();
+            streams.on_complete(stream_id(*open));
             close(*open, "served", facts.status);
             return;
         }
@@ -1026,6 +1125,7 @@
     dispatcher& requests;
     service_retry_budget& retries;
     crash_reporter& crashes;
+    stream_register& streams;
     request_log log;
     metric_port& metrics;
     random_source random;
@@ -1035,16 +1135,18 @@
     // Requests that wait for a server, by the number of the attempt that will follow.
     std::unordered_map<request_number, open_pointer> waiting;
     std::function<void()> missing_model_handler;
+    stream_question unknown_stream_handler;
     request_number last_number = 0;
     steady_time stop_begun;
     std::optional<steady_time> stop_end;
 };
 
 request_service::request_service(boost::asio::io_context& loop, outbound_pool& pool, dispatcher& requests,
-                                 service_retry_budget& retries, crash_reporter& crashes, log_port& log,
-                                 metric_port& metrics, latency_port& latencies, std::uint64_t seed)
-    : impl_(std::make_shared<implementation>(loop, pool, requests, retries, crashes, log, metrics, latencies,
-                                             seed))
+                                 service_retry_budget& retries, crash_reporter& crashes,
+                                 stream_register& streams, log_port& log, metric_port& metrics,
+                                 latency_port& latencies, std::uint64_t seed)
+    : impl_(std::make_shared<implementation>(loop, pool, requests, retries, crashes, streams, log, metrics,
+                                             latencies, seed))
 {
 }
 
@@ -1078,6 +1180,11 @@
     impl_->missing_model_handler = std::move(handler);
 }
 
+void request_service::on_unknown_stream(stream_question handler)
+{
+    impl_->unknown_stream_handler = std::move(handler);
+}
+
 bool request_service::has_config() const
 {
     return impl_->routes.has_value();
--- a/apps/request_service.hpp
+++ b/apps/request_service.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace boost::asio
@@ -19,20 +20,21 @@
 {
 
 class outbound_pool;
+class stream_register;
 struct log_port;
 struct latency_port;
 struct metric_port;
 
 /// Handles each caller's request from its arrival to its single final answer: finds the route, waits for a
 /// backend server, makes attempts and answers. The decisions are made by route_table, dispatcher,
-/// attempt_policy, service_retry_budget and crash_ledger.
+/// attempt_policy, service_retry_budget, crash_ledger and stream_register.
 class request_service
 {
 public:
     /// All references must outlive the service.
     request_service(boost::asio::io_context& loop, outbound_pool& pool, dispatcher& requests,
-                    service_retry_budget& retries, crash_reporter& crashes, log_port& log,
-                    metric_port& metrics, latency_port& latencies, std::uint64_t seed);
+                    service_retry_budget& retries, crash_reporter& crashes, stream_register& streams,
+                    log_port& log, metric_port& metrics, latency_port& latencies, std::uint64_t seed);
     ~request_service();
     request_service(request_service const&) = delete;
     request_service& operator=(request_service const&) = delete;
@@ -47,6 +49,11 @@
     void begin_stop(steady_time end);
     /// Sets the handler that is called when a request begins to wait for a model that no engine holds.
     void on_missing_model(std::function<void()> handler);
+    /// Sets the function that finds the software version at which a stream began that this instance does not
+    /// know. It is given the stream's id and calls back with the version, or with no value.
+    using stream_question =
+        std::function<void(std::string const&, std::function<void(std::optional<std::string>)>)>;
+    void on_unknown_stream(stream_question handler);
 
     bool has_config() const;
     std::size_t open_requests() const;
--- /dev/null
+++ b/apps/stream_keeper.cpp
@@ -0,0 +1,397 @@
+#include "apps/stream_keeper.hpp"
+
+#include "adapters/boot_clock.hpp"
+#include "adapters/outbound_pool.hpp"
+#include "adapters/placement_codec.hpp"
+#include "adapters/ports.hpp"
+#include "platform/stream_codec.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// Interval of writes while streams are reported; a stream that began within it before all instances were lost
+// cannot be taken up.
+constexpr duration tick_interval = milliseconds{100};
+// The store prices refused calls too.
+constexpr duration failed_call_delay = milliseconds{500};
+// Shortest time between two listings; questions in between are answered from the latest one.
+constexpr duration listing_interval = milliseconds{300};
+constexpr duration question_time_limit = milliseconds{400};
+// Old batches that are removed in one tick.
+constexpr std::size_t removals_per_tick = 4;
+
+} // namespace
+
+class stream_keeper::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    using answer_handler = std::function<void(std::optional<std::string>)>;
+
+    implementation(boost::asio::io_context& loop, outbound_pool& pool_in, platform::metadata_store& store_in,
+                   stream_register& streams_in, log_port& log_in, metric_port& metrics_in,
+                   std::string name_in, stream_keeper_peers peers_in)
+        : pool(pool_in), store(store_in), streams(streams_in), log(log_in), metrics(metrics_in),
+          name(std::move(name_in)), peers(std::move(peers_in)), timer(loop)
+    {
+    }
+
+    void tick()
+    {
+        steady_time const now = boot_now();
+        streams.expire(now);
+        bool const holds = peers.holds_lease();
+        if (holds != held)
+        {
+            held = holds;
+            listed = listed && !holds; // The holder before may have written.
+        }
+        if (store.era() != listed_era)
+        {
+            listed = false; // Records and batches may be lost.
+        }
+        if (!listed && !calling && now >= next_call)
+        {
+            list(platform::stream_versions_kind, "");
+        }
+        if (held && listed)
+        {
+            take_own();
+            write_record(now);
+            write_batch(now);
+            remove_old_batches(now);
+        }
+        timer.expires_after(tick_interval);
+        timer.async_wait(
+            [weak = weak_from_this()](boost::system::error_code error)
+            {
+                auto const self = weak.lock();
+                if (!error && self)
+                {
+                    self->tick();
+                }
+            });
+    }
+
+    // Reads all records, then all batches.
+    void list(std::string const& kind, std::string const& after)
+    {
+        calling = true;
+        store.list(kind, after,
+                   [weak = weak_from_this(), kind](platform::store_answer<platform::store_listing> answer)
+                   {
+                       if (auto const self = weak.lock())
+                       {
+                           self->on_listing(kind, answer);
+                       }
+                   });
+    }
+
+    void on_listing(std::string const& kind, platform::store_answer<platform::store_listing> const& answer)
+    {
+        calling = false;
+        steady_time const now = boot_now();
+        auto const* const page = std::get_if<platform::store_listing>(&answer);
+        if (page == nullptr)
+        {
+            next_call = now + failed_call_delay;
+            answer_questions();
+            return;
+        }
+        bool const of_records = kind == platform::stream_versions_kind;
+        for (platform::store_object const& each : page->objects)
+        {
+            of_records ? take_record(now, each) : take_batch(now, each);
+        }
+        if (page->truncated && !page->objects.empty())
+        {
+            list(kind, page->objects.back().name);
+        }
+        else if (of_records)
+        {
+            list(platform::stream_batch_kind, "");
+        }
+        else
+        {
+            listed = true;
+            listed_era = page->revision.era;
+            streams.on_records_known();
+            log.write({"streams_listed",
+                       {{"revision", to_string(page->revision)}, {"known", std::to_string(streams.size())}}});
+            next_call = now + listing_interval;
+            answer_questions();
+        }
+    }
+
+    void take_record(steady_time now, platform::store_object const& object)
+    {
+        auto const record = platform::decode_stream_versions(object.name, object.spec);
+        if (!record)
+        {
+            log.write({"stream_versions_ignored", {{"service", object.name}}});
+            return;
+        }
+        revisions[object.name] = object.revision;
+        streams.on_recorded(now, record->versions, record->store_era == object.revision.era);
+    }
+
+    void take_batch(steady_time now, platform::store_object const& object)
+    {
+        auto const batch = platform::decode_stream_batch(object.spec);
+        if (!batch)
+        {
+            log.write({"stream_batch_ignored", {{"name", object.name}}});
+            return;
+        }
+        for (begun_stream const& each : *batch)
+        {
+            streams.add(now, each);
+        }
+        if (batches_known.emplace(object.name, now).second)
+        {
+            batches.emplace_back(now, object.name);
+        }
+    }
+
+    void take_own()
+    {
+        std::vector<begun_stream> const own = streams.unreported();
+        pending.insert(pending.end(), own.begin(), own.end());
+        streams.on_reported(own.size());
+    }
+
+    void write_record(steady_time now)
+    {
+        if (calling || now < next_call)
+        {
+            return;
+        }
+        std::vector<stream_versions> const due = streams.due_records(now);
+        if (due.empty())
+        {
+            return;
+        }
+        calling = true;
+        platform::stream_versions_record const record{due.front(), store.era()};
+        auto const known = revisions.find(record.versions.service);
+        store.put(platform::stream_versions_kind, record.versions.service,
+                  known == revisions.end() ? store_revision{} : known->second,
+                  platform::encode_stream_versions(record),
+                  [weak = weak_from_this(), record](platform::store_answer<platform::store_object> answer)
+                  {
+                      if (auto const self = weak.lock())
+                      {
+                          self->on_record_written(record, answer);
+                      }
+                  });
+    }
+
+    void on_record_written(platform::stream_versions_record const& record,
+                           platform::store_answer<platform::store_object> const& answer)
+    {
+        calling = false;
+        steady_time const now = boot_now();
+        std::string names;
+        for (std::string const& each : record.versions.versions)
+        {
+            names.append(names.empty() ? "" : ",").append(each);
+        }
+        auto const* const object = std::get_if<platform::store_object>(&answer);
+        log.write({"stream_versions",
+                   {{"service", record.versions.service},
+                    {"versions", names},
+                    {"outcome", object != nullptr
+                                    ? "recorded"
+                                    : platform::to_string(std::get<platform::store_failure>(answer))}}});
+        if (object == nullptr || object->revision.era != record.store_era)
+        {
+            listed = false;
+            next_call = now + failed_call_delay;
+            return;
+        }
+        revisions[record.versions.service] = object->revision;
+        streams.on_recorded(now, record.versions, true);
+    }
+
+    void write_batch(steady_time now)
+    {
+        if (pending.empty() || writing || now < next_batch)
+        {
+            return;
+        }
+        writing = true;
+        std::string const batch = name + "-" + std::to_string(++last_batch);
+        store.put(platform::stream_batch_kind, batch, {}, platform::encode_stream_batch(pending),
+                  [weak = weak_from_this(), batch,
+                   count = pending.size()](platform::store_answer<platform::store_object> answer)
+                  {
+                      if (auto const self = weak.lock())
+                      {
+                          self->on_batch_written(batch, count, answer);
+                      }
+                  });
+    }
+
+    void on_batch_written(std::string const& batch, std::size_t count,
+                          platform::store_answer<platform::store_object> const& answer)
+    {
+        writing = false;
+        steady_time const now = boot_now();
+        batches.emplace_back(now, batch); // Without an answer, it may have been written all the same.
+        if (std::holds_alternative<platform::store_failure>(answer))
+        {
+            next_batch = now + failed_call_delay;
+            return;
+        }
+        metrics.add("siskin_streams_recorded_total", "", count);
+        pending.erase(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count));
+    }
+
+    void remove_old_batches(steady_time now)
+    {
+        for (std::size_t i = 0; i < removals_per_tick && !batches.empty() &&
+                                now - batches.front().first >= stream_register::stream_lifetime;
+             ++i)
+        {
+            store.remove(
+                platform::stream_batch_kind, batches.front().second,
+                [this_log = &log](std::optional<platform::store_failure> failure)
+                {
+                    if (failure)
+                    {
+                        this_log->write({"stream_batch_kept", {{"reason", platform::to_string(*failure)}}});
+                    }
+                });
+            batches_known.erase(batches.front().second);
+            batches.pop_front();
+        }
+    }
+
+    void ask(std::string const& request_id, answer_handler done)
+    {
+        auto const holder = peers.holder();
+        if (!holder)
+        {
+            ask_store(request_id, std::move(done));
+            return;
+        }
+        metrics.add("siskin_stream_questions_total", "", 1);
+        http_call call;
+        call.method = "POST";
+        call.path = stream_path;
+        call.headers = {{"Authorization", "Bearer " + holder->key}};
+        call.body = request_id;
+        pool.call(holder->address, call, question_time_limit,
+                  [weak = weak_from_this(), request_id, done = std::move(done)](http_outcome const& outcome)
+                  {
+                      if (auto const self = weak.lock())
+                      {
+                          self->on_holder_answer(request_id, outcome, done);
+                      }
+                  });
+    }
+
+    void on_holder_answer(std::string const& request_id, http_outcome const& outcome,
+                          answer_handler const& done)
+    {
+        if (outcome.status == 200)
+        {
+            streams.add(boot_now(), {request_id, outcome.body});
+            done(outcome.body);
+        }
+        else if (outcome.status == 404)
+        {
+            done(std::nullopt);
+        }
+        else
+        {
+            ask_store(request_id, done);
+        }
+    }
+
+    // Looks for the stream in the batches, which all waiting questions share one listing of.
+    void ask_store(std::string const& request_id, answer_handler done)
+    {
+        if ((held && listed) || boot_now() < next_call)
+        {
+            done(streams.find(request_id));
+            return;
+        }
+        questions.emplace_back(request_id, std::move(done));
+        if (!calling)
+        {
+            list(platform::stream_batch_kind, "");
+        }
+    }
+
+    void answer_questions()
+    {
+        for (auto const& [id, done] : std::exchange(questions, {}))
+        {
+            done(streams.find(id));
+        }
+    }
+
+    // Questions that wait for a listing, by the stream's id.
+    std::vector<std::pair<std::string, answer_handler>> questions;
+    outbound_pool& pool;
+    platform::metadata_store& store;
+    stream_register& streams;
+    log_port& log;
+    metric_port& metrics;
+    std::string const name;
+    stream_keeper_peers const peers;
+    boost::asio::steady_timer timer;
+    std::map<std::string, store_revision> revisions;         ///< Of the records, by service.
+    std::vector<begun_stream> pending;                       ///< To be written.
+    std::deque<std::pair<steady_time, std::string>> batches; ///< In the store, the oldest first.
+    std::map<std::string, steady_time> batches_known;        ///< Those of them that a listing showed.
+    std::uint64_t last_batch = 0;
+    std::uint64_t listed_era = 0;
+    steady_time next_call;
+    steady_time next_batch;
+    bool held = false;
+    bool listed = false;  ///< All objects were read since the lease or the era changed.
+    bool calling = false; ///< A listing or the write of a record is in flight.
+    bool writing = false; ///< The write of a batch is in flight.
+};
+
+stream_keeper::stream_keeper(boost::asio::io_context& loop, outbound_pool& pool,
+                             platform::metadata_store& store, stream_register& streams, log_port& log,
+                             metric_port& metrics, std::string name, stream_keeper_peers peers)
+    : impl_(std::make_shared<implementation>(loop, pool, store, streams, log, metrics, std::move(name),
+                                             std::move(peers)))
+{
+}
+
+stream_keeper::~stream_keeper() = default;
+
+void stream_keeper::start()
+{
+    impl_->tick();
+}
+
+void stream_keeper::on_reported(std::vector<begun_stream> const& streams)
+{
+    for (begun_stream const& each : streams)
+    {
+        impl_->streams.add(boot_now(), each);
+    }
+    impl_->pending.insert(impl_->pending.end(), streams.begin(), streams.end());
+}
+
+void stream_keeper::ask(std::string const& request_id, std::function<void(std::optional<std::string>)> done)
+{
+    impl_->ask(request_id, std::move(done));
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/apps/stream_keeper.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "decision/stream_register.hpp"
+#include "platform/metadata_store.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace siskinusher
+{
+
+class outbound_pool;
+struct log_port;
+struct metric_port;
+
+/// What the stream keeper needs to know of the order lease.
+struct stream_keeper_peers
+{
+    std::function<bool()> holds_lease;
+    /// The lease holder; empty when this instance holds the lease or knows none.
+    std::function<std::optional<platform::store_relay>()> holder;
+};
+
+/// Keeps the stream register's content in the store: reads it at the start, and writes it while this instance
+/// holds the order lease. Asks the lease holder for streams that this instance does not know.
+class stream_keeper
+{
+public:
+    /// All references must outlive the keeper. `name` is unique for each process; it names objects.
+    stream_keeper(boost::asio::io_context& loop, outbound_pool& pool, platform::metadata_store& store,
+                  stream_register& streams, log_port& log, metric_port& metrics, std::string name,
+                  stream_keeper_peers peers);
+    ~stream_keeper();
+    stream_keeper(stream_keeper const&) = delete;
+    stream_keeper& operator=(stream_keeper const&) = delete;
+
+    void start();
+    /// On the lease holder: takes over the streams that an instance reports, and writes them to the store.
+    void on_reported(std::vector<begun_stream> const& streams);
+    /// Asks the lease holder; `done` gets no value when it does not know the stream or does not answer.
+    void ask(std::string const& request_id, std::function<void(std::optional<std::string>)> done);
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> impl_;
+};
+
+} // namespace siskinusher
--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -254,6 +254,16 @@
     return found;
 }
 
+bool backend_state_table::has_version_of(std::string const& service,
+                                         std::set<std::string> const& versions) const
+{
+    auto const list = by_service_.find(service);
+    return list != by_service_.end() &&
+           std::any_of(list->second.begin(), list->second.end(),
+                       [&versions](known_backend const* each)
+                       { return !each->entry.leaving && versions.count(each->entry.software_version) > 0; });
+}
+
 std::vector<backend_name> backend_state_table::unreachable(steady_time now) const
 {
     std::vector<backend_name> names;
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -69,6 +69,8 @@
     std::vector<engine_requests> running_at_engines() const;
     std::vector<backend_name> unreachable(steady_time now) const;
     bool has_servers_of(std::string const& service) const;
+    /// True when a server of the service that is not leaving has one of the software versions.
+    bool has_version_of(std::string const& service, std::set<std::string> const& versions) const;
 
     /// A stream of the server paused; `share` is the pause as a share of the longest one allowed.
     static void on_pause(steady_time now, known_backend& backend, double share);
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -75,6 +75,11 @@
     return {request.service, request.model, request.adapter};
 }
 
+bool has_version(dispatch_request const& request, backend_entry const& entry)
+{
+    return request.versions.empty() || request.versions.count(entry.software_version) > 0;
+}
+
 bool contains(std::vector<backend_name> const& names, backend_name const& name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
@@ -143,8 +148,11 @@
     // again.
     known_backend* choose(steady_time now, dispatch_request const& request, dispatch_basis& basis)
     {
-        auto const found =
-            table.candidates(now, request.service, placement_key{request.model, request.adapter});
+        auto found = table.candidates(now, request.service, placement_key{request.model, request.adapter});
+        found.erase(std::remove_if(found.begin(), found.end(),
+                                   [&request](known_backend const* each)
+                                   { return !has_version(request, each->entry); }),
+                    found.end());
         basis.candidates = static_cast<unsigned>(found.size());
         known_backend* best = nullptr;
         std::pair<bool, double> best_cost{true, 0.0};
@@ -226,6 +234,14 @@
         return {waiting.request.number, answer, basis};
     }
 
+    // True when no server has the version at which the request's stream began. A stream that is being passed
+    // on waits: a server that crashed may come back.
+    bool version_gone(dispatch_request const& request) const
+    {
+        return request.may_be_refused && !request.versions.empty() &&
+               !table.has_version_of(request.service, request.versions);
+    }
+
     bool unknown_model(dispatch_request const& request) const
     {
         if (!config || request.model.empty())
@@ -438,7 +454,8 @@
         {
             steps.emplace_back(impl_->assign(now, *each, *backend, basis));
         }
-        else if (now >= each->refuse_at || impl_->unknown_model(each->request))
+        else if (now >= each->refuse_at || impl_->unknown_model(each->request) ||
+                 impl_->version_gone(each->request))
         {
             steps.emplace_back(impl_->reject(now, *each, basis));
         }
--- a/domain/backend_entry.cpp
+++ b/domain/backend_entry.cpp
@@ -16,7 +16,7 @@
     auto const fields = [](backend_entry const& e)
     {
         return std::tie(e.name, e.service, e.address, e.data_centre, e.places, e.leaving, e.is_engine,
-                        e.models, e.copies_in_memory, e.copies_on_disk, e.started_at);
+                        e.software_version, e.models, e.copies_in_memory, e.copies_on_disk, e.started_at);
     };
     return fields(a) == fields(b);
 }
--- a/domain/backend_entry.hpp
+++ b/domain/backend_entry.hpp
@@ -26,7 +26,8 @@
     std::string service;
     std::string address;
     std::string data_centre;
-    unsigned places = 1; ///< Number of requests that can run at the same time.
+    std::string software_version; ///< Streams cannot go on at another one; empty when the server names none.
+    unsigned places = 1;          ///< Number of requests that can run at the same time.
     bool leaving = false;
     bool is_engine = false; ///< True when the server runs models.
     std::vector<resident_model> models;
--- a/domain/dispatch_request.hpp
+++ b/domain/dispatch_request.hpp
@@ -4,6 +4,7 @@
 #include "domain/identifiers.hpp"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,6 +35,8 @@
     std::vector<backend_name> failed_servers;
     /// Server that works on the request meanwhile and is never chosen; empty for none.
     backend_name running_at;
+    /// Software versions whose servers may run it; empty for all.
+    std::set<std::string> versions;
     /// False once a part of an answer was passed on or a server works on the request: a stop of the instance
     /// does not shorten its wait.
     bool may_be_refused = true;
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "core/steady_time.hpp"
 #include "domain/backend_update.hpp"
+#include "domain/begun_stream.hpp"
 #include "domain/identifiers.hpp"
 #include "domain/known_config.hpp"
 #include "domain/part_crash.hpp"
@@ -51,6 +52,7 @@
     std::vector<part_crash> new_part_crashes{};
     std::vector<limit_report> limits{}; ///< Servers that name a limit, or have ceased to.
     known_config config{};
+    std::vector<begun_stream> streams{}; ///< Those that the holder has not been told yet.
 };
 
 /// A model or adapter whose load the lease holder ordered recently, so that the engine's entry may not show
@@ -82,6 +84,7 @@
     duration store_state_age{0}; ///< Since the holder sent its latest call that the store answered.
     /// All marks of the holder; empty when the reported digest shows that the instance has the same ones.
     std::optional<std::vector<part_crash>> part_crashes{};
+    std::vector<stream_versions> versions{}; ///< Recorded in the store.
 };
 
 bool operator==(engine_requests const& a, engine_requests const& b);
--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -25,6 +25,7 @@
     entry.address = "10.0.0.1:80";
     entry.data_centre = "a";
     entry.places = 12;
+    entry.software_version = "v1.1";
     entry.leaving = true;
     entry.is_engine = true;
     entry.models = {{"m0", {"a1", "a2"}}, {"m1", {}}};
@@ -32,6 +33,7 @@
     reply.servers.changed = {{entry, {2, 399}}};
     reply.servers.removed = {"e7", "e8"};
     reply.config = {17, {2, 88}, "{}"};
+    reply.versions = {{"llm", {"v1", "v1.1"}}};
     reply.store_state_age = milliseconds{340};
     reply.part_crashes = std::vector<part_crash>{{"5c1e07a2", 1, "e1", 1774000000123}};
     return reply;
@@ -41,7 +43,7 @@
 {
     return encode_reply(encode_placement_update(reply.placement), encode_update(reply.servers),
                         reply.part_crashes ? encode_part_crashes(*reply.part_crashes) : std::string(),
-                        reply.placement.grants, reply.config, reply.store_state_age);
+                        reply.placement.grants, reply.config, reply.versions, reply.store_state_age);
 }
 
 } // namespace
@@ -66,7 +68,8 @@
                                987654321098765432U,
                                {{"91bd3f06", 2, "e2", 1774000000124}},
                                {{{"e1", 0.1, milliseconds{3}}, 4}},
-                               {16, {2, 80}, "text"}};
+                               {16, {2, 80}, "text"},
+                               {{"9c41d07be2a35f68", "v1.1"}}};
     auto const read = decode_demand(encode_demand(report));
     cr_assert(read && *read == report);
 }
