--- a/apps/stream_keeper.cpp
+++ b/apps/stream_keeper.cpp
@@ -86,14 +86,15 @@
     void list(std::string const& kind, std::string const& after)
     {
         calling = true;
-        store.list(kind, after,
-                   [weak = weak_from_this(), kind](platform::store_answer<platform::store_listing> answer)
-                   {
-                       if (auto const self = weak.lock())
-                       {
-                           self->on_listing(kind, answer);
-                       }
-                   });
+        store.list(
+            kind, after,
+            [weak = weak_from_this(), kind](platform::store_answer<platform::store_listing> const& answer)
+            {
+                if (auto const self = weak.lock())
+                {
+                    self->on_listing(kind, answer);
+                }
+            });
     }
 
     void on_listing(std::string const& kind, platform::store_answer<platform::store_listing> const& answer)
@@ -183,16 +184,17 @@
         calling = true;
         platform::stream_versions_record const record{due.front(), store.era()};
         auto const known = revisions.find(record.versions.service);
-        store.put(platform::stream_versions_kind, record.versions.service,
-                  known == revisions.end() ? store_revision{} : known->second,
-                  platform::encode_stream_versions(record),
-                  [weak = weak_from_this(), record](platform::store_answer<platform::store_object> answer)
-                  {
-                      if (auto const self = weak.lock())
-                      {
-                          self->on_record_written(record, answer);
-                      }
-                  });
+        store.put(
+            platform::stream_versions_kind, record.versions.service,
+            known == revisions.end() ? store_revision{} : known->second,
+            platform::encode_stream_versions(record),
+            [weak = weak_from_this(), record](platform::store_answer<platform::store_object> const& answer)
+            {
+                if (auto const self = weak.lock())
+                {
+                    self->on_record_written(record, answer);
+                }
+            });
     }
 
     void on_record_written(platform::stream_versions_record const& record,
@@ -232,7 +234,7 @@
         std::string const batch = name + "-" + std::to_string(++last_batch);
         store.put(platform::stream_batch_kind, batch, {}, platform::encode_stream_batch(pending),
                   [weak = weak_from_this(), batch,
-                   count = pending.size()](platform::store_answer<platform::store_object> answer)
+                   count = pending.size()](platform::store_answer<platform::store_object> const& answer)
                   {
                       if (auto const self = weak.lock())
                       {
