--- a/apps/stream_keeper.cpp
+++ b/apps/stream_keeper.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <utility>
@@ -27,6 +28,10 @@
 // Shortest time between two listings; questions in between are answered from the latest one.
 constexpr duration listing_interval = milliseconds{300};
 constexpr duration question_time_limit = milliseconds{400};
+// 40 KB; with the interval of writes, 20,000 streams a second.
+constexpr std::size_t max_streams_of_batch = 2000;
+// Streams that wait for the store; further ones are not recorded until it answers.
+constexpr std::size_t max_pending_streams = 100000;
 // Old batches that are removed in one tick.
 constexpr std::size_t removals_per_tick = 4;
 
@@ -166,10 +171,20 @@
     void take_own()
     {
         std::vector<begun_stream> const own = streams.unreported();
-        pending.insert(pending.end(), own.begin(), own.end());
+        add_pending(own);
         streams.on_reported(own.size());
     }
 
+    void add_pending(std::vector<begun_stream> const& begun)
+    {
+        if (pending.size() + begun.size() > max_pending_streams)
+        {
+            metrics.add("siskin_streams_unrecorded_total", "", begun.size());
+            return;
+        }
+        pending.insert(pending.end(), begun.begin(), begun.end());
+    }
+
     void write_record(steady_time now)
     {
         if (calling || now < next_call)
@@ -232,9 +247,12 @@
         }
         writing = true;
         std::string const batch = name + "-" + std::to_string(++last_batch);
-        store.put(platform::stream_batch_kind, batch, {}, platform::encode_stream_batch(pending),
+        auto const count = std::min(pending.size(), max_streams_of_batch);
+        std::vector<begun_stream> const streams_of_batch(
+            pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count));
+        store.put(platform::stream_batch_kind, batch, {}, platform::encode_stream_batch(streams_of_batch),
                   [weak = weak_from_this(), batch,
-                   count = pending.size()](platform::store_answer<platform::store_object> const& answer)
+                   count](platform::store_answer<platform::store_object> const& answer)
                   {
                       if (auto const self = weak.lock())
                       {
@@ -331,7 +349,7 @@
         questions.emplace_back(request_id, std::move(done));
         if (!calling)
         {
-            list(platform::stream_batch_kind, "");
+            list(listed ? platform::stream_batch_kind : platform::stream_versions_kind, "");
         }
     }
 
@@ -388,7 +406,7 @@
     {
         impl_->streams.add(boot_now(), each);
     }
-    impl_->pending.insert(impl_->pending.end(), streams.begin(), streams.end());
+    impl_->add_pending(streams);
 }
 
 void stream_keeper::ask(std::string const& request_id, std::function<void(std::optional<std::string>)> done)
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -226,9 +226,10 @@
         basis.waited = now - waiting.since;
         refusal answer;
         answer.execution = execution_verdict::not_run;
-        answer.reason = basis.candidates > 0                             ? refusal_reason::overloaded
-                        : !table.has_servers_of(waiting.request.service) ? refusal_reason::no_backend
-                                                                         : refusal_reason::model_not_loadable;
+        answer.reason = basis.candidates > 0 ? refusal_reason::overloaded
+                        : !table.has_servers_of(waiting.request.service) || version_gone(waiting.request)
+                            ? refusal_reason::no_backend
+                            : refusal_reason::model_not_loadable;
         answer.retry_after =
             answer.reason == refusal_reason::overloaded ? overload_retry_after : placement_retry_after;
         return {waiting.request.number, answer, basis};
--- a/decision/stream_register.cpp
+++ b/decision/stream_register.cpp
@@ -15,6 +15,8 @@
 // Limit of the streams that are remembered, because callers choose the ids: 42 streams a second of an
 // instance at the target size for their lifetime, and on the lease holder those of 360 instances for 13 s.
 constexpr std::size_t max_streams = 200000;
+constexpr std::size_t max_unreported = 20000;      // While there is no lease holder.
+constexpr std::size_t max_id_length = 128;         // Callers use 16 characters.
 constexpr std::size_t max_reported_streams = 2000; // Of one report, which then takes 60 KB.
 
 struct known_stream
@@ -99,7 +101,11 @@
 {
     bool const several_before = impl_->has_several(record.service);
     service_state& state = impl_->services[record.service];
-    state.recorded = {record.versions.begin(), record.versions.end()};
+    if (current)
+    {
+        state.recorded.clear();
+    }
+    state.recorded.insert(record.versions.begin(), record.versions.end());
     state.current = current;
     for (std::string const& version : state.recorded)
     {
@@ -183,7 +189,8 @@
 
 void stream_register::on_begun(steady_time now, std::string const& service, begun_stream const& stream)
 {
-    if (impl_->streams.size() >= max_streams && impl_->streams.count(stream.request_id) == 0)
+    bool const full = impl_->streams.size() >= max_streams || impl_->unreported.size() >= max_unreported;
+    if (stream.request_id.size() > max_id_length || full)
     {
         return;
     }
--- a/tests/decision/stream_register_test.cpp
+++ b/tests/decision/stream_register_test.cpp
@@ -121,3 +121,24 @@
     cr_assert(streams.recorded().empty());
     cr_assert_eq(streams.due_records(at(10)).size(), 1);
 }
+
+// Guards against a copy's record that makes an instance forget a version that it knows.
+Test(stream_register, record_of_an_earlier_era_takes_no_version_away)
+{
+    stream_register streams;
+    streams.on_records_known();
+    streams.on_backend(at(0), engine("e1", "v1"));
+    streams.on_recorded(at(0), {"llm", {"v1", "v2"}}, true);
+    streams.on_recorded(at(10), {"llm", {"v1"}}, false);
+    auto const due = streams.due_records(at(20));
+    cr_assert(due.size() == 1 && due[0] == (stream_versions{"llm", {"v1", "v2"}}));
+}
+
+// Guards against memory that callers with long ids fill.
+Test(stream_register, long_ids_are_not_kept)
+{
+    stream_register streams;
+    streams.on_records_known();
+    streams.on_begun(at(0), "llm", {std::string(100000, 'x'), "v1"});
+    cr_assert_eq(streams.size(), 0);
+}
