--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -380,3 +380,26 @@
     }
     cr_assert(counts["a"] >= 2 && counts["b"] >= 2, "%u and %u", counts["a"], counts["b"]);
 }
+
+// Guards against a stream that goes on at an engine of another software version, and against a wait for a
+// version that has left.
+Test(dispatcher, request_is_sent_only_to_servers_of_its_versions)
+{
+    dispatcher requests(settings());
+    backend_entry busy = server("old", "far", 1);
+    busy.software_version = "v1";
+    requests.on_backend(busy);
+    backend_entry other = server("new", "here", 64);
+    other.software_version = "v2";
+    requests.on_backend(other);
+    dispatch_request taken_up = request(1);
+    taken_up.versions = {"v1"};
+    requests.submit(at(0), taken_up);
+    cr_assert_eq(assigned(requests.step(at(0)), 1), "old");
+    requests.on_backend_gone("old");
+    taken_up.number = 2;
+    requests.submit(at(10), taken_up);
+    auto const steps = requests.step(at(10));
+    refusal const* const refused = rejected(steps, 2);
+    cr_assert(refused != nullptr && refused->reason == refusal_reason::no_backend);
+}
