Keep an announced end only over a restoration of the store

A server that announces its end and then writes that it is ready again, as the soak's servers do, stayed out of use for good. Only an entry of a later era, or of the same revision, takes no end back; what the server writes itself in the same era counts.

--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -194,7 +194,7 @@
                 {"backend_ignored", {{"backend", object.name}, {"revision", to_string(object.revision)}}});
             return;
         }
-        backend_entry const entry = directory.settled(*decoded);
+        backend_entry const entry = directory.settled(*decoded, object.revision);
         switch (directory.put(entry, object.revision))
         {
         case directory_change::outdated:
--- a/decision/backend_directory.cpp
+++ b/decision/backend_directory.cpp
@@ -54,8 +54,9 @@
         }
     }
 
-    void record_end(backend_entry const& entry)
+    void record_end(revised_backend const& server)
     {
+        backend_entry const& entry = server.entry;
         if (!entry.leaving || entry.started_at == 0)
         {
             return;
@@ -64,15 +65,16 @@
         {
             ended_earlier = std::exchange(ended, {});
         }
-        ended[entry.name] = entry.started_at;
+        ended[entry.name] = {entry.started_at, server.revision.era};
     }
 
-    bool has_ended(backend_entry const& entry) const
+    bool has_ended(backend_entry const& entry, store_revision const& revision) const
     {
         for (auto const* const each : {&ended, &ended_earlier})
         {
             auto const found = each->find(entry.name);
-            if (found != each->end() && found->second == entry.started_at)
+            if (found != each->end() && found->second.first == entry.started_at &&
+                found->second.second < revision.era)
             {
                 return true;
             }
@@ -85,10 +87,10 @@
     std::map<backend_name, known_server> servers;
     std::map<std::uint64_t, backend_name> changes;  ///< The last change of each server, by sequence.
     std::map<std::uint64_t, backend_name> removals; ///< Those of `changes` that are removals.
-    // The start that had announced its end, by name of a server that has left. When the first map is full, it
-    // replaces the second one.
-    std::map<backend_name, std::int64_t> ended;
-    std::map<backend_name, std::int64_t> ended_earlier;
+    // The start that had announced its end, and the store's era then, by name of a server that has left. When
+    // the first map is full, it replaces the second one.
+    std::map<backend_name, std::pair<std::int64_t, std::uint64_t>> ended;
+    std::map<backend_name, std::pair<std::int64_t, std::uint64_t>> ended_earlier;
 };
 
 backend_directory::backend_directory(std::string source) : impl_(std::make_unique<implementation>())
@@ -118,12 +120,21 @@
     return directory_change::changed;
 }
 
-backend_entry backend_directory::settled(backend_entry entry) const
+backend_entry backend_directory::settled(backend_entry entry, store_revision const& revision) const
 {
-    auto const known = impl_->servers.find(entry.name);
-    bool const announced = known != impl_->servers.end() && known->second.value.entry.leaving &&
-                           known->second.value.entry.started_at == entry.started_at;
-    entry.leaving = entry.leaving || (entry.started_at != 0 && (announced || impl_->has_ended(entry)));
+    auto const found = impl_->servers.find(entry.name);
+    if (entry.leaving || entry.started_at == 0)
+    {
+        return entry;
+    }
+    if (found == impl_->servers.end())
+    {
+        entry.leaving = impl_->has_ended(entry, revision);
+        return entry;
+    }
+    revised_backend const& known = found->second.value;
+    bool const news = revision.era == known.revision.era && revision != known.revision;
+    entry.leaving = known.entry.leaving && known.entry.started_at == entry.started_at && !news;
     return entry;
 }
 
@@ -134,7 +145,7 @@
     {
         return false;
     }
-    impl_->record_end(found->second.value.entry);
+    impl_->record_end(found->second.value);
     impl_->record_removal(name, found->second.sequence);
     impl_->servers.erase(found);
     return true;
@@ -172,7 +183,7 @@
     for (revised_backend const& each : update.changed)
     {
         listed.insert(each.entry.name);
-        backend_entry const entry = settled(each.entry);
+        backend_entry const entry = settled(each.entry, each.revision);
         if (put(entry, each.revision) == directory_change::changed)
         {
             effect.changed.push_back({entry, each.revision});
--- a/decision/backend_directory.hpp
+++ b/decision/backend_directory.hpp
@@ -33,9 +33,9 @@
     backend_directory& operator=(backend_directory const&) = delete;
 
     directory_change put(backend_entry const& entry, store_revision const& revision);
-    /// The entry, with the end that this start of the server has announced before: a server does not take it
-    /// back, but the store may have come back from an older copy.
-    backend_entry settled(backend_entry entry) const;
+    /// The entry, with the end that this start of the server has announced in an earlier era of the store: a
+    /// server does not take it back, but the copy may be older.
+    backend_entry settled(backend_entry entry, store_revision const& revision) const;
     /// False when the server was not known.
     bool remove(backend_name const& name);
 
