--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -30,6 +30,7 @@
 DEFINE_uint32(seconds, 20, "time in seconds during which faults are injected, for each seed");
 DEFINE_uint32(instances, 3, "number of siskin-edge processes");
 DEFINE_uint32(callers, 12, "number of callers that send one request after the other");
+DEFINE_bool(restorations, false, "lets the store go back to older copies too");
 DEFINE_string(logs, "", "folder for the logs of all processes of a seed that fails; empty to drop them");
 
 namespace siskinusher::standins
@@ -51,7 +52,8 @@
 class soak_run
 {
 public:
-    explicit soak_run(std::uint64_t seed) : seed_(seed), random_(seed), configs_(store_, seed)
+    explicit soak_run(std::uint64_t seed)
+        : seed_(seed), random_(seed), restoration_random_(seed), configs_(store_, seed)
     {
         for (auto const& [name, service] : {std::pair{"p1", "plain"}, {"p2", "plain"}, {"p3", "other"}})
         {
@@ -84,6 +86,10 @@
         while (fault_clock::now() < end && ok_)
         {
             inject_fault();
+            if (FLAGS_restorations)
+            {
+                restore_store();
+            }
             end_process_faults(); // Before the wait, in which a new process installs its signal handlers.
             std::this_thread::sleep_for(milliseconds{100 + random_.below(900)});
         }
@@ -112,6 +118,37 @@
         }
     }
 
+    // Keeps a copy now and then, and goes back to it. The operators and the servers then write again.
+    void restore_store()
+    {
+        if (restoration_random_.below(3) != 0)
+        {
+            return;
+        }
+        if (restoration_random_.below(2) == 0)
+        {
+            store_.keep_copy();
+            has_copy_ = true;
+            return;
+        }
+        if (!has_copy_)
+        {
+            return;
+        }
+        record_fault("restore");
+        faults_.begin("store");
+        store_.set_mode(store_standin::mode::silent);
+        std::this_thread::sleep_for(milliseconds{restoration_random_.below(2000)});
+        store_.restore();
+        configs_.write_again();
+        for (auto const& each : backends_)
+        {
+            each->server().write_entry();
+        }
+        store_.set_mode(store_standin::mode::up);
+        faults_.end("store");
+    }
+
     void inject_fault()
     {
         faulty_edge& instance = *instances_[random_.below(instances_.size())];
@@ -371,6 +408,8 @@
     std::uint64_t const seed_;
     fault_clock::time_point const begin_ = fault_clock::now();
     random_source random_;
+    random_source restoration_random_; ///< Of its own, so that the other faults of a seed stay the same.
+    bool has_copy_ = false;
     fault_spans faults_;
     store_standin store_;
     operator_standin configs_;
--- a/tests/wire/operator_standin.cpp
+++ b/tests/wire/operator_standin.cpp
@@ -80,6 +80,12 @@
     write(std::move(config));
 }
 
+void operator_standin::write_again()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    store_.write("config", "main", entries_.back().config);
+}
+
 std::string operator_standin::added_prefix(std::uint64_t random) const
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/wire/operator_standin.hpp
+++ b/tests/wire/operator_standin.hpp
@@ -23,6 +23,8 @@
     operator_standin(store_standin& store, std::uint64_t seed);
 
     void write_next();
+    /// Writes the newest version again, after the store has lost it.
+    void write_again();
 
     /// Path prefix of a route that was added lately; it may have been removed again. `random` selects it.
     std::string added_prefix(std::uint64_t random) const;
