--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -92,6 +92,17 @@
                  {"execution", open.may_have_run ? "may_have_run" : "not_run"}}});
 }
 
+void request_log::take_up(open_exchange const& open, char const* source)
+{
+    metrics_.add("siskin_take_ups_total", source, 1);
+    log_.write({"take_up",
+                {{"request", open.request.request_id},
+                 {"stream", open.request.taken_up_id},
+                 {"after_event", std::to_string(open.request.resume_after.value_or(0))},
+                 {"version", open.version.value_or("")},
+                 {"source", source}}});
+}
+
 void request_log::attempt_started(open_exchange const& open, assign_request const& step)
 {
     log_.write({"attempt",
@@ -105,6 +116,7 @@
                  {"load_age_ms", ms_text(step.basis.load_age)},
                  {"waited_ms", ms_text(step.basis.waited)},
                  {"send", std::to_string(open.times_sent + 1)},
+                 {"version", open.version.value_or("")},
                  {"replaces", open.is_running() ? open.current->target.backend : backend_name()}}});
 }
 
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -192,14 +192,17 @@
         if (auto const* const known = std::get_if<only_version>(&choice))
         {
             open->version = known->version;
+            log.take_up(*open, "known_here");
             return true;
         }
         if (std::holds_alternative<any_version>(choice))
         {
+            log.take_up(*open, "one_version");
             return true;
         }
         if (id.empty() || !unknown_stream_handler)
         {
+            log.take_up(*open, "nobody");
             refuse(*open, unknown_stream_retry_after, unknown_version_reason);
             return false;
         }
@@ -222,10 +225,12 @@
         }
         if (!version)
         {
+            log.take_up(*open, "nobody");
             refuse(*open, unknown_stream_retry_after, unknown_version_reason);
             return;
         }
         open->version = version;
+        log.take_up(*open, "holder_or_store");
         submit(open);
         run_dispatcher();
     }
