--- a/apps/stream_keeper.cpp
+++ b/apps/stream_keeper.cpp
@@ -23,6 +23,8 @@
 // Interval of writes while streams are reported; a stream that began within it before all instances were lost
 // cannot be taken up.
 constexpr duration tick_interval = milliseconds{100};
+// Looks at every stream, up to 200,000 of them.
+constexpr duration expiry_interval = seconds{1};
 // The store prices refused calls too.
 constexpr duration failed_call_delay = milliseconds{500};
 // Shortest time between two listings; questions in between are answered from the latest one.
@@ -53,7 +55,11 @@
     void tick()
     {
         steady_time const now = boot_now();
-        streams.expire(now);
+        if (now >= next_expiry)
+        {
+            next_expiry = now + expiry_interval;
+            streams.expire(now);
+        }
         bool const holds = peers.holds_lease();
         if (holds != held)
         {
@@ -379,6 +385,7 @@
     std::uint64_t listed_era = 0;
     steady_time next_call;
     steady_time next_batch;
+    steady_time next_expiry;
     bool held = false;
     bool listed = false;  ///< All objects were read since the lease or the era changed.
     bool calling = false; ///< A listing or the write of a record is in flight.
