--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -438,12 +438,8 @@
 
 known_config state_follower::config_for(known_config const& peer) const
 {
-    known_config result = impl_->known;
-    if (!needs_text(peer, impl_->known))
-    {
-        result.text.clear();
-    }
-    return result;
+    known_config const& known = impl_->known;
+    return {known.version, known.revision, needs_text(peer, known) ? known.text : std::string()};
 }
 
 void state_follower::on_peer_config(known_config const& told)
