--- a/apps/stream_keeper.cpp
+++ b/apps/stream_keeper.cpp
@@ -130,11 +130,12 @@
         }
         else if (of_records)
         {
+            records_era = page->revision.era;
             list(platform::stream_batch_kind, "");
         }
         else
         {
-            listed = true;
+            listed = page->revision.era == records_era; // Otherwise the next tick reads the records again.
             listed_era = page->revision.era;
             streams.on_records_known();
             log.write({"streams_listed",
@@ -383,6 +384,7 @@
     std::map<std::string, steady_time> batches_known;        ///< Those of them that a listing showed.
     std::uint64_t last_batch = 0;
     std::uint64_t listed_era = 0;
+    std::uint64_t records_era = 0; ///< Of the latest listing of the records.
     steady_time next_call;
     steady_time next_batch;
     steady_time next_expiry;
