--- a/tests/decision/backend_directory_test.cpp
+++ b/tests/decision/backend_directory_test.cpp
@@ -131,8 +131,7 @@
     cr_assert(holder.changes_since({"h1", 99}, at(1)).complete);
 }
 
-// Guards against entries that are ignored after the store has come back from an older copy, because their
-// revisions are lower than before.
+// Guards against entries that are ignored because their revisions were given out before.
 Test(backend_directory, entry_of_a_later_era_replaces_one_with_a_higher_number)
 {
     backend_directory directory("h1");
@@ -141,8 +140,7 @@
     cr_assert(directory.put(server("e1"), {1, 60}) == directory_change::outdated);
 }
 
-// Guards against dropping servers that were written after the restoration, because the holder has not noticed
-// it yet.
+// Guards against dropping new servers because the holder has not noticed the restoration yet.
 Test(backend_directory, complete_update_of_an_earlier_era_removes_nothing_of_a_later_one)
 {
     backend_directory peer("p1");
@@ -152,8 +150,7 @@
     cr_assert_eq(peer.merge(holder.changes_since({}, {2, 11})).removed, (names{"e1"}));
 }
 
-// Guards against a server that is used again because the store has come back from a copy in which it had not
-// announced its end yet.
+// Guards against a server that is used again because the copy is from before it announced its end.
 Test(backend_directory, server_does_not_take_back_its_end_in_a_copy)
 {
     backend_entry ready = server("e1");
--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -381,8 +381,7 @@
     cr_assert(counts["a"] >= 2 && counts["b"] >= 2, "%u and %u", counts["a"], counts["b"]);
 }
 
-// Guards against a stream that goes on at an engine of another software version, and against a wait for a
-// version that has left.
+// Guards against a stream that goes on at another software version, or waits for one that has left.
 Test(dispatcher, request_is_sent_only_to_servers_of_its_versions)
 {
     dispatcher requests(settings());
--- a/tests/decision/order_lease_test.cpp
+++ b/tests/decision/order_lease_test.cpp
@@ -339,8 +339,7 @@
     cr_assert_not(small.may_send_orders(at(1000)));
 }
 
-// Guards against two holders, and against epochs that fall, when the store comes back from older copies:
-// leases in them are of the past, and revisions are given out again, also to delayed writes and stale reads.
+// Guards against two holders, and against epochs that fall, when the store comes back from older copies.
 Test(order_lease, random_restorations_never_make_two_holders)
 {
     constexpr std::size_t instances = 3;
@@ -443,8 +442,7 @@
     }
 }
 
-// Guards against seconds without a holder after a restoration, while the last holder can prove that no other
-// one has followed it.
+// Guards against seconds without a holder after a restoration, and against peers with two keys.
 Test(order_lease, last_holder_goes_on_after_a_restoration)
 {
     lease_store store;
@@ -468,8 +466,7 @@
     cr_assert_eq(store.record->peer_key, "key-a");
 }
 
-// Guards against peers with two keys, and against a claim while a holder that the copy does not name may
-// still send orders.
+// Guards against a claim while a holder that the copy does not name may still send orders.
 Test(order_lease, started_after_a_restoration_waits_for_an_unknown_holder)
 {
     lease_store store;
--- a/tests/decision/stream_register_test.cpp
+++ b/tests/decision/stream_register_test.cpp
@@ -60,8 +60,7 @@
     cr_assert(is_unknown(streams.choose("llm", "s1")));
 }
 
-// Guards against streams that nobody can begin because their version has left while nothing could be
-// recorded.
+// Guards against streams that nobody can begin while the versions cannot be recorded.
 Test(stream_register, streams_begin_elsewhere_when_no_recorded_version_serves)
 {
     stream_register streams;
--- a/tests/platform/crashing_part_test.cpp
+++ b/tests/platform/crashing_part_test.cpp
@@ -272,8 +272,7 @@
                   "%zu engines ended after the restart", fleet.crashes().size() - before);
 }
 
-// Guards against forgetting the part when the store comes back from a copy without the marks, also when all
-// instances restart afterwards.
+// Guards against forgetting the part when the store comes back from a copy without the marks.
 Test(crashing_part, is_still_refused_after_the_store_has_lost_the_marks)
 {
     crash_fleet fleet(3);
--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -196,8 +196,7 @@
     fleet.expect_unused(fleet.plain_1);
 }
 
-// Guards against requests to servers that have announced their end, and may have left, when the copy shows
-// them as ready.
+// Guards against requests to servers that have announced their end when the copy shows them as ready.
 Test(restored_store, server_that_announced_its_end_stays_out_of_use)
 {
     restored_fleet fleet;
@@ -271,8 +270,7 @@
               cut_off.log_text().c_str());
 }
 
-// Guards against an older configuration at instances that start while the store has only the copy, also when
-// one of them then holds the lease.
+// Guards against an older configuration at instances that start while the store has only the copy.
 Test(restored_store, instance_that_starts_with_the_copy_takes_the_configuration_of_its_peers)
 {
     restored_fleet fleet;
--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -223,8 +223,7 @@
     fleet.expect_not_joined();
 }
 
-// Guards against streams that callers take up at another instance and that go on at another version, or not
-// at all.
+// Guards against streams that are taken up elsewhere and go on at another version, or not at all.
 Test(software_version, streams_of_a_killed_instance_go_on_at_their_version)
 {
     version_fleet fleet({"v1", "v1", "v2", "v2"});
