Do not take over an engine's report while an order to it is open

An engine was ordered to load more adapters than it has room for (LIMIT) after the lease holder had been suspended: begin_lease forgets that an inquiry is in flight, so that an order can be sent before its answer arrives. An answer of before an accepted order took the order's adapter away; the result of the open order then restored the sequence, and nothing showed the gap.

--- a/decision/load_planner.cpp
+++ b/decision/load_planner.cpp
@@ -695,6 +695,13 @@
     }
     engine_load_state& engine = found->second;
     engine.inquiry_open = false;
+    if (engine.open)
+    {
+        // The report may be of before the order, and the order's result would then restore the sequence, but
+        // not what the report does not show.
+        engine.inquiry_due = true;
+        return;
+    }
     engine.confirmed = true;
     engine.sequence = report.order_sequence;
     engine.entry.models = report.models;
--- a/tests/decision/load_planner_test.cpp
+++ b/tests/decision/load_planner_test.cpp
@@ -302,3 +302,47 @@
     cr_assert_eq(simulation.orders, before + 1);
     cr_assert(time_to_hold(simulation, "m4", 8000) >= 0);
 }
+
+// Guards against an engine with more adapters than fit, when the answer to an earlier inquiry crosses an
+// order.
+Test(load_planner, late_report_does_not_hide_an_accepted_adapter)
+{
+    load_planner_simulation simulation(1, 1, 3);
+    auto& engine = simulation.engines_by_name["e0"];
+    engine.models = {"m0"};
+    simulation.publish(engine);
+    simulation.advance(2000);
+    engine_state_report const early{"e0", engine.sequence, false, {{"m0", {}}}};
+    simulation.planning = false;
+    std::set<std::string> held;
+    for (unsigned i = 0; i < 400; ++i)
+    {
+        std::string const adapter = "a" + std::to_string(1 + i % 20);
+        simulation.planner.on_demand(simulation.now(),
+                                     {"i", "i:1", {{"llm", "m0", adapter, 0, 1, 0, 1}}, {}});
+        for (planner_action const& step : simulation.planner.plan(simulation.now()))
+        {
+            auto const* const order = std::get_if<engine_order>(&step);
+            if (order == nullptr)
+            {
+                simulation.planner.on_report(simulation.now(),
+                                             {"e0", engine.sequence, false, {{"m0", held}}});
+                continue;
+            }
+            if (held.size() == 2)
+            {
+                simulation.planner.on_report(simulation.now(), early);
+            }
+            auto const result = simulation.accept_order(*order);
+            if (result != engine_order_result::conflict)
+            {
+                order->kind == order_kind::load_adapter ? (void)held.insert(order->adapter)
+                                                        : (void)held.erase(order->adapter);
+            }
+            simulation.planner.on_order_result(simulation.now(), *order, result);
+            cr_assert_leq(held.size(), std::size_t{8}, "%zu adapters", held.size());
+        }
+        simulation.advance(50);
+    }
+    cr_assert_geq(held.size(), std::size_t{7}, "%zu adapters", held.size());
+}
