--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -550,9 +550,8 @@
     bool reporting = false;
     bool holder_reached = false;
     bool lease_held = false;
-    known_config holder_config; ///< Without the text; of the latest reply.
-    std::string
-        other_holder_address; ///< Of the latest holder beside this instance; empty when none is known.
+    known_config holder_config;               ///< Without the text; of the latest reply.
+    std::string other_holder_address;         ///< Of the latest holder beside this instance, if any.
     std::map<std::string, steady_time> peers; ///< Time of the last report by peer address.
 };
 
