Let the soak's servers start anew after an announced end when the store goes back

An instance that had seen only the end keeps p3 out of use, as it must on the platform, where an announced end is final and a new start has another start time.

--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -195,6 +195,12 @@
             record_fault("drain " + backend.server().name());
             backend.server().write_entry("draining");
             std::this_thread::sleep_for(milliseconds{500});
+            if (FLAGS_restorations)
+            {
+                // On the platform an announced end is final. Over a restoration, instances rely on that.
+                backend.server().start_again();
+                break;
+            }
             backend.server().write_entry("ready");
             break;
         case 8:
