--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -70,6 +70,15 @@
         }
     }
 
+    /// Keeps a copy, then brings version 2 in force, by a revision that follows `count` others.
+    void write_version_2_after_the_copy(unsigned count)
+    {
+        store.keep_copy();
+        write_elsewhere(count);
+        write_config(2);
+        expect_in_force(2, "before the restoration");
+    }
+
     /// The store is away for the time and comes back from the copy.
     void restore(milliseconds away)
     {
@@ -133,10 +142,7 @@
 Test(restored_store, new_configuration_is_in_force_in_time)
 {
     restored_fleet fleet;
-    fleet.store.keep_copy();
-    fleet.write_elsewhere(50);
-    fleet.write_config(2);
-    fleet.expect_in_force(2, "before the restoration");
+    fleet.write_version_2_after_the_copy(50);
     fleet.restore(seconds{2});
     fleet.write_config(2);
     std::this_thread::sleep_for(seconds{1});
@@ -151,10 +157,7 @@
 Test(restored_store, confirmed_configuration_stays_in_force)
 {
     restored_fleet fleet;
-    fleet.store.keep_copy();
-    fleet.write_elsewhere(20);
-    fleet.write_config(2);
-    fleet.expect_in_force(2, "before the restoration");
+    fleet.write_version_2_after_the_copy(20);
     fleet.restore(seconds{1});
     for (auto const end = steady::now() + seconds{4}; steady::now() < end;)
     {
@@ -168,10 +171,7 @@
 Test(restored_store, another_text_by_the_same_version_is_in_force)
 {
     restored_fleet fleet;
-    fleet.store.keep_copy();
-    fleet.write_elsewhere(20);
-    fleet.write_config(2);
-    fleet.expect_in_force(2, "before the restoration");
+    fleet.write_version_2_after_the_copy(20);
     fleet.restore(seconds{1});
     json other = config_with_routes(3);
     other["version"] = 2;
@@ -252,10 +252,7 @@
     siskinusher::tcp_relay link(Poco::Net::SocketAddress(fleet.store.address()).port());
     edge_child cut_off("edge-cut-off", link.address());
     cr_assert(cut_off.wait_ready());
-    fleet.store.keep_copy();
-    fleet.write_elsewhere(50);
-    fleet.write_config(2);
-    fleet.expect_in_force(2, "before the restoration");
+    fleet.write_version_2_after_the_copy(50);
     link.refuse();
     fleet.restore(seconds{2});
     fleet.write_config(2);
@@ -274,10 +271,7 @@
 Test(restored_store, instance_that_starts_with_the_copy_takes_the_configuration_of_its_peers)
 {
     restored_fleet fleet;
-    fleet.store.keep_copy();
-    fleet.write_elsewhere(20);
-    fleet.write_config(2);
-    fleet.expect_in_force(2, "before the restoration");
+    fleet.write_version_2_after_the_copy(20);
     fleet.restore(seconds{1});
     for (std::size_t const restarted : {0U, 1U})
     {
