--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -187,7 +187,7 @@
     }
     ++runs_[id];
     lock.unlock();
-    if (!crash_part_.empty() && exchange.header("Prompt-Prefix").find(crash_part_ + ":") != std::string::npos)
+    if (crashes_on(exchange))
     {
         std::this_thread::sleep_for(std::chrono::milliseconds{work_ms_});
         on_crash_();
@@ -224,6 +224,14 @@
                    "body of " + id + std::string(padding_, '.'), "text/plain");
 }
 
+bool backend_standin::crashes_on(http_exchange const& exchange) const
+{
+    return !crash_part_.empty() &&
+           (exchange.header("Prompt-Prefix").find(crash_part_ + ":") != std::string::npos ||
+            exchange.path().find("/" + crash_part_) != std::string::npos ||
+            exchange.body().rfind(crash_part_, 0) == 0);
+}
+
 void backend_standin::stream(http_exchange& exchange, std::string const& id, backend_fault fault)
 {
     std::string const after = exchange.header("Last-Event-Id");
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -74,7 +74,8 @@
     void set_pause(unsigned after_event, std::chrono::milliseconds value);
     /// Rejects each request whose number of arrival is a multiple of this as full; zero rejects none.
     void set_reject_every(unsigned count) { reject_every_ = count; }
-    /// Calls `on_crash` instead of an answer to each request with this part in its prompt.
+    /// Calls `on_crash` instead of an answer to each request with this part in its prompt, or with a body or
+    /// last segment of its path that begins with it.
     void set_crash_part(std::string part, std::function<void()> on_crash);
     /// Names this limit of requests a second in each answer; empty for none.
     void set_limit(std::string per_second);
@@ -101,6 +102,7 @@
 private:
     void serve(http_exchange& exchange);
     void stream(http_exchange& exchange, std::string const& id, backend_fault fault);
+    bool crashes_on(http_exchange const& exchange) const;
     void pause_after(unsigned event, http_exchange const& exchange);
     void receive_order(http_exchange& exchange);
     void report(http_exchange& exchange);
--- a/tests/wire/crashing_engine.cpp
+++ b/tests/wire/crashing_engine.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-crashing_engine::crashing_engine(store_standin& store, std::string name, std::string const& model)
-    : server_(store, std::move(name), "llm", {model}),
+crashing_engine::crashing_engine(store_standin& store, std::string name, std::string service,
+                                 std::set<std::string> models)
+    : server_(store, std::move(name), std::move(service), std::move(models)),
       relay_(Poco::Net::SocketAddress(server_.address()).port()),
       restarts_thread_([this] { restart_after_crashes(); })
 {
--- a/tests/wire/crashing_engine.hpp
+++ b/tests/wire/crashing_engine.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -14,14 +15,17 @@
 namespace siskinusher::standins
 {
 
-/// An engine that ends when it begins to answer a request with the part "bad" in its prompt: its connections
-/// are reset and its address refuses new ones, until it starts again some hundred milliseconds later.
+/// A server that ends when it begins to answer a request with the part "bad" in its prompt, or with a body or
+/// last segment of its path that begins with "bad": its connections are reset and its address refuses new
+/// ones, until it starts again some hundred milliseconds later.
 class crashing_engine
 {
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
-    crashing_engine(store_standin& store, std::string name, std::string const& model);
+    /// It is a plain server when no models are given.
+    crashing_engine(store_standin& store, std::string name, std::string service,
+                    std::set<std::string> models);
     ~crashing_engine();
     crashing_engine(crashing_engine const&) = delete;
     crashing_engine& operator=(crashing_engine const&) = delete;
--- a/tests/wire/edge_child.cpp
+++ b/tests/wire/edge_child.cpp
@@ -102,12 +102,12 @@
 }
 
 std::optional<http_answer> edge_child::call(std::string const& method, std::string const& path,
-                                            std::string const& id,
-                                            std::map<std::string, std::string> headers) const
+                                            std::string const& id, std::map<std::string, std::string> headers,
+                                            std::string const& body) const
 {
     headers["Host"] = "h";
     headers["Attempt-Id"] = id;
-    return http_call(caller_address_, method, path, method == "POST" ? "body" : "", headers,
+    return http_call(caller_address_, method, path, method == "POST" && body.empty() ? "body" : body, headers,
                      std::chrono::seconds{8});
 }
 
--- a/tests/wire/edge_child.hpp
+++ b/tests/wire/edge_child.hpp
@@ -33,8 +33,10 @@
     std::string const& caller_address() const { return caller_address_; }
     std::string log_text() const;
 
+    /// Sends a request to the callers' address. A POST without a body gets a short one.
     std::optional<http_answer> call(std::string const& method, std::string const& path, std::string const& id,
-                                    std::map<std::string, std::string> headers = {}) const;
+                                    std::map<std::string, std::string> headers = {},
+                                    std::string const& body = {}) const;
 
 private:
     std::string const name_;
