Name marks by their suspect, which need not be a prompt part

part_crash becomes crash_mark, its part the suspect; part_block crash_block; the log's part_* events suspect_blocked, suspect_block_ended and crash_mark_*. The object kind in the store and the field in it keep their names, so that instances of both builds understand each other's marks.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -304,24 +304,24 @@
     return update;
 }
 
-json encode_crash_rows(std::vector<part_crash> const& crashes)
+json encode_crash_rows(std::vector<crash_mark> const& crashes)
 {
     json rows = json::array();
-    for (part_crash const& each : crashes)
+    for (crash_mark const& each : crashes)
     {
         rows.push_back(
-            {each.part, each.engine, each.position, static_cast<std::uint64_t>(each.engine_started_at)});
+            {each.suspect, each.engine, each.position, static_cast<std::uint64_t>(each.engine_started_at)});
     }
     return rows;
 }
 
-std::optional<std::vector<part_crash>> decode_crash_rows(json const& rows)
+std::optional<std::vector<crash_mark>> decode_crash_rows(json const& rows)
 {
     if (!rows.is_array())
     {
         return std::nullopt;
     }
-    std::vector<part_crash> crashes;
+    std::vector<crash_mark> crashes;
     for (json const& row : rows)
     {
         if (!is_row(row, 2, 2))
@@ -384,8 +384,8 @@
     json const who = json::array({report.instance, report.peer_address});
     return to_bytes(json::array({who, report.unreachable, rows, encode_running(report.running),
                                  report.sent_early, encode_position(report.servers_position),
-                                 report.part_crashes_digest, encode_crash_rows(report.new_part_crashes),
-                                 limits, encode_config(report.config), encode_streams(report.streams)}));
+                                 report.crash_marks_digest, encode_crash_rows(report.new_crash_marks), limits,
+                                 encode_config(report.config), encode_streams(report.streams)}));
 }
 
 std::optional<demand_report> decode_demand(std::string const& bytes)
@@ -410,8 +410,8 @@
     report.running = std::move(*running);
     report.sent_early = (*value)[4].get<bool>();
     report.servers_position = std::move(*position);
-    report.part_crashes_digest = (*value)[6].get<std::uint64_t>();
-    report.new_part_crashes = std::move(*crashes);
+    report.crash_marks_digest = (*value)[6].get<std::uint64_t>();
+    report.new_crash_marks = std::move(*crashes);
     report.limits = std::move(*limits);
     report.config = std::move(*config);
     report.streams = std::move(*streams);
@@ -450,19 +450,19 @@
                                  encode_revision(update.followed), servers, update.removed}));
 }
 
-std::string encode_part_crashes(std::vector<part_crash> const& crashes)
+std::string encode_crash_marks(std::vector<crash_mark> const& crashes)
 {
     return to_bytes(encode_crash_rows(crashes));
 }
 
-std::optional<std::vector<part_crash>> decode_part_crashes(std::string const& bytes)
+std::optional<std::vector<crash_mark>> decode_crash_marks(std::string const& bytes)
 {
     auto const value = field_codec::parse_cbor(bytes);
     return value.has_value() ? decode_crash_rows(value.value()) : std::nullopt;
 }
 
 std::string encode_reply(std::string const& placement, std::string const& update,
-                         std::string const& part_crashes, std::vector<limit_grant> const& grants,
+                         std::string const& crash_marks, std::vector<limit_grant> const& grants,
                          known_config const& config, std::vector<stream_versions> const& versions,
                          duration age)
 {
@@ -473,7 +473,7 @@
     }
     auto const age_us = static_cast<std::uint64_t>(std::max<duration>(age, duration{0}).count());
     return to_bytes(json::array({binary_of(placement), binary_of(update), encode_config(config), age_us,
-                                 part_crashes.empty() ? json() : binary_of(part_crashes), rows,
+                                 crash_marks.empty() ? json() : binary_of(crash_marks), rows,
                                  encode_stream_versions(versions)}));
 }
 
@@ -487,19 +487,19 @@
     auto placement = decode_placement_update(bytes_of((*value)[0]));
     auto servers = decode_update(bytes_of((*value)[1]));
     json const& crashes = (*value)[4];
-    auto part_crashes = crashes.is_binary() ? decode_part_crashes(bytes_of(crashes)) : std::nullopt;
+    auto crash_marks = crashes.is_binary() ? decode_crash_marks(bytes_of(crashes)) : std::nullopt;
     auto grants = decode_limits<limit_grant>((*value)[5]);
     auto config = decode_config((*value)[2]);
     auto versions = decode_stream_versions((*value)[6]);
     if (!placement || !servers || !grants || !config || !versions ||
-        part_crashes.has_value() == crashes.is_null())
+        crash_marks.has_value() == crashes.is_null())
     {
         return std::nullopt;
     }
     placement->grants = std::move(*grants);
-    return holder_reply{std::move(*placement),   std::move(*servers),
-                        std::move(*config),      duration{(*value)[3].get<duration::rep>()},
-                        std::move(part_crashes), std::move(*versions)};
+    return holder_reply{std::move(*placement),  std::move(*servers),
+                        std::move(*config),     duration{(*value)[3].get<duration::rep>()},
+                        std::move(crash_marks), std::move(*versions)};
 }
 
 } // namespace siskinusher
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -18,12 +18,12 @@
 /// once for them.
 std::string encode_placement_update(placement_update const& placement);
 std::string encode_update(backend_update const& update);
-std::string encode_part_crashes(std::vector<part_crash> const& crashes);
-std::optional<std::vector<part_crash>> decode_part_crashes(std::string const& bytes);
-/// Joins the encoded parts of a reply with the grants for its receiver. `part_crashes` is empty when the
+std::string encode_crash_marks(std::vector<crash_mark> const& crashes);
+std::optional<std::vector<crash_mark>> decode_crash_marks(std::string const& bytes);
+/// Joins the encoded parts of a reply with the grants for its receiver. `crash_marks` is empty when the
 /// instance has the holder's marks.
 std::string encode_reply(std::string const& placement, std::string const& update,
-                         std::string const& part_crashes, std::vector<limit_grant> const& grants,
+                         std::string const& crash_marks, std::vector<limit_grant> const& grants,
                          known_config const& config, std::vector<stream_versions> const& versions,
                          duration age);
 std::optional<holder_reply> decode_reply(std::string const& bytes);
--- a/apps/crash_reporter.cpp
+++ b/apps/crash_reporter.cpp
@@ -3,8 +3,8 @@
 #include "adapters/boot_clock.hpp"
 #include "adapters/outbound_pool.hpp"
 #include "adapters/ports.hpp"
+#include "platform/crash_mark_codec.hpp"
 #include "platform/metadata_store.hpp"
-#include "platform/part_crash_codec.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -65,15 +65,15 @@
         ledger.drop_unconfirmed(now);
         if (holds_lease())
         {
-            for (part_crash const& each : ledger.expire(now))
+            for (crash_mark const& each : ledger.expire(now))
             {
                 unsaved.erase(id_of(each));
                 removals[id_of(each)] = each;
             }
-            for (part_crash const& each : ledger.take_lost())
+            for (crash_mark const& each : ledger.take_lost())
             {
                 unsaved[id_of(each)] = each;
-                log.write({"part_crash_lost", {{"part", each.part}, {"backend", each.engine}}});
+                log.write({"crash_mark_lost", {{"suspect", each.suspect}, {"backend", each.engine}}});
             }
         }
         log_changes(now);
@@ -147,7 +147,7 @@
         for (crash_suspect const& each :
              crashed ? suspects_of(engine, prompts) : std::vector<crash_suspect>())
         {
-            suspected.append(suspected.empty() ? "" : ",").append(each.crash.part);
+            suspected.append(suspected.empty() ? "" : ",").append(each.crash.suspect);
             if (each.answered_before)
             {
                 delayed.emplace_back(now, each.crash);
@@ -161,7 +161,7 @@
                    {{"backend", engine.name},
                     {"outcome", crashed ? "crashed" : "not_refused"},
                     {"lost_requests", std::to_string(prompts.size())},
-                    {"suspected_parts", suspected}}});
+                    {"suspects", suspected}}});
         log_changes(now);
     }
 
@@ -181,7 +181,7 @@
         }
         std::stable_sort(all.begin(), all.end(),
                          [this](crash_suspect const& a, crash_suspect const& b)
-                         { return ledger.crashes_of(a.crash.part) > ledger.crashes_of(b.crash.part); });
+                         { return ledger.crashes_of(a.crash.suspect) > ledger.crashes_of(b.crash.suspect); });
         all.resize(std::min(all.size(), max_suspects_of_check));
         return all;
     }
@@ -192,14 +192,14 @@
         {
             auto const [since, crash] = delayed.front();
             delayed.erase(delayed.begin());
-            if (!ledger.answered_after(crash.part, since))
+            if (!ledger.answered_after(crash.suspect, since))
             {
                 report(now, crash);
             }
         }
     }
 
-    void report(steady_time now, part_crash const& crash)
+    void report(steady_time now, crash_mark const& crash)
     {
         if (ledger.add_own(now, crash))
         {
@@ -225,7 +225,7 @@
                 continue;
             }
             store.put(
-                platform::part_crash_kind, id, {}, platform::encode_part_crash(crash),
+                platform::crash_mark_kind, id, {}, platform::encode_crash_mark(crash),
                 [weak = weak_from_this(), id = id](platform::store_answer<platform::store_object> answer)
                 {
                     if (auto const self = weak.lock())
@@ -267,7 +267,7 @@
             {
                 continue;
             }
-            store.remove(platform::part_crash_kind, id,
+            store.remove(platform::crash_mark_kind, id,
                          [weak = weak_from_this(), id = id](std::optional<platform::store_failure> failure)
                          {
                              auto const self = weak.lock();
@@ -288,22 +288,22 @@
 
     void on_answered(std::vector<std::string> const& parts)
     {
-        for (part_crash const& each : ledger.on_answered(boot_now(), parts))
+        for (crash_mark const& each : ledger.on_answered(boot_now(), parts))
         {
             unsaved.erase(id_of(each));
             removals[id_of(each)] = each;
-            log.write({"part_cleared", {{"part", each.part}, {"backend", each.engine}}});
+            log.write({"crash_mark_cleared", {{"suspect", each.suspect}, {"backend", each.engine}}});
         }
     }
 
     void log_changes(steady_time now)
     {
-        for (part_block_change const& each : ledger.take_changes(now))
+        for (block_change const& each : ledger.take_changes(now))
         {
-            metrics.add("siskin_part_blocks_total", each.blocked ? "blocked" : "ended", 1);
-            auto const block = ledger.find_block(now, {each.part});
-            log.write({each.blocked ? "part_blocked" : "part_block_ended",
-                       {{"part", each.part},
+            metrics.add("siskin_crash_blocks_total", each.blocked ? "blocked" : "ended", 1);
+            auto const block = ledger.find_block(now, {each.suspect});
+            log.write({each.blocked ? "suspect_blocked" : "suspect_block_ended",
+                       {{"suspect", each.suspect},
                         {"crashes", std::to_string(each.crashes)},
                         {"age_ms", block ? ms_text(block->age) : ""},
                         {"for_ms", block ? ms_text(block->remaining) : ""}}});
@@ -320,10 +320,10 @@
     boost::asio::steady_timer timer;
     // Parts of the requests that were lost at an engine which is being checked, by engine and start.
     std::map<std::string, std::vector<std::vector<std::string>>> checks;
-    std::vector<std::pair<steady_time, part_crash>> delayed; ///< In the order of their times.
+    std::vector<std::pair<steady_time, crash_mark>> delayed; ///< In the order of their times.
     // By id. They are kept until the store has confirmed the call.
-    std::map<std::string, part_crash> unsaved;
-    std::map<std::string, part_crash> removals;
+    std::map<std::string, crash_mark> unsaved;
+    std::map<std::string, crash_mark> removals;
     std::set<std::string> calls_in_progress;
     steady_time next_call; ///< No call is made before, after one that failed.
 };
@@ -356,7 +356,7 @@
     impl_->on_answered(part_names(prompt));
 }
 
-std::optional<part_block> crash_reporter::find_block(std::vector<prompt_part> const& prompt) const
+std::optional<crash_block> crash_reporter::find_block(std::vector<prompt_part> const& prompt) const
 {
     return prompt.empty() ? std::nullopt : impl_->ledger.find_block(boot_now(), part_names(prompt));
 }
--- a/apps/crash_reporter.hpp
+++ b/apps/crash_reporter.hpp
@@ -49,7 +49,7 @@
     /// An engine answered a request completely, or has been answering it for some time.
     void on_answered(std::vector<prompt_part> const& prompt);
     /// The block that applies to a request; none when it may be sent.
-    std::optional<part_block> find_block(std::vector<prompt_part> const& prompt) const;
+    std::optional<crash_block> find_block(std::vector<prompt_part> const& prompt) const;
 
 private:
     class implementation;
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -185,7 +185,7 @@
         metrics.set_gauge("siskin_holds_lease", [this] { return placement.holds_lease() ? 1U : 0U; });
         metrics.set_gauge("siskin_open_requests", [this] { return service.open_requests(); });
         metrics.set_gauge("siskin_backends", [this] { return requests.backends(); });
-        metrics.set_gauge("siskin_blocked_parts", [this] { return crashes.blocked_parts(boot_now()); });
+        metrics.set_gauge("siskin_blocked_suspects", [this] { return crashes.blocked_suspects(boot_now()); });
         state.start();
         crash_reports.start();
         placement.start();
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -227,8 +227,8 @@
     {
         demand_report own = demand();
         own.servers_position = state.position();
-        own.part_crashes_digest = state.crashes_digest();
-        own.new_part_crashes = state.new_crashes();
+        own.crash_marks_digest = state.crashes_digest();
+        own.new_crash_marks = state.new_crashes();
         own.config = state.config_for(holder_config);
         own.streams = streams.unreported();
         own.sent_early = now < next_full_report;
@@ -295,7 +295,7 @@
         }
         else if (outcome.status != 0 || !outcome.sent)
         {
-            if (auto const crashes = outcome.status == 409 ? decode_part_crashes(outcome.body) : std::nullopt)
+            if (auto const crashes = outcome.status == 409 ? decode_crash_marks(outcome.body) : std::nullopt)
             {
                 state.on_former_holder_crashes(*crashes);
             }
@@ -334,8 +334,8 @@
         {
             update = encode_update(state.servers_since(known));
         }
-        auto const crashes = state.crashes_since(report.part_crashes_digest);
-        return encode_reply(placement, update, crashes ? encode_part_crashes(*crashes) : std::string(),
+        auto const crashes = state.crashes_since(report.crash_marks_digest);
+        return encode_reply(placement, update, crashes ? encode_crash_marks(*crashes) : std::string(),
                             limits.grant(now, report.limits), state.config_for(report.config),
                             streams.recorded(), now - lease.confirmed_at());
     }
@@ -457,15 +457,15 @@
             call->answer(400, "", "");
             return;
         }
-        state.on_peer_crashes(report->new_part_crashes);
+        state.on_peer_crashes(report->new_crash_marks);
         state.on_peer_config(report->config);
         if (!lease.may_send_orders(now))
         {
             // Marks need no lease. In an outage of the store the instances go on reporting to the last
             // holder.
-            auto const crashes = state.crashes_since(report->part_crashes_digest);
+            auto const crashes = state.crashes_since(report->crash_marks_digest);
             call->answer(409, "Content-Type: application/cbor\r\n",
-                         crashes ? encode_part_crashes(*crashes) : std::string());
+                         crashes ? encode_crash_marks(*crashes) : std::string());
             return;
         }
         peers[report->peer_address] = now;
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -81,11 +81,11 @@
                  {"retry_after_ms", ms_text(step.answer.retry_after)}}});
 }
 
-void request_log::part_blocked(open_exchange const& open, part_block const& block)
+void request_log::crash_blocked(open_exchange const& open, crash_block const& block)
 {
     log_.write({"blocked",
                 {{"request", open.request.request_id},
-                 {"part", block.part},
+                 {"suspect", block.suspect},
                  {"crashes", std::to_string(block.crashes)},
                  {"age_ms", ms_text(block.age)},
                  {"retry_after_ms", ms_text(block.remaining)},
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -37,7 +37,7 @@
                           std::uint64_t config_version);
     void no_server(open_exchange const& open, reject_request const& step, std::size_t known_servers);
     /// A request that is not sent because a part of its prompt crashes engines.
-    void part_blocked(open_exchange const& open, part_block const& block);
+    void crash_blocked(open_exchange const& open, crash_block const& block);
     /// A caller takes up a stream. `source` tells who knew the version at which it must go on.
     void take_up(open_exchange const& open, char const* source);
     void attempt_started(open_exchange const& open, assign_request const& step);
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -270,7 +270,7 @@
         {
             return false;
         }
-        log.part_blocked(*open, *block);
+        log.crash_blocked(*open, *block);
         if (open->failed_facts && !open->answer_started)
         {
             forward_server_failure(*open);
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -5,10 +5,10 @@
 #include "decision/backend_directory.hpp"
 #include "decision/state_source_selector.hpp"
 #include "platform/backend_entry_codec.hpp"
+#include "platform/crash_mark_codec.hpp"
 #include "platform/json_fields.hpp"
 #include "platform/metadata_store.hpp"
 #include "platform/object_watch.hpp"
-#include "platform/part_crash_codec.hpp"
 #include "platform/serving_config_codec.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -75,7 +75,7 @@
           config_watch(loop, store, log, watch_settings(config_kind, duration{0}), config_handlers()),
           backend_watch(loop, store, log, watch_settings(backend_kind, backend_outage_grace),
                         backend_handlers()),
-          crash_watch(loop, store, log, watch_settings(platform::part_crash_kind, duration{0}),
+          crash_watch(loop, store, log, watch_settings(platform::crash_mark_kind, duration{0}),
                       crash_handlers())
     {
         backend_watch.set_batch_delay(share_of(settings.leaving_time, batch_delay_share));
@@ -119,14 +119,14 @@
         platform::object_watch_handlers result;
         result.on_object = [this](platform::store_object const& object)
         {
-            auto const crash = platform::decode_part_crash(object.spec);
+            auto const crash = platform::decode_crash_mark(object.spec);
             if (crash && id_of(*crash) == object.name)
             {
                 crashes.add(boot_now(), *crash);
                 return;
             }
             log.write(
-                {"part_crash_ignored", {{"name", object.name}, {"revision", to_string(object.revision)}}});
+                {"crash_mark_ignored", {{"name", object.name}, {"revision", to_string(object.revision)}}});
         };
         result.on_deleted = [this](std::string const& name) { crashes.remove(name); };
         result.on_lost = [this](std::string const& name) { crashes.on_lost(name); };
@@ -236,9 +236,9 @@
         {
             apply_update(reply.servers);
         }
-        if (reply.part_crashes)
+        if (reply.crash_marks)
         {
-            apply_crashes(*reply.part_crashes);
+            apply_crashes(*reply.crash_marks);
         }
         on_peer_config(reply.config);
         choose_source();
@@ -266,15 +266,15 @@
         }
     }
 
-    void apply_crashes(std::vector<part_crash> const& told)
+    void apply_crashes(std::vector<crash_mark> const& told)
     {
-        for (part_crash const& each : crashes.crashes())
+        for (crash_mark const& each : crashes.crashes())
         {
             crash_watch.mark_deleted(id_of(each));
         }
         crashes.replace(boot_now(), told);
         crashes_known = true;
-        for (part_crash const& each : crashes.crashes())
+        for (crash_mark const& each : crashes.crashes())
         {
             crash_watch.mark_known(id_of(each), {});
         }
@@ -408,29 +408,29 @@
     return impl_->crashes.digest();
 }
 
-std::vector<part_crash> state_follower::new_crashes() const
+std::vector<crash_mark> state_follower::new_crashes() const
 {
     return impl_->crashes.new_crashes(boot_now());
 }
 
-void state_follower::on_peer_crashes(std::vector<part_crash> const& found)
+void state_follower::on_peer_crashes(std::vector<crash_mark> const& found)
 {
-    for (part_crash const& each : found)
+    for (crash_mark const& each : found)
     {
         impl_->crashes.add_reported(boot_now(), each);
     }
 }
 
-void state_follower::on_former_holder_crashes(std::vector<part_crash> const& told)
+void state_follower::on_former_holder_crashes(std::vector<crash_mark> const& told)
 {
-    for (part_crash const& each : told)
+    for (crash_mark const& each : told)
     {
         impl_->crashes.add(boot_now(), each);
         impl_->crash_watch.mark_known(id_of(each), {});
     }
 }
 
-std::optional<std::vector<part_crash>> state_follower::crashes_since(std::uint64_t known) const
+std::optional<std::vector<crash_mark>> state_follower::crashes_since(std::uint64_t known) const
 {
     bool const same = impl_->crashes.digest() == known;
     return same || !impl_->crashes_known ? std::nullopt : std::optional(impl_->crashes.crashes());
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -83,14 +83,14 @@
     void on_peer_config(known_config const& told);
     /// Digest of the marks that this instance knows, and those that it found lately.
     std::uint64_t crashes_digest() const;
-    std::vector<part_crash> new_crashes() const;
+    std::vector<crash_mark> new_crashes() const;
     /// Takes over the marks that a peer has found: it may not reach the store, or this instance may not.
-    void on_peer_crashes(std::vector<part_crash> const& found);
+    void on_peer_crashes(std::vector<crash_mark> const& found);
     /// Takes over the marks of an instance whose lease has run out, until the store or a holder tells others.
-    void on_former_holder_crashes(std::vector<part_crash> const& told);
+    void on_former_holder_crashes(std::vector<crash_mark> const& told);
     /// The marks for a peer that has those with the digest `known`; empty when they are the same ones, or
     /// when this instance does not know all of them.
-    std::optional<std::vector<part_crash>> crashes_since(std::uint64_t known) const;
+    std::optional<std::vector<crash_mark>> crashes_since(std::uint64_t known) const;
 
 private:
     class implementation;
--- a/decision/crash_ledger.cpp
+++ b/decision/crash_ledger.cpp
@@ -37,7 +37,7 @@
 
 struct mark
 {
-    part_crash crash;
+    crash_mark crash;
     steady_time known_since;
     bool own = false;         ///< Not in the store yet.
     steady_time kept_until{}; ///< A reply without the mark does not remove it before.
@@ -88,7 +88,7 @@
     {
         return static_cast<std::size_t>(std::count_if(marks.begin(), marks.end(),
                                                       [&part](auto const& each)
-                                                      { return each.second.crash.part == part; }));
+                                                      { return each.second.crash.suspect == part; }));
     }
 
     // Makes room for a mark: drops the oldest one whose part was suspected only once. False when there is
@@ -98,12 +98,12 @@
         std::map<std::string, unsigned> counts;
         for (auto const& [id, each] : marks)
         {
-            ++counts[each.crash.part];
+            ++counts[each.crash.suspect];
         }
         auto oldest = marks.end();
         for (auto each = marks.begin(); each != marks.end(); ++each)
         {
-            bool const single = counts[each->second.crash.part] == 1;
+            bool const single = counts[each->second.crash.suspect] == 1;
             if (single && (oldest == marks.end() || each->second.known_since < oldest->second.known_since))
             {
                 oldest = each;
@@ -117,7 +117,7 @@
         return true;
     }
 
-    bool insert(steady_time now, part_crash const& crash, bool own)
+    bool insert(steady_time now, crash_mark const& crash, bool own)
     {
         std::string const id = id_of(crash);
         if (marks.count(id) > 0 || (marks.size() >= max_marks && !drop_single_mark()))
@@ -143,7 +143,7 @@
             {
                 if (explained.count(crash_name(each.crash)) == 0)
                 {
-                    by_part[each.crash.part].push_back(&each);
+                    by_part[each.crash.suspect].push_back(&each);
                 }
             }
             auto const best = std::max_element(by_part.begin(), by_part.end(),
@@ -163,7 +163,7 @@
         }
     }
 
-    static std::string crash_name(part_crash const& crash)
+    static std::string crash_name(crash_mark const& crash)
     {
         return crash.engine + "/" + std::to_string(crash.engine_started_at);
     }
@@ -186,7 +186,7 @@
     std::tuple<std::size_t, steady_time::duration, unsigned>
     weight(std::vector<mark const*> const& of_part) const
     {
-        auto const last = answered_at(of_part.front()->crash.part);
+        auto const last = answered_at(of_part.front()->crash.suspect);
         auto const unanswered_for = last ? -last->time_since_epoch() : steady_time::duration::max();
         return {of_part.size(), unanswered_for, first_position(of_part)};
     }
@@ -205,7 +205,7 @@
 
 crash_ledger::~crash_ledger() = default;
 
-std::vector<part_crash> crash_ledger::on_answered(steady_time now, std::vector<std::string> const& parts)
+std::vector<crash_mark> crash_ledger::on_answered(steady_time now, std::vector<std::string> const& parts)
 {
     for (std::string const& part : parts)
     {
@@ -215,15 +215,15 @@
     {
         each = now >= each->second ? impl_->dropped_until.erase(each) : std::next(each);
     }
-    std::vector<part_crash> cleared;
+    std::vector<crash_mark> cleared;
     for (auto const& [id, each] : impl_->marks)
     {
-        if (std::find(parts.begin(), parts.end(), each.crash.part) != parts.end())
+        if (std::find(parts.begin(), parts.end(), each.crash.suspect) != parts.end())
         {
             cleared.push_back(each.crash);
         }
     }
-    for (part_crash const& each : cleared)
+    for (crash_mark const& each : cleared)
     {
         impl_->marks.erase(id_of(each));
         impl_->dropped_until[id_of(each)] = now + change_spread_time;
@@ -244,7 +244,7 @@
     steady_time oldest_answer = steady_time::max();
     for (std::size_t i = 0; i < parts.size(); ++i)
     {
-        part_crash const crash{parts[i], static_cast<unsigned>(i), engine, engine_started_at};
+        crash_mark const crash{parts[i], static_cast<unsigned>(i), engine, engine_started_at};
         auto const last = impl_->answered_at(parts[i]);
         if (!last && never_answered.size() < max_suspects)
         {
@@ -269,9 +269,9 @@
     return last && *last > since;
 }
 
-bool crash_ledger::add_own(steady_time now, part_crash const& crash)
+bool crash_ledger::add_own(steady_time now, crash_mark const& crash)
 {
-    return impl_->marks_of(crash.part) < max_marks_of_part && impl_->insert(now, crash, true);
+    return impl_->marks_of(crash.suspect) < max_marks_of_part && impl_->insert(now, crash, true);
 }
 
 void crash_ledger::on_saved(steady_time now, std::string const& id)
@@ -284,7 +284,7 @@
     }
 }
 
-void crash_ledger::add(steady_time now, part_crash const& crash)
+void crash_ledger::add(steady_time now, crash_mark const& crash)
 {
     std::string const id = id_of(crash);
     auto const found = impl_->marks.find(id);
@@ -309,9 +309,9 @@
     }
 }
 
-std::vector<part_crash> crash_ledger::take_lost()
+std::vector<crash_mark> crash_ledger::take_lost()
 {
-    std::vector<part_crash> lost;
+    std::vector<crash_mark> lost;
     for (auto& [id, each] : impl_->marks)
     {
         if (std::exchange(each.lost, false))
@@ -322,7 +322,7 @@
     return lost;
 }
 
-void crash_ledger::add_reported(steady_time now, part_crash const& crash)
+void crash_ledger::add_reported(steady_time now, crash_mark const& crash)
 {
     std::string const id = id_of(crash);
     bool const known = impl_->marks.count(id) > 0;
@@ -359,10 +359,10 @@
     }
 }
 
-void crash_ledger::replace(steady_time now, std::vector<part_crash> const& crashes)
+void crash_ledger::replace(steady_time now, std::vector<crash_mark> const& crashes)
 {
     std::set<std::string> named;
-    for (part_crash const& each : crashes)
+    for (crash_mark const& each : crashes)
     {
         named.insert(id_of(each));
         add(now, each);
@@ -375,9 +375,9 @@
     impl_->find_blocked();
 }
 
-std::vector<part_crash> crash_ledger::expire(steady_time now)
+std::vector<crash_mark> crash_ledger::expire(steady_time now)
 {
-    std::vector<part_crash> expired;
+    std::vector<crash_mark> expired;
     for (auto each = impl_->marks.begin(); each != impl_->marks.end();)
     {
         bool const old = now - each->second.known_since >= mark_lifetime;
@@ -394,24 +394,24 @@
     return expired;
 }
 
-std::optional<part_block> crash_ledger::find_block(steady_time now,
-                                                   std::vector<std::string> const& parts) const
+std::optional<crash_block> crash_ledger::find_block(steady_time now,
+                                                    std::vector<std::string> const& parts) const
 {
     for (std::string const& part : parts)
     {
         auto const found = impl_->blocked.find(part);
         if (found != impl_->blocked.end() && now < found->second.until())
         {
-            return part_block{part, found->second.crashes, now - found->second.latest,
-                              found->second.until() - now};
+            return crash_block{part, found->second.crashes, now - found->second.latest,
+                               found->second.until() - now};
         }
     }
     return std::nullopt;
 }
 
-std::vector<part_block_change> crash_ledger::take_changes(steady_time now)
+std::vector<block_change> crash_ledger::take_changes(steady_time now)
 {
-    std::vector<part_block_change> changes;
+    std::vector<block_change> changes;
     std::map<std::string, unsigned> current;
     for (auto const& [part, each] : impl_->blocked)
     {
@@ -440,9 +440,9 @@
     return impl_->marks_of(part);
 }
 
-std::vector<part_crash> crash_ledger::crashes() const
+std::vector<crash_mark> crash_ledger::crashes() const
 {
-    std::vector<part_crash> all;
+    std::vector<crash_mark> all;
     for (auto const& [id, each] : impl_->marks)
     {
         all.push_back(each.crash);
@@ -450,9 +450,9 @@
     return all;
 }
 
-std::vector<part_crash> crash_ledger::new_crashes(steady_time now) const
+std::vector<crash_mark> crash_ledger::new_crashes(steady_time now) const
 {
-    std::vector<part_crash> fresh;
+    std::vector<crash_mark> fresh;
     for (auto const& [id, each] : impl_->marks)
     {
         if (each.own || now < each.kept_until)
@@ -473,7 +473,7 @@
     return sum;
 }
 
-std::size_t crash_ledger::blocked_parts(steady_time now) const
+std::size_t crash_ledger::blocked_suspects(steady_time now) const
 {
     return static_cast<std::size_t>(std::count_if(impl_->blocked.begin(), impl_->blocked.end(),
                                                   [now](auto const& each)
--- a/decision/crash_ledger.hpp
+++ b/decision/crash_ledger.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/steady_time.hpp"
-#include "domain/part_crash.hpp"
+#include "domain/crash_mark.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,18 +15,18 @@
 {
 
 /// Why requests with a part are refused, and for how long.
-struct part_block
+struct crash_block
 {
-    std::string part;
+    std::string suspect;
     unsigned crashes = 0;  ///< Crashes that no other part explains better.
     duration age{0};       ///< Since the latest of them became known here.
     duration remaining{0}; ///< Until requests with the part are tried again.
 };
 
 /// A part that has become blocked, or is blocked no longer.
-struct part_block_change
+struct block_change
 {
-    std::string part;
+    std::string suspect;
     bool blocked = false;
     unsigned crashes = 0;
 };
@@ -34,7 +34,7 @@
 /// A part that may have caused a crash.
 struct crash_suspect
 {
-    part_crash crash;
+    crash_mark crash;
     bool answered_before = false; ///< Requests with the part were answered at this instance.
 };
 
@@ -54,7 +54,7 @@
     crash_ledger& operator=(crash_ledger const&) = delete;
 
     /// A request with these parts was answered. Returns the marks that this disproves, which are dropped.
-    std::vector<part_crash> on_answered(steady_time now, std::vector<std::string> const& parts);
+    std::vector<crash_mark> on_answered(steady_time now, std::vector<std::string> const& parts);
     /// The parts that may have caused the crash of an engine which ran a request with these parts: those that
     /// were never answered here, otherwise the one whose latest answer is the oldest.
     std::vector<crash_suspect> suspects(std::vector<std::string> const& parts, backend_name const& engine,
@@ -64,14 +64,14 @@
 
     /// Adds a mark that this instance found. False when nothing changes: the mark is known, or there are
     /// enough of its part.
-    bool add_own(steady_time now, part_crash const& crash);
+    bool add_own(steady_time now, crash_mark const& crash);
     /// The store has the mark; from now on the other instances will report it.
     void on_saved(steady_time now, std::string const& id);
     /// Adds a mark that was read from the store.
-    void add(steady_time now, part_crash const& crash);
+    void add(steady_time now, crash_mark const& crash);
     /// Adds a mark that a peer has found and may not have saved. It is dropped when neither the store nor
     /// another report confirms it for a while, because the peer may have cleared it.
-    void add_reported(steady_time now, part_crash const& crash);
+    void add_reported(steady_time now, crash_mark const& crash);
     void drop_unconfirmed(steady_time now);
     /// Drops a mark that the store no longer has.
     void remove(std::string const& id);
@@ -79,26 +79,26 @@
     void on_lost(std::string const& id);
     /// The marks that the store has lost since the last call, for writing them again. To be called on the
     /// lease holder only.
-    std::vector<part_crash> take_lost();
+    std::vector<crash_mark> take_lost();
     /// Replaces all marks by those of another instance, except recent changes that it may not know yet.
-    void replace(steady_time now, std::vector<part_crash> const& crashes);
+    void replace(steady_time now, std::vector<crash_mark> const& crashes);
     /// Drops the marks that are too old. Returns them, for removal from the store. To be called on the lease
     /// holder only: the other instances take over its marks.
-    std::vector<part_crash> expire(steady_time now);
+    std::vector<crash_mark> expire(steady_time now);
 
     /// The block that applies to a request with these parts; none when it may be sent.
-    std::optional<part_block> find_block(steady_time now, std::vector<std::string> const& parts) const;
+    std::optional<crash_block> find_block(steady_time now, std::vector<std::string> const& parts) const;
     /// Changes since the last call, for the log.
-    std::vector<part_block_change> take_changes(steady_time now);
+    std::vector<block_change> take_changes(steady_time now);
 
     /// Number of marks of the part.
     std::size_t crashes_of(std::string const& part) const;
-    std::vector<part_crash> crashes() const;
+    std::vector<crash_mark> crashes() const;
     /// The marks of this instance that the lease holder may not have from the store yet.
-    std::vector<part_crash> new_crashes(steady_time now) const;
+    std::vector<crash_mark> new_crashes(steady_time now) const;
     /// Equal for instances with the same marks.
     std::uint64_t digest() const;
-    std::size_t blocked_parts(steady_time now) const;
+    std::size_t blocked_suspects(steady_time now) const;
 
 private:
     class implementation;
--- a/domain/part_crash.cpp
+++ b/domain/crash_mark.cpp
@@ -1,4 +1,4 @@
-#include "domain/part_crash.hpp"
+#include "domain/crash_mark.hpp"
 
 #include "core/hash.hpp"
 
@@ -32,15 +32,15 @@
 
 } // namespace
 
-bool operator==(part_crash const& a, part_crash const& b)
+bool operator==(crash_mark const& a, crash_mark const& b)
 {
-    return std::tie(a.part, a.position, a.engine, a.engine_started_at) ==
-           std::tie(b.part, b.position, b.engine, b.engine_started_at);
+    return std::tie(a.suspect, a.position, a.engine, a.engine_started_at) ==
+           std::tie(b.suspect, b.position, b.engine, b.engine_started_at);
 }
 
-std::string id_of(part_crash const& crash)
+std::string id_of(crash_mark const& crash)
 {
-    return hex_hash(crash.part) + "-" +
+    return hex_hash(crash.suspect) + "-" +
            hex_hash(crash.engine + "/" + std::to_string(crash.engine_started_at));
 }
 
--- a/domain/part_crash.hpp
+++ b/domain/crash_mark.hpp
@@ -11,18 +11,18 @@
 {
 
 /// A shared prompt part of a request that an engine had just begun to answer when it crashed.
-struct part_crash
+struct crash_mark
 {
-    std::string part;      ///< As in part_names().
+    std::string suspect;   ///< As in part_names().
     unsigned position = 0; ///< Of the part in its prompt; 0 is the first.
     backend_name engine;
     std::int64_t engine_started_at = 0; ///< Tells the starts of one engine apart.
 };
 
-bool operator==(part_crash const& a, part_crash const& b);
+bool operator==(crash_mark const& a, crash_mark const& b);
 
 /// Identifies the part and the crash in the fleet; the position does not count.
-std::string id_of(part_crash const& crash);
+std::string id_of(crash_mark const& crash);
 
 /// Names of the parts that other requests may share, in their order. Callers choose the ids of parts, so an
 /// id that is long or has unusual characters is replaced by a hash of fixed length.
--- a/domain/placement_exchange.cpp
+++ b/domain/placement_exchange.cpp
@@ -20,10 +20,10 @@
 bool operator==(demand_report const& a, demand_report const& b)
 {
     return std::tie(a.instance, a.peer_address, a.models, a.unreachable, a.running, a.sent_early,
-                    a.servers_position, a.part_crashes_digest, a.new_part_crashes, a.limits, a.config,
+                    a.servers_position, a.crash_marks_digest, a.new_crash_marks, a.limits, a.config,
                     a.streams) == std::tie(b.instance, b.peer_address, b.models, b.unreachable, b.running,
-                                           b.sent_early, b.servers_position, b.part_crashes_digest,
-                                           b.new_part_crashes, b.limits, b.config, b.streams);
+                                           b.sent_early, b.servers_position, b.crash_marks_digest,
+                                           b.new_crash_marks, b.limits, b.config, b.streams);
 }
 
 bool operator==(recent_placement const& a, recent_placement const& b)
@@ -40,8 +40,8 @@
 
 bool operator==(holder_reply const& a, holder_reply const& b)
 {
-    return std::tie(a.placement, a.servers, a.config, a.store_state_age, a.part_crashes, a.versions) ==
-           std::tie(b.placement, b.servers, b.config, b.store_state_age, b.part_crashes, b.versions);
+    return std::tie(a.placement, a.servers, a.config, a.store_state_age, a.crash_marks, a.versions) ==
+           std::tie(b.placement, b.servers, b.config, b.store_state_age, b.crash_marks, b.versions);
 }
 
 } // namespace siskinusher
--- a/domain/placement_exchange.hpp
+++ b/domain/placement_exchange.hpp
@@ -3,9 +3,9 @@
 #include "core/steady_time.hpp"
 #include "domain/backend_update.hpp"
 #include "domain/begun_stream.hpp"
+#include "domain/crash_mark.hpp"
 #include "domain/identifiers.hpp"
 #include "domain/known_config.hpp"
-#include "domain/part_crash.hpp"
 #include "domain/server_limit.hpp"
 
 #include <cstdint>
@@ -47,9 +47,9 @@
     bool sent_early = false; ///< Sent early because requests wait; the reply leaves out what is not urgent.
     /// Position in the holder's sequence of server changes up to which this instance knows them.
     update_position servers_position{};
-    std::uint64_t part_crashes_digest = 0; ///< Of the marks that this instance has; see crash_ledger.
+    std::uint64_t crash_marks_digest = 0; ///< Of the marks that this instance has; see crash_ledger.
     /// Marks that this instance found and that the holder may not have from the store yet.
-    std::vector<part_crash> new_part_crashes{};
+    std::vector<crash_mark> new_crash_marks{};
     std::vector<limit_report> limits{}; ///< Servers that name a limit, or have ceased to.
     known_config config{};
     std::vector<begun_stream> streams{}; ///< Those that the holder has not been told yet.
@@ -83,7 +83,7 @@
     known_config config{};
     duration store_state_age{0}; ///< Since the holder sent its latest call that the store answered.
     /// All marks of the holder; empty when the reported digest shows that the instance has the same ones.
-    std::optional<std::vector<part_crash>> part_crashes{};
+    std::optional<std::vector<crash_mark>> crash_marks{};
     std::vector<stream_versions> versions{}; ///< Recorded in the store.
 };
 
--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -35,14 +35,14 @@
     reply.config = {17, {2, 88}, "{}"};
     reply.versions = {{"llm", {"v1", "v1.1"}}};
     reply.store_state_age = milliseconds{340};
-    reply.part_crashes = std::vector<part_crash>{{"5c1e07a2", 1, "e1", 1774000000123}};
+    reply.crash_marks = std::vector<crash_mark>{{"5c1e07a2", 1, "e1", 1774000000123}};
     return reply;
 }
 
 std::string encode(holder_reply const& reply)
 {
     return encode_reply(encode_placement_update(reply.placement), encode_update(reply.servers),
-                        reply.part_crashes ? encode_part_crashes(*reply.part_crashes) : std::string(),
+                        reply.crash_marks ? encode_crash_marks(*reply.crash_marks) : std::string(),
                         reply.placement.grants, reply.config, reply.versions, reply.store_state_age);
 }
 
@@ -55,7 +55,7 @@
     auto const decoded = decode_reply(encode(reply));
     cr_assert(decoded && *decoded == reply);
     holder_reply without = reply;
-    without.part_crashes.reset();
+    without.crash_marks.reset();
     auto const shorter = decode_reply(encode(without));
     cr_assert(shorter && *shorter == without);
     demand_report const report{"i1",
--- a/tests/decision/crash_ledger_test.cpp
+++ b/tests/decision/crash_ledger_test.cpp
@@ -19,7 +19,7 @@
     return steady_time(milliseconds{ms});
 }
 
-part_crash crash_of(std::string const& part, unsigned engine, unsigned position = 1)
+crash_mark crash_of(std::string const& part, unsigned engine, unsigned position = 1)
 {
     return {part, position, "e" + std::to_string(engine), 1};
 }
@@ -47,7 +47,7 @@
     lose(ledger, at(4), {"system", "bad"}, 3);
     auto const block = ledger.find_block(at(5), {"system", "bad"});
     cr_assert(block.has_value());
-    cr_expect(block->part == "bad" && block->crashes == 3 && block->age == milliseconds{1});
+    cr_expect(block->suspect == "bad" && block->crashes == 3 && block->age == milliseconds{1});
     cr_expect_not(ledger.find_block(at(5), {"system", "good"}), "the first part is shared");
 }
 
@@ -144,10 +144,10 @@
 Test(crash_ledger, recent_changes_outlast_a_reply_without_them)
 {
     crash_ledger ledger;
-    part_crash const own = crash_of("own", 1);
-    part_crash const saved = crash_of("saved", 1);
-    part_crash const cleared = crash_of("cleared", 1);
-    part_crash const old = crash_of("old", 1);
+    crash_mark const own = crash_of("own", 1);
+    crash_mark const saved = crash_of("saved", 1);
+    crash_mark const cleared = crash_of("cleared", 1);
+    crash_mark const old = crash_of("old", 1);
     ledger.add(at(0), old);
     ledger.add(at(0), cleared);
     cr_assert(ledger.add_own(at(1), own));
@@ -262,7 +262,7 @@
 Test(crash_ledger, marks_that_the_store_has_lost_are_kept_and_returned_once)
 {
     crash_ledger ledger;
-    part_crash const crash{"p", 1, "e1", 7};
+    crash_mark const crash{"p", 1, "e1", 7};
     ledger.add(at(0), crash);
     ledger.on_lost(id_of(crash));
     cr_assert_eq(ledger.crashes_of("p"), 1);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -1,7 +1,7 @@
 #include "platform/backend_entry_codec.hpp"
+#include "platform/crash_mark_codec.hpp"
 #include "platform/lease_record_codec.hpp"
 #include "platform/order_codec.hpp"
-#include "platform/part_crash_codec.hpp"
 #include "platform/request_codec.hpp"
 #include "platform/serving_config_codec.hpp"
 #include "tests/wire/backend_standin.hpp"
@@ -188,16 +188,16 @@
 }
 
 // Guards against a mark of a crash that instances cannot read back, and against taking over damaged ones.
-Test(part_crash_codec, marks_keep_their_fields)
+Test(crash_mark_codec, marks_keep_their_fields)
 {
-    part_crash const crash{"5c1e07a2", 1, "i-7f3a91c2", 1774000000123};
-    auto spec = encode_part_crash(crash);
-    auto const decoded = decode_part_crash(spec);
+    crash_mark const crash{"5c1e07a2", 1, "i-7f3a91c2", 1774000000123};
+    auto spec = encode_crash_mark(crash);
+    auto const decoded = decode_crash_mark(spec);
     cr_assert(decoded && *decoded == crash && id_of(*decoded) == id_of(crash));
     for (char const* const field : {"part", "position", "engine", "engine_started_at"})
     {
         auto damaged = spec;
         damaged[field] = nlohmann::json::array();
-        cr_assert_not(decode_part_crash(damaged).has_value(), "%s", field);
+        cr_assert_not(decode_crash_mark(damaged).has_value(), "%s", field);
     }
 }
--- a/tests/wire/crash_fleet.cpp
+++ b/tests/wire/crash_fleet.cpp
@@ -168,8 +168,9 @@
         std::istringstream text(edge->log_text());
         for (std::string line; std::getline(text, line);)
         {
-            for (char const* const event : {"event=part_", "event=engine_check", "event=holder_",
-                                            "event=lease_", "event=state_source", "event=start"})
+            for (char const* const event :
+                 {"event=suspect_", "event=crash_mark_", "event=engine_check", "event=holder_",
+                  "event=lease_", "event=state_source", "event=start"})
             {
                 lines += line.find(event) == std::string::npos ? "" : line + "\n";
             }
