Tell in the log which lost attempts belong to one request

The line now has a fingerprint, a hash of all that a server is told of a request but what differs between two attempts: method, host, path and query, the caller's credentials, model, prompt parts and body.

--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -135,6 +135,7 @@
                  {"events", std::to_string(open.events_forwarded)},
                  {"left_ms", ms_text(open.deadline - now)},
                  {"shared_parts", parts_text(open.request.prompt)},
+                 {"fingerprint", open.suspects.request},
                  {"next", next}}});
 }
 
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -154,6 +154,7 @@
         open->config_version = config_version();
         open->service = choose_target(*route, random.next());
         open->last_event = open->request.resume_after;
+        open->suspects = platform::suspects_in(open->request, open->caller->body());
         duration const allowed =
             std::min(open->request.time_allowed.value_or(route->time_limit), route->time_limit);
         open->deadline = open->caller->arrived() + allowed;
--- a/domain/crash_mark.cpp
+++ b/domain/crash_mark.cpp
@@ -17,14 +17,18 @@
 
 constexpr std::size_t max_plain_name_length = 32;
 
-std::string hex_hash(std::string_view bytes)
+std::string hex_text(std::uint64_t value)
 {
     std::array<char, 20> text{};
-    (void)std::snprintf(text.data(), text.size(), "%016llx",
-                        static_cast<unsigned long long>(stable_hash(bytes)));
+    (void)std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(value));
     return text.data();
 }
 
+std::string hex_hash(std::string_view bytes)
+{
+    return hex_text(stable_hash(bytes));
+}
+
 bool is_plain(char c)
 {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
@@ -56,4 +60,9 @@
     return names;
 }
 
+std::string request_name(std::string_view identity, std::string_view body)
+{
+    return "request-" + hex_text(stable_hash(body, stable_hash(identity)));
+}
+
 } // namespace siskinusher
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -138,6 +138,34 @@
     cr_assert(contains(text, "Content-Length: 3\r\n\r\nxyz"));
 }
 
+// Guards against a request that is not recognised when it comes again, and against taking another one for it.
+Test(request_codec, repetitions_of_a_request_have_one_name)
+{
+    auto const name = [](std::string const& method, std::string const& target, std::string const& attempt,
+                         std::string const& caller, std::string const& model, std::string const& body)
+    {
+        Poco::Net::HTTPRequest head(method, target, "HTTP/1.1");
+        head.set("Host", "h");
+        head.set("Attempt-Id", attempt);
+        head.set("Deadline-Ms", attempt);
+        head.set("Authorization", caller);
+        head.set("Model", model);
+        head.set("Prompt-Prefix", "a:1,b:2,own:3");
+        return suspects_in(decode_request(head), body).request;
+    };
+    std::string const first = name("GET", "/p/1?page=2", "1", "me", "m", "body");
+    cr_expect_eq(first, name("GET", "/p/1?page=2", "2", "me", "m", "body"));
+    for (std::string const& other : {name("PUT", "/p/1?page=2", "1", "me", "m", "body"),
+                                     name("GET", "/p/1?page=3", "1", "me", "m", "body"),
+                                     name("GET", "/p/1?page=2", "1", "you", "m", "body"),
+                                     name("GET", "/p/1?page=2", "1", "me", "n", "body"),
+                                     name("GET", "/p/1?page=2", "1", "me", "m", "bodz"),
+                                     name("GET", "/p/1?page=2", "1", "mem", "", "body")})
+    {
+        cr_expect_neq(first, other);
+    }
+}
+
 // Guards against an answer of another request, or one that did not run, being taken for this request's.
 Test(request_codec, answers_are_told_apart)
 {
