Refuse a request that ends the servers that run it, at all instances

Cause: only prompt parts were recognised, and only on engines. A call has no prompt, so that it left no mark when its server crashed, and each repetition was new at each instance.

Change: the crash ledger holds whole requests beside parts, with one set of marks, one way to the holder and the store, and one explanation of crashes. A request that was there in three crashes is blocked at once, even if others explain them, because several such requests hide each other. A blocked request is tried again by the lease holder alone, one at a time and once: after 30 s, four times later for each further crash, 10 min at most, after 1 s if others explain its crashes. So a sound request that was blamed is served again, and a bad one ends one server for each trial. Requests that wait are refused as soon as they are blocked.

--- a/apps/crash_reporter.hpp
+++ b/apps/crash_reporter.hpp
@@ -26,10 +26,10 @@
 class metadata_store;
 }
 
-/// Tells the crash ledger, and through the store all instances, which prompt parts ran on an engine when it
-/// crashed, and which were answered.
+/// Tells the crash ledger, and through the store all instances, which requests and prompt parts ran on a
+/// server when it crashed, and which were answered.
 ///
-/// A lost connection alone proves no crash: the engine counts as crashed when its address then refuses a
+/// A lost connection alone proves no crash: the server counts as crashed when its address then refuses a
 /// connection.
 class crash_reporter
 {
@@ -44,12 +44,17 @@
     crash_reporter& operator=(crash_reporter const&) = delete;
 
     void start();
-    /// The connection to an engine ended that had just begun to answer, or had not begun.
-    void on_lost(backend_entry const& engine, std::vector<prompt_part> const& prompt);
-    /// An engine answered a request completely, or has been answering it for some time.
-    void on_answered(std::vector<prompt_part> const& prompt);
+    /// Sets the handler that is called when a request or part has become blocked.
+    void on_blocked(std::function<void()> handler);
+    /// The connection to a server ended that had just begun to answer, or had not begun.
+    void on_lost(backend_entry const& server, suspect_names const& names);
+    /// A server answered a request completely, or has been answering it for some time.
+    void on_answered(suspect_names const& names);
     /// The block that applies to a request; none when it may be sent.
-    std::optional<crash_block> find_block(std::vector<prompt_part> const& prompt) const;
+    std::optional<crash_block> find_block(suspect_names const& names) const;
+    /// As crash_ledger::begin_trial; false on all instances but the lease holder.
+    bool begin_trial(suspect_names const& names);
+    void end_trial(suspect_names const& names, bool lost);
 
 private:
     class implementation;
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -165,6 +165,7 @@
     std::string run()
     {
         service.on_missing_model([this] { placement.report_soon(); });
+        crash_reports.on_blocked([this] { service.on_blocked(); });
         service.on_unknown_stream(
             [this](std::string const& id, std::function<void(std::optional<std::string>)> done)
             { stream_records.ask(id, std::move(done)); });
--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -52,6 +52,7 @@
     std::uint64_t config_version = 0; ///< Of the configuration that the route was taken from.
     std::string service;
     suspect_names suspects; ///< Of the request, should a server crash on it.
+    bool on_trial = false;  ///< Blocked, and sent to see whether it still crashes servers.
     steady_time deadline;
     boost::asio::steady_timer deadline_timer;
     boost::asio::steady_timer progress_timer; ///< Expires when the current attempt makes no progress.
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -92,6 +92,16 @@
                  {"execution", open.may_have_run ? "may_have_run" : "not_run"}}});
 }
 
+void request_log::crash_trial(open_exchange const& open, crash_block const& block)
+{
+    metrics_.add("siskin_crash_trials_total", "", 1);
+    log_.write({"crash_trial",
+                {{"request", open.request.request_id},
+                 {"suspect", block.suspect},
+                 {"crashes", std::to_string(block.crashes)},
+                 {"age_ms", ms_text(block.age)}}});
+}
+
 void request_log::take_up(open_exchange const& open, char const* source)
 {
     metrics_.add("siskin_take_ups_total", source, 1);
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -36,7 +36,9 @@
     void refused_unrouted(open_exchange const& open, int status, std::string const& reason,
                           std::uint64_t config_version);
     void no_server(open_exchange const& open, reject_request const& step, std::size_t known_servers);
-    /// A request that is not sent because a part of its prompt crashes engines.
+    /// A blocked request that is sent, to see whether it still crashes servers.
+    void crash_trial(open_exchange const& open, crash_block const& block);
+    /// A request that is not sent because it, or a part of its prompt, crashes servers.
     void crash_blocked(open_exchange const& open, crash_block const& block);
     /// A caller takes up a stream. `source` tells who knew the version at which it must go on.
     void take_up(open_exchange const& open, char const* source);
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -40,7 +40,8 @@
 // The server may end a stream that has no length by closing the connection, also when it crashes.
 constexpr char const* broken_event = "stream_ends_in_event";
 constexpr char const* no_event = "stream_without_event";
-constexpr char const* blocked_reason = "crashing_part";
+constexpr char const* blocked_part_reason = "crashing_part";
+constexpr char const* blocked_request_reason = "crashing_request";
 constexpr char const* unknown_version_reason = "unknown_version";
 // The lease holder may learn of the stream, or answer again, within this time.
 constexpr duration unknown_stream_retry_after = milliseconds{500};
@@ -263,30 +264,64 @@
                                                                      : open.request.request_id;
     }
 
-    // Ends a request with a part that crashes engines. Returns false when it has none.
+    // Ends a request that crashes servers, unless it may be sent as a trial. Returns false when it goes on.
     bool refuse_blocked(open_pointer const& open)
     {
-        auto const block = crashes.find_block(open->request.prompt);
-        if (!block)
+        auto const block = crashes.find_block(open->suspects);
+        if (!block || is_trial(*open, *block))
         {
             return false;
         }
         log.crash_blocked(*open, *block);
+        char const* const reason =
+            block->suspect == open->suspects.request ? blocked_request_reason : blocked_part_reason;
         if (open->failed_facts && !open->answer_started)
         {
             forward_server_failure(*open);
         }
         else if (open->may_have_run || open->answer_started)
         {
-            give_up(*open, blocked_reason);
+            give_up(*open, reason);
         }
         else
         {
-            refuse(*open, block->remaining, blocked_reason);
+            refuse(*open, block->remaining, reason);
         }
         return true;
     }
 
+    // A trial is sent once: a second server would not show more.
+    bool is_trial(open_exchange& open, crash_block const& block)
+    {
+        if (block.suspect != open.suspects.request || open.times_sent > 0)
+        {
+            return false;
+        }
+        if (!open.on_trial && crashes.begin_trial(open.suspects))
+        {
+            open.on_trial = true;
+            log.crash_trial(open, block);
+        }
+        return open.on_trial;
+    }
+
+    // Requests that wait for a server are not left waiting once they are known to crash servers.
+    void refuse_newly_blocked()
+    {
+        std::vector<open_pointer> found;
+        for (auto const& [number, open] : waiting)
+        {
+            if (!open->is_running() && crashes.find_block(open->suspects))
+            {
+                found.push_back(open);
+            }
+        }
+        for (open_pointer const& open : found)
+        {
+            (void)refuse_blocked(open);
+        }
+    }
+
     void refuse_unrouted(open_exchange& open, int status, char const* reason)
     {
         std::string const lines =
@@ -444,8 +479,8 @@
     void carry_out(assign_request const& step)
     {
         open_pointer const open = take_waiting(step.number);
-        // A running attempt goes on, but no further server gets a request that crashes engines.
-        bool const keeps_server = open && open->is_running() && crashes.find_block(open->request.prompt);
+        // A running attempt goes on, but no further server gets a request that crashes servers.
+        bool const keeps_server = open && open->is_running() && crashes.find_block(open->suspects);
         if (!open || keeps_server || refuse_blocked(open))
         {
             requests.on_attempt_end(
@@ -453,7 +488,7 @@
                 {step.number, step.target.backend, attempt_result::caller_gone, false, false, {}});
             if (keeps_server)
             {
-                log.server_silent(*open, "keep", blocked_reason);
+                log.server_silent(*open, "keep", blocked_request_reason);
             }
             return;
         }
@@ -829,7 +864,7 @@
     void count_as_answered(open_exchange const& open, server_attempt& attempt)
     {
         attempt.counted_as_answered = true;
-        crashes.on_answered(open.request.prompt);
+        crashes.on_answered(open.suspects);
     }
 
     // Returns false when the event does not follow the last one.
@@ -938,9 +973,9 @@
         backend_entry const* const server = requests.find_backend(attempt.target.backend);
         bool const begun_earlier = attempt.first_event_at != steady_time{} &&
                                    boot_now() - attempt.first_event_at >= crash_onset_time;
-        if (server != nullptr && server->is_engine && !server->leaving && !begun_earlier)
+        if (server != nullptr && !server->leaving && !begun_earlier)
         {
-            crashes.on_lost(*server, open.request.prompt);
+            crashes.on_lost(*server, open.suspects);
         }
     }
 
@@ -976,10 +1011,15 @@
         {
             return;
         }
-        if (result == attempt_result::connection_lost || why == broken_event || why == no_event)
+        bool const lost = result == attempt_result::connection_lost || why == broken_event || why == no_event;
+        if (lost)
         {
             report_loss(*open, *open->current);
         }
+        if (open->on_trial && lost)
+        {
+            crashes.end_trial(open->suspects, true);
+        }
         attempt_step step = next_attempt_step(facts_after(*open, result));
         report_end(*open->current, result, result == attempt_result::answered);
         count_attempt(*open, *open->current, result);
@@ -1118,6 +1158,10 @@
 
     void close(open_exchange& open, char const* outcome, int status)
     {
+        if (open.on_trial)
+        {
+            crashes.end_trial(open.suspects, false);
+        }
         stop_looking(open, "answered");
         boost::system::error_code ignored;
         open.deadline_timer.cancel(ignored);
@@ -1163,6 +1207,11 @@
     impl_->routes.emplace(std::move(config));
 }
 
+void request_service::on_blocked()
+{
+    impl_->refuse_newly_blocked();
+}
+
 void request_service::on_request(std::shared_ptr<caller_exchange> exchange)
 {
     impl_->accept(std::move(exchange));
--- a/apps/request_service.hpp
+++ b/apps/request_service.hpp
@@ -41,6 +41,8 @@
 
     void on_config(std::shared_ptr<serving_config const> config);
     void on_request(std::shared_ptr<caller_exchange> exchange);
+    /// A request or prompt part has become blocked: requests that wait are refused if they have it.
+    void on_blocked();
     /// Carries out the dispatcher's decisions. Must be called after each event that was passed to the
     /// dispatcher.
     void run_dispatcher();
--- a/decision/crash_ledger.cpp
+++ b/decision/crash_ledger.cpp
@@ -1,11 +1,13 @@
 #include "decision/crash_ledger.hpp"
 
 #include "core/hash.hpp"
+#include "decision/answer_memory.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <set>
-#include <unordered_map>
+#include <tuple>
 #include <utility>
 
 namespace siskinusher
@@ -14,8 +16,8 @@
 namespace
 {
 
-// Crashes after which a part is blocked. Two may be a coincidence: engines also crash for other reasons, and
-// a request that lost its engine is sent to a second one.
+// Crashes after which a suspect is blocked. Two may be a coincidence: servers also crash for other reasons,
+// and a request that lost its server is sent to a second one.
 constexpr unsigned blocking_crashes = 3;
 // The same for the first part, which many requests share: blocking it by mistake would refuse a whole route.
 constexpr unsigned first_part_blocking_crashes = 5;
@@ -25,13 +27,22 @@
 constexpr duration suspected_block_time = seconds{30};
 constexpr duration proven_block_time = minutes{15};
 constexpr duration mark_lifetime = minutes{15};
-// Further crashes of one part prove nothing new.
-constexpr std::size_t max_marks_of_part = 8;
+// Further crashes under one suspect prove nothing new.
+constexpr std::size_t max_marks_of_suspect = 8;
+// A blocked request is tried again after this time, and after four times as long for each further crash.
+constexpr duration request_block_time = seconds{30};
+constexpr double request_block_growth = 4.0;
+// Shorter than mark_lifetime, so that the marks of a request that still comes are renewed by trials.
+constexpr duration max_request_block_time = minutes{10};
+// The same for a request whose crashes others explain as well.
+constexpr duration hidden_request_block_time = seconds{1};
+// The check whether a lost server has crashed takes up to 720 ms, and no other trial begins meanwhile.
+constexpr duration trial_gap = seconds{1};
+// For callers whose request waits for a trial of another one.
+constexpr duration trial_retry_after = seconds{1};
 // Limit of all marks, because callers choose the parts.
 constexpr std::size_t max_marks = 512;
 constexpr std::size_t max_suspects = 8;
-// Parts whose latest answer is remembered; twice as many at most.
-constexpr std::size_t remembered_parts = 4096;
 // Time until a change of this instance has reached the lease holder and is in its replies.
 constexpr duration change_spread_time = seconds{2};
 
@@ -46,52 +57,47 @@
     bool lost = false; ///< By the store, and not written again.
 };
 
-struct blocked_part
+struct blocked_suspect
 {
     unsigned crashes = 0;
     steady_time latest;
+    duration block_time{0};
+    bool ends_by_trial = false;
 
-    steady_time until() const
-    {
-        return latest + (crashes >= proving_crashes ? proven_block_time : suspected_block_time);
-    }
+    steady_time until() const { return latest + block_time; }
+    bool applies(steady_time now) const { return ends_by_trial || now < until(); }
 };
 
+duration block_time_of_request(std::size_t crashes)
+{
+    double const further =
+        static_cast<double>(std::max<std::size_t>(crashes, blocking_crashes)) - blocking_crashes;
+    std::chrono::duration<double> const grown = request_block_time * std::pow(request_block_growth, further);
+    return grown < max_request_block_time ? std::chrono::duration_cast<duration>(grown)
+                                          : max_request_block_time;
+}
+
 } // namespace
 
 class crash_ledger::implementation
 {
 public:
-    std::optional<steady_time> answered_at(std::string const& part) const
-    {
-        for (auto const* const each : {&answered, &answered_earlier})
-        {
-            auto const found = each->find(part);
-            if (found != each->end())
-            {
-                return found->second;
-            }
-        }
-        return std::nullopt;
-    }
-
-    void remember_answer(steady_time now, std::string const& part)
+    // Requests have a memory of their own: there is a new one with almost every answer, and the parts that
+    // many requests share would be forgotten.
+    std::optional<steady_time> answered_at(crash_mark const& mark) const
     {
-        if (answered.size() >= remembered_parts)
-        {
-            answered_earlier = std::exchange(answered, {});
-        }
-        answered[part] = now;
+        return (mark.position == whole_request ? answered_requests : answered_parts)
+            .answered_at(mark.suspect);
     }
 
-    std::size_t marks_of(std::string const& part) const
+    std::size_t marks_of(std::string const& suspect) const
     {
         return static_cast<std::size_t>(std::count_if(marks.begin(), marks.end(),
-                                                      [&part](auto const& each)
-                                                      { return each.second.crash.suspect == part; }));
+                                                      [&suspect](auto const& each)
+                                                      { return each.second.crash.suspect == suspect; }));
     }
 
-    // Makes room for a mark: drops the oldest one whose part was suspected only once. False when there is
+    // Makes room for a mark: drops the oldest one whose suspect has no other. False when there is
     // none.
     bool drop_single_mark()
     {
@@ -129,38 +135,77 @@
         return true;
     }
 
-    // Explains the crashes by as few parts as possible: the part with most of them first. Of parts with as
+    using marks_by_suspect = std::map<std::string, std::vector<mark const*>>;
+
+    // Explains the crashes by as few suspects as possible: the one with most of them first. Of those with as
     // many, the one that was answered least recently here, then the later one in the prompt, which fewer
     // requests share.
     void find_blocked()
     {
         blocked.clear();
-        std::set<std::string> explained; // Ids of crashes.
-        for (;;)
+        marks_by_suspect all;
+        for (auto const& [id, each] : marks)
         {
-            std::map<std::string, std::vector<mark const*>> by_part;
-            for (auto const& [id, each] : marks)
-            {
-                if (explained.count(crash_name(each.crash)) == 0)
-                {
-                    by_part[each.crash.suspect].push_back(&each);
-                }
-            }
-            auto const best = std::max_element(by_part.begin(), by_part.end(),
-                                               [this](auto const& a, auto const& b)
-                                               { return weight(a.second) < weight(b.second); });
-            if (best == by_part.end() || best->second.size() < needed_crashes(best->second))
+            all[each.crash.suspect].push_back(&each);
+        }
+        std::set<std::string> explained; // Names of crashes.
+        while (block_next(all, explained))
+        {
+        }
+        for (auto const& [suspect, of_suspect] : all)
+        {
+            bool const hidden = of_suspect.front()->crash.position == whole_request &&
+                                of_suspect.size() >= blocking_crashes && blocked.count(suspect) == 0;
+            if (hidden)
             {
-                return;
+                block(suspect, of_suspect).block_time = hidden_request_block_time;
             }
-            blocked_part& found = blocked[best->first];
-            found.crashes = static_cast<unsigned>(best->second.size());
-            for (mark const* const each : best->second)
+        }
+    }
+
+    // Blocks the suspect that explains most of the crashes that are not explained yet. False when none
+    // explains enough.
+    bool block_next(marks_by_suspect const& all, std::set<std::string>& explained)
+    {
+        marks_by_suspect open;
+        for (auto const& [suspect, of_suspect] : all)
+        {
+            for (mark const* const each : of_suspect)
             {
-                found.latest = std::max(found.latest, each->known_since);
-                explained.insert(crash_name(each->crash));
+                if (explained.count(crash_name(each->crash)) == 0)
+                {
+                    open[suspect].push_back(each);
+                }
             }
         }
+        auto const best = std::max_element(open.begin(), open.end(),
+                                           [this](auto const& a, auto const& b)
+                                           { return weight(a.second) < weight(b.second); });
+        if (best == open.end() || best->second.size() < needed_crashes(best->second))
+        {
+            return false;
+        }
+        blocked_suspect& found = block(best->first, best->second);
+        found.block_time = found.ends_by_trial ? block_time_of_request(all.at(best->first).size())
+                           : found.crashes >= proving_crashes ? proven_block_time
+                                                              : suspected_block_time;
+        for (mark const* const each : best->second)
+        {
+            explained.insert(crash_name(each->crash));
+        }
+        return true;
+    }
+
+    blocked_suspect& block(std::string const& suspect, std::vector<mark const*> const& crashes)
+    {
+        blocked_suspect& found = blocked[suspect];
+        found.crashes = static_cast<unsigned>(crashes.size());
+        found.ends_by_trial = crashes.front()->crash.position == whole_request;
+        for (mark const* const each : crashes)
+        {
+            found.latest = std::max(found.latest, each->known_since);
+        }
+        return found;
     }
 
     static std::string crash_name(crash_mark const& crash)
@@ -168,48 +213,57 @@
         return crash.engine + "/" + std::to_string(crash.engine_started_at);
     }
 
-    static unsigned first_position(std::vector<mark const*> const& of_part)
+    static unsigned first_position(std::vector<mark const*> const& of_suspect)
     {
-        unsigned position = of_part.front()->crash.position;
-        for (mark const* const each : of_part)
+        unsigned position = of_suspect.front()->crash.position;
+        for (mark const* const each : of_suspect)
         {
             position = std::min(position, each->crash.position);
         }
         return position;
     }
 
-    static std::size_t needed_crashes(std::vector<mark const*> const& of_part)
+    static std::size_t needed_crashes(std::vector<mark const*> const& of_suspect)
     {
-        return first_position(of_part) == 0 ? first_part_blocking_crashes : blocking_crashes;
+        return first_position(of_suspect) == 0 ? first_part_blocking_crashes : blocking_crashes;
     }
 
     std::tuple<std::size_t, steady_time::duration, unsigned>
-    weight(std::vector<mark const*> const& of_part) const
+    weight(std::vector<mark const*> const& of_suspect) const
     {
-        auto const last = answered_at(of_part.front()->crash.suspect);
+        auto const last = answered_at(of_suspect.front()->crash);
         auto const unanswered_for = last ? -last->time_since_epoch() : steady_time::duration::max();
-        return {of_part.size(), unanswered_for, first_position(of_part)};
+        return {of_suspect.size(), unanswered_for, first_position(of_suspect)};
     }
 
     std::map<std::string, mark> marks; ///< By id.
     // Marks that were dropped lately: a reply of an instance that still has one does not bring it back.
     std::map<std::string, steady_time> dropped_until;
-    std::map<std::string, blocked_part> blocked;
-    std::map<std::string, unsigned> logged; ///< Blocked parts that take_changes has returned.
-    // Time of the latest answer by part. When the first map is full, it replaces the second one.
-    std::unordered_map<std::string, steady_time> answered;
-    std::unordered_map<std::string, steady_time> answered_earlier;
+    std::map<std::string, blocked_suspect> blocked;
+    std::map<std::string, unsigned> logged; ///< Blocked suspects that take_changes has returned.
+    answer_memory answered_parts;
+    answer_memory answered_requests;
+    std::string on_trial; ///< The request that is being tried; empty for none.
+    steady_time next_trial;
+    // Earliest time of the next trial of requests that were lost on trial. At the limit of marks a further
+    // crash does not show in them.
+    std::map<std::string, steady_time> next_trial_of;
 };
 
 crash_ledger::crash_ledger() : impl_(std::make_unique<implementation>()) {}
 
 crash_ledger::~crash_ledger() = default;
 
-std::vector<crash_mark> crash_ledger::on_answered(steady_time now, std::vector<std::string> const& parts)
+std::vector<crash_mark> crash_ledger::on_answered(steady_time now, suspect_names const& names)
 {
-    for (std::string const& part : parts)
+    for (std::string const& part : names.parts)
     {
-        impl_->remember_answer(now, part);
+        impl_->answered_parts.remember(now, part);
+    }
+    if (!names.request.empty())
+    {
+        impl_->answered_requests.remember(now, names.request);
+        impl_->next_trial_of.erase(names.request);
     }
     for (auto each = impl_->dropped_until.begin(); each != impl_->dropped_until.end();)
     {
@@ -218,7 +272,10 @@
     std::vector<crash_mark> cleared;
     for (auto const& [id, each] : impl_->marks)
     {
-        if (std::find(parts.begin(), parts.end(), each.crash.suspect) != parts.end())
+        bool const named =
+            each.crash.suspect == names.request ||
+            std::find(names.parts.begin(), names.parts.end(), each.crash.suspect) != names.parts.end();
+        if (named)
         {
             cleared.push_back(each.crash);
         }
@@ -235,20 +292,19 @@
     return cleared;
 }
 
-std::vector<crash_suspect> crash_ledger::suspects(std::vector<std::string> const& parts,
-                                                  backend_name const& engine,
+std::vector<crash_suspect> crash_ledger::suspects(suspect_names const& names, backend_name const& engine,
                                                   std::int64_t engine_started_at) const
 {
-    std::vector<crash_suspect> never_answered;
+    std::vector<crash_suspect> found;
     std::optional<crash_suspect> oldest;
     steady_time oldest_answer = steady_time::max();
-    for (std::size_t i = 0; i < parts.size(); ++i)
+    for (std::size_t i = 0; i < names.parts.size(); ++i)
     {
-        crash_mark const crash{parts[i], static_cast<unsigned>(i), engine, engine_started_at};
-        auto const last = impl_->answered_at(parts[i]);
-        if (!last && never_answered.size() < max_suspects)
+        crash_mark const crash{names.parts[i], static_cast<unsigned>(i), engine, engine_started_at};
+        auto const last = impl_->answered_at(crash);
+        if (!last && found.size() < max_suspects)
         {
-            never_answered.push_back({crash, false});
+            found.push_back({crash, false});
         }
         else if (last && *last <= oldest_answer)
         {
@@ -256,22 +312,27 @@
             oldest = crash_suspect{crash, true};
         }
     }
-    if (never_answered.empty() && oldest)
+    if (found.empty() && oldest)
+    {
+        found.push_back(*oldest);
+    }
+    if (!names.request.empty())
     {
-        return {*oldest};
+        crash_mark const crash{names.request, whole_request, engine, engine_started_at};
+        found.push_back({crash, impl_->answered_at(crash).has_value()});
     }
-    return never_answered;
+    return found;
 }
 
-bool crash_ledger::answered_after(std::string const& part, steady_time since) const
+bool crash_ledger::answered_after(crash_mark const& mark, steady_time since) const
 {
-    auto const last = impl_->answered_at(part);
+    auto const last = impl_->answered_at(mark);
     return last && *last > since;
 }
 
 bool crash_ledger::add_own(steady_time now, crash_mark const& crash)
 {
-    return impl_->marks_of(crash.suspect) < max_marks_of_part && impl_->insert(now, crash, true);
+    return impl_->marks_of(crash.suspect) < max_marks_of_suspect && impl_->insert(now, crash, true);
 }
 
 void crash_ledger::on_saved(steady_time now, std::string const& id)
@@ -394,50 +455,90 @@
     return expired;
 }
 
-std::optional<crash_block> crash_ledger::find_block(steady_time now,
-                                                    std::vector<std::string> const& parts) const
+std::optional<crash_block> crash_ledger::find_block(steady_time now, suspect_names const& names) const
 {
-    for (std::string const& part : parts)
+    auto const block_of = [this, now](std::string const& suspect) -> std::optional<crash_block>
     {
-        auto const found = impl_->blocked.find(part);
-        if (found != impl_->blocked.end() && now < found->second.until())
+        auto const found = impl_->blocked.find(suspect);
+        if (found == impl_->blocked.end() || !found->second.applies(now))
         {
-            return crash_block{part, found->second.crashes, now - found->second.latest,
-                               found->second.until() - now};
+            return std::nullopt;
         }
+        blocked_suspect const& each = found->second;
+        duration const least = each.ends_by_trial ? trial_retry_after : duration{0};
+        return crash_block{suspect, each.crashes, now - each.latest,
+                           std::max<duration>(each.until() - now, least)};
+    };
+    for (std::string const& part : names.parts)
+    {
+        if (auto const block = block_of(part))
+        {
+            return block;
+        }
+    }
+    return block_of(names.request);
+}
+
+bool crash_ledger::begin_trial(steady_time now, std::string const& request)
+{
+    auto const found = impl_->blocked.find(request);
+    auto const delayed = impl_->next_trial_of.find(request);
+    bool const due = found != impl_->blocked.end() && found->second.ends_by_trial &&
+                     now >= found->second.until() &&
+                     (delayed == impl_->next_trial_of.end() || now >= delayed->second);
+    if (!due || !impl_->on_trial.empty() || now < impl_->next_trial)
+    {
+        return false;
+    }
+    impl_->on_trial = request;
+    return true;
+}
+
+void crash_ledger::end_trial(steady_time now, std::string const& request, bool lost)
+{
+    if (impl_->on_trial != request)
+    {
+        return;
+    }
+    impl_->on_trial.clear();
+    impl_->next_trial = now + trial_gap;
+    auto const found = impl_->blocked.find(request);
+    if (lost && found != impl_->blocked.end())
+    {
+        impl_->next_trial_of[request] = now + std::max<duration>(found->second.block_time, trial_gap);
     }
-    return std::nullopt;
 }
 
 std::vector<block_change> crash_ledger::take_changes(steady_time now)
 {
     std::vector<block_change> changes;
     std::map<std::string, unsigned> current;
-    for (auto const& [part, each] : impl_->blocked)
+    for (auto const& [suspect, each] : impl_->blocked)
     {
-        if (now < each.until())
+        if (each.applies(now))
         {
-            current[part] = each.crashes;
-            if (impl_->logged.count(part) == 0)
+            current[suspect] = each.crashes;
+            if (impl_->logged.count(suspect) == 0)
             {
-                changes.push_back({part, true, each.crashes});
+                changes.push_back({suspect, true, each.crashes});
             }
         }
     }
-    for (auto const& [part, crashes] : impl_->logged)
+    for (auto const& [suspect, crashes] : impl_->logged)
     {
-        if (current.count(part) == 0)
+        if (current.count(suspect) == 0)
         {
-            changes.push_back({part, false, crashes});
+            changes.push_back({suspect, false, crashes});
+            impl_->next_trial_of.erase(suspect);
         }
     }
     impl_->logged = std::move(current);
     return changes;
 }
 
-std::size_t crash_ledger::crashes_of(std::string const& part) const
+std::size_t crash_ledger::crashes_of(std::string const& suspect) const
 {
-    return impl_->marks_of(part);
+    return impl_->marks_of(suspect);
 }
 
 std::vector<crash_mark> crash_ledger::crashes() const
@@ -477,7 +578,7 @@
 {
     return static_cast<std::size_t>(std::count_if(impl_->blocked.begin(), impl_->blocked.end(),
                                                   [now](auto const& each)
-                                                  { return now < each.second.until(); }));
+                                                  { return each.second.applies(now); }));
 }
 
 bool operator==(crash_suspect const& a, crash_suspect const& b)
--- a/decision/crash_ledger.hpp
+++ b/decision/crash_ledger.hpp
@@ -14,16 +14,16 @@
 namespace siskinusher
 {
 
-/// Why requests with a part are refused, and for how long.
+/// Why a request is refused, and for how long.
 struct crash_block
 {
     std::string suspect;
-    unsigned crashes = 0;  ///< Crashes that no other part explains better.
+    unsigned crashes = 0;
     duration age{0};       ///< Since the latest of them became known here.
-    duration remaining{0}; ///< Until requests with the part are tried again.
+    duration remaining{0}; ///< Until requests with the suspect may be tried again.
 };
 
-/// A part that has become blocked, or is blocked no longer.
+/// A suspect that has become blocked, or is blocked no longer.
 struct block_change
 {
     std::string suspect;
@@ -31,20 +31,27 @@
     unsigned crashes = 0;
 };
 
-/// A part that may have caused a crash.
+/// A request or part that may have caused a crash.
 struct crash_suspect
 {
     crash_mark crash;
-    bool answered_before = false; ///< Requests with the part were answered at this instance.
+    bool answered_before = false; ///< Requests with the suspect were answered at this instance.
 };
 
-/// Finds the prompt parts that crash each engine that begins to answer a request with them.
+/// Finds the requests, and the prompt parts, that crash each server that begins to answer them.
+///
+/// All instances hold the same marks, each a suspect and a crash, and derive the same blocks from them. A
+/// suspect is blocked when enough crashes are explained by no other one; the suspect with most crashes
+/// explains them first, so that requests which only ran beside it are not blocked. A request with as many
+/// crashes that others explain is blocked too, for a short time, because several such requests at once hide
+/// each other. A complete answer clears the marks of its suspects.
+///
+/// A blocked part is tried again by anyone when its block has ended. A blocked request is tried again only by
+/// one instance, with one request at a time: a service has few servers, and all instances that try at once
+/// would end them.
 ///
-/// All instances hold the same marks, each a part and a crash, and derive the same blocked parts from them. A
-/// part is blocked when enough crashes are explained by no other part; the part with most crashes explains
-/// them first, so that parts of other requests on the same engines are not blocked. A complete answer clears
-/// the marks of its parts. It is designed for a few such parts at a time among many sound ones, and for
-/// engines that crash for other reasons meanwhile.
+/// It is designed for a few such requests and parts at a time among many sound ones, and for servers that
+/// crash for other reasons meanwhile.
 class crash_ledger
 {
 public:
@@ -53,17 +60,17 @@
     crash_ledger(crash_ledger const&) = delete;
     crash_ledger& operator=(crash_ledger const&) = delete;
 
-    /// A request with these parts was answered. Returns the marks that this disproves, which are dropped.
-    std::vector<crash_mark> on_answered(steady_time now, std::vector<std::string> const& parts);
-    /// The parts that may have caused the crash of an engine which ran a request with these parts: those that
-    /// were never answered here, otherwise the one whose latest answer is the oldest.
-    std::vector<crash_suspect> suspects(std::vector<std::string> const& parts, backend_name const& engine,
+    /// A request with these names was answered. Returns the marks that this disproves, which are dropped.
+    std::vector<crash_mark> on_answered(steady_time now, suspect_names const& names);
+    /// What may have caused the crash of a server that ran a request with these names: the request, and those
+    /// of its parts that were never answered here, otherwise the part whose latest answer is the oldest.
+    std::vector<crash_suspect> suspects(suspect_names const& names, backend_name const& engine,
                                         std::int64_t engine_started_at) const;
-    /// True when a request with the part was answered here after `since`.
-    bool answered_after(std::string const& part, steady_time since) const;
+    /// True when a request with the suspect was answered here after `since`.
+    bool answered_after(crash_mark const& mark, steady_time since) const;
 
     /// Adds a mark that this instance found. False when nothing changes: the mark is known, or there are
-    /// enough of its part.
+    /// enough of its suspect.
     bool add_own(steady_time now, crash_mark const& crash);
     /// The store has the mark; from now on the other instances will report it.
     void on_saved(steady_time now, std::string const& id);
@@ -86,13 +93,18 @@
     /// holder only: the other instances take over its marks.
     std::vector<crash_mark> expire(steady_time now);
 
-    /// The block that applies to a request with these parts; none when it may be sent.
-    std::optional<crash_block> find_block(steady_time now, std::vector<std::string> const& parts) const;
+    /// The block that applies to a request with these names; none when it may be sent.
+    std::optional<crash_block> find_block(steady_time now, suspect_names const& names) const;
+    /// Begins the trial of a blocked request. False when it is too early, or another trial is in progress. To
+    /// be called on the lease holder only.
+    bool begin_trial(steady_time now, std::string const& request);
+    /// `lost` when the server ended the connection of the request on trial.
+    void end_trial(steady_time now, std::string const& request, bool lost);
     /// Changes since the last call, for the log.
     std::vector<block_change> take_changes(steady_time now);
 
-    /// Number of marks of the part.
-    std::size_t crashes_of(std::string const& part) const;
+    /// Number of marks of the suspect.
+    std::size_t crashes_of(std::string const& suspect) const;
     std::vector<crash_mark> crashes() const;
     /// The marks of this instance that the lease holder may not have from the store yet.
     std::vector<crash_mark> new_crashes(steady_time now) const;
--- a/tests/decision/crash_ledger_test.cpp
+++ b/tests/decision/crash_ledger_test.cpp
@@ -24,10 +24,33 @@
     return {part, position, "e" + std::to_string(engine), 1};
 }
 
+// A request with these parts that is never recognised as a whole.
+suspect_names of(parts const& prompt)
+{
+    return {prompt, {}};
+}
+
+suspect_names call_named(std::string const& name)
+{
+    return {{}, name};
+}
+
+// Adds the marks that lost calls leave.
+void lose_calls(crash_ledger& ledger, steady_time now, std::vector<std::string> const& calls, unsigned server)
+{
+    for (std::string const& name : calls)
+    {
+        for (crash_suspect const& each : ledger.suspects(call_named(name), "s" + std::to_string(server), 1))
+        {
+            (void)ledger.add_own(now, each.crash);
+        }
+    }
+}
+
 // Adds the marks of the suspects that a lost request with these parts leaves.
 void lose(crash_ledger& ledger, steady_time now, parts const& prompt, unsigned engine)
 {
-    for (crash_suspect const& each : ledger.suspects(prompt, "e" + std::to_string(engine), 1))
+    for (crash_suspect const& each : ledger.suspects(of(prompt), "e" + std::to_string(engine), 1))
     {
         (void)ledger.add_own(now, each.crash);
     }
@@ -39,16 +62,16 @@
 Test(crash_ledger, three_crashes_block_a_part)
 {
     crash_ledger ledger;
-    (void)ledger.on_answered(at(0), {"system"});
+    (void)ledger.on_answered(at(0), of({"system"}));
     lose(ledger, at(1), {"system", "bad"}, 1);
     lose(ledger, at(2), {"system", "bad"}, 2);
     lose(ledger, at(3), {"system", "bad"}, 2);
-    cr_expect_not(ledger.find_block(at(4), {"system", "bad"}));
+    cr_expect_not(ledger.find_block(at(4), of({"system", "bad"})));
     lose(ledger, at(4), {"system", "bad"}, 3);
-    auto const block = ledger.find_block(at(5), {"system", "bad"});
+    auto const block = ledger.find_block(at(5), of({"system", "bad"}));
     cr_assert(block.has_value());
     cr_expect(block->suspect == "bad" && block->crashes == 3 && block->age == milliseconds{1});
-    cr_expect_not(ledger.find_block(at(5), {"system", "good"}), "the first part is shared");
+    cr_expect_not(ledger.find_block(at(5), of({"system", "good"})), "the first part is shared");
 }
 
 // Guards against blocking parts of requests that often run on the engines which another part ends.
@@ -63,8 +86,8 @@
             lose(ledger, at(engine), {"system", "unlucky"}, engine);
         }
     }
-    cr_expect(ledger.find_block(at(9), {"system", "bad"}).has_value());
-    cr_expect_not(ledger.find_block(at(9), {"system", "unlucky"}));
+    cr_expect(ledger.find_block(at(9), of({"system", "bad"})).has_value());
+    cr_expect_not(ledger.find_block(at(9), of({"system", "unlucky"})));
 }
 
 // Guards against refusing a whole route after a restart, when no part has been answered yet.
@@ -75,8 +98,8 @@
     {
         lose(ledger, at(engine), {"system", "bad"}, engine);
     }
-    cr_expect(ledger.find_block(at(9), {"system", "bad"}).has_value());
-    cr_expect_not(ledger.find_block(at(9), {"system", "good"}));
+    cr_expect(ledger.find_block(at(9), of({"system", "bad"})).has_value());
+    cr_expect_not(ledger.find_block(at(9), of({"system", "good"})));
 }
 
 // Guards against a first part that crashes engines and is never blocked.
@@ -87,9 +110,9 @@
     {
         lose(ledger, at(engine), {"bad"}, engine);
     }
-    cr_expect_not(ledger.find_block(at(9), {"bad"}));
+    cr_expect_not(ledger.find_block(at(9), of({"bad"})));
     lose(ledger, at(9), {"bad"}, 4);
-    cr_expect(ledger.find_block(at(9), {"bad"}).has_value());
+    cr_expect(ledger.find_block(at(9), of({"bad"})).has_value());
 }
 
 // Guards against refusing a part that engines answer: an answer disproves the earlier marks.
@@ -100,9 +123,9 @@
     {
         lose(ledger, at(engine), {"system", "slow"}, engine);
     }
-    cr_assert(ledger.find_block(at(9), {"slow"}).has_value());
-    cr_expect_eq(ledger.on_answered(at(10), {"system", "slow"}).size(), 6U);
-    cr_expect_not(ledger.find_block(at(11), {"slow"}));
+    cr_assert(ledger.find_block(at(9), of({"slow"})).has_value());
+    cr_expect_eq(ledger.on_answered(at(10), of({"system", "slow"})).size(), 6U);
+    cr_expect_not(ledger.find_block(at(11), of({"slow"})));
     cr_expect_eq(ledger.digest(), crash_ledger().digest());
 }
 
@@ -110,15 +133,16 @@
 Test(crash_ledger, part_with_the_oldest_answer_is_suspected)
 {
     crash_ledger ledger;
-    (void)ledger.on_answered(at(0), {"system", "turned"});
-    (void)ledger.on_answered(at(500), {"system", "good"});
-    auto const answered = ledger.suspects({"system", "turned"}, "e1", 7);
+    (void)ledger.on_answered(at(0), of({"system", "turned"}));
+    (void)ledger.on_answered(at(500), of({"system", "good"}));
+    auto const answered = ledger.suspects(of({"system", "turned"}), "e1", 7);
     cr_assert_eq(answered.size(), 1U);
     cr_expect(answered[0] == (crash_suspect{{"turned", 1, "e1", 7}, true}));
-    auto const fresh = ledger.suspects({"system", "new", "newer"}, "e1", 7);
+    auto const fresh = ledger.suspects(of({"system", "new", "newer"}), "e1", 7);
     cr_assert_eq(fresh.size(), 2U);
     cr_expect(fresh[0] == (crash_suspect{{"new", 1, "e1", 7}, false}));
-    cr_expect(ledger.answered_after("system", at(499)) && !ledger.answered_after("turned", at(499)));
+    cr_expect(ledger.answered_after(crash_of("system", 1), at(499)) &&
+              !ledger.answered_after(crash_of("turned", 1), at(499)));
 }
 
 // Guards against refusing a part for good after few crashes, and against trying a proven one again soon.
@@ -129,10 +153,10 @@
     {
         ledger.add(at(0), crash_of("bad", engine));
     }
-    cr_expect(ledger.find_block(at(29000), {"bad"}).has_value());
-    cr_expect_not(ledger.find_block(at(31000), {"bad"}));
+    cr_expect(ledger.find_block(at(29000), of({"bad"})).has_value());
+    cr_expect_not(ledger.find_block(at(31000), of({"bad"})));
     ledger.add(at(31000), crash_of("bad", 4));
-    auto const block = ledger.find_block(at(32000), {"bad"});
+    auto const block = ledger.find_block(at(32000), of({"bad"}));
     cr_assert(block.has_value());
     cr_expect(block->remaining == minutes{15} - seconds{1});
     cr_expect(ledger.expire(at(60000)).empty());
@@ -153,7 +177,7 @@
     cr_assert(ledger.add_own(at(1), own));
     cr_assert(ledger.add_own(at(1), saved));
     ledger.on_saved(at(2), id_of(saved));
-    (void)ledger.on_answered(at(2), {"cleared"});
+    (void)ledger.on_answered(at(2), of({"cleared"}));
     cr_expect_eq(ledger.new_crashes(at(3)).size(), 2U, "own and saved may be unknown to the holder");
     ledger.replace(at(3), {cleared});
     cr_expect_eq(ledger.crashes().size(), 2U, "own and saved stay, cleared does not return");
@@ -221,7 +245,7 @@
         lose(ledger, at(2), {"system", "bad"}, engine);
         lose(ledger, at(2), {"system", "q" + std::to_string(engine)}, engine);
     }
-    cr_expect(ledger.find_block(at(3), {"bad"}).has_value());
+    cr_expect(ledger.find_block(at(3), of({"bad"})).has_value());
     cr_expect_leq(ledger.crashes().size(), 512U);
 }
 
@@ -250,11 +274,12 @@
             }
             for (std::uint64_t answers = random.below(6); answers > 0; --answers)
             {
-                (void)ledger.on_answered(at(now + 10), {"system", "s" + std::to_string(random.below(12))});
+                (void)ledger.on_answered(at(now + 10),
+                                         of({"system", "s" + std::to_string(random.below(12))}));
             }
         }
-        cr_expect(ledger.find_block(at(now), {"bad"}).has_value(), "round %d", round);
-        cr_expect_not(ledger.find_block(at(now), {"system"}), "round %d", round);
+        cr_expect(ledger.find_block(at(now), of({"bad"})).has_value(), "round %d", round);
+        cr_expect_not(ledger.find_block(at(now), of({"system"})), "round %d", round);
     }
 }
 
@@ -269,3 +294,129 @@
     cr_assert_eq(ledger.take_lost().size(), 1);
     cr_assert(ledger.take_lost().empty());
 }
+
+// Guards against a request without a part of its own that is never recognised, and against blaming those
+// beside it.
+Test(crash_ledger, three_crashes_block_a_request)
+{
+    crash_ledger ledger;
+    lose_calls(ledger, at(1), {"bad", "debit1"}, 1);
+    lose_calls(ledger, at(2), {"bad", "debit2", "stock"}, 2);
+    cr_expect_not(ledger.find_block(at(3), call_named("bad")));
+    lose_calls(ledger, at(4), {"bad", "stock"}, 3);
+    auto const block = ledger.find_block(at(5), call_named("bad"));
+    cr_assert(block.has_value());
+    cr_expect(block->suspect == "bad" && block->crashes == 3);
+    cr_expect_not(ledger.find_block(at(5), call_named("stock")));
+}
+
+// Guards against a request that goes on ending servers because another one explains the same crashes.
+Test(crash_ledger, requests_that_crash_the_same_servers_are_all_blocked)
+{
+    crash_ledger ledger;
+    for (unsigned server = 0; server < 3; ++server)
+    {
+        lose_calls(ledger, at(server), {"bad_a", "bad_b", "debit" + std::to_string(server)}, server);
+    }
+    cr_expect(ledger.find_block(at(5), call_named("bad_a")).has_value());
+    cr_expect(ledger.find_block(at(5), call_named("bad_b")).has_value());
+    cr_expect_not(ledger.find_block(at(5), call_named("debit1")));
+}
+
+// Guards against all instances trying a blocked request at once when its block ends, and against trying it
+// again soon.
+Test(crash_ledger, blocked_request_is_sent_again_in_single_trials)
+{
+    crash_ledger ledger;
+    for (unsigned server = 0; server < 3; ++server)
+    {
+        lose_calls(ledger, at(0), {"bad"}, server);
+        lose_calls(ledger, at(0), {"worse"}, 10 + server);
+    }
+    cr_expect_not(ledger.begin_trial(at(29000), "bad"));
+    cr_expect(ledger.find_block(at(31000), call_named("bad")).has_value(), "only a trial may be sent");
+    cr_assert(ledger.begin_trial(at(31000), "bad"));
+    cr_expect_not(ledger.begin_trial(at(31000), "bad"));
+    cr_expect_not(ledger.begin_trial(at(31000), "worse"), "one trial at a time");
+    lose_calls(ledger, at(31100), {"bad"}, 3);
+    ledger.end_trial(at(31100), "bad", true);
+    cr_expect_not(ledger.begin_trial(at(31500), "worse"), "the lost server is being checked");
+    cr_expect(ledger.begin_trial(at(33000), "worse"));
+    ledger.end_trial(at(33100), "worse", false);
+    cr_expect_not(ledger.begin_trial(at(61100 + 30000), "bad"), "four times as long for the fourth crash");
+    cr_expect(ledger.begin_trial(at(31100 + 121000), "bad"));
+}
+
+// Guards against refusing a request for good that is sound again.
+Test(crash_ledger, answer_on_trial_ends_the_block_of_a_request)
+{
+    crash_ledger ledger;
+    for (unsigned server = 0; server < 3; ++server)
+    {
+        lose_calls(ledger, at(0), {"mended"}, server);
+    }
+    cr_assert(ledger.begin_trial(at(30000), "mended"));
+    cr_expect_eq(ledger.on_answered(at(30100), call_named("mended")).size(), 3U);
+    ledger.end_trial(at(30100), "mended", false);
+    cr_expect_not(ledger.find_block(at(30101), call_named("mended")));
+}
+
+// Guards against a request whose further crashes leave no mark because it has enough of them: it would be
+// tried again at once after each trial.
+Test(crash_ledger, lost_trial_delays_the_next_one_at_the_limit_of_marks)
+{
+    crash_ledger ledger;
+    for (unsigned server = 0; server < 12; ++server)
+    {
+        lose_calls(ledger, at(0), {"bad"}, server);
+    }
+    cr_assert(ledger.begin_trial(at(601000), "bad"));
+    lose_calls(ledger, at(601100), {"bad"}, 20);
+    ledger.end_trial(at(601100), "bad", true);
+    cr_expect_not(ledger.begin_trial(at(700000), "bad"));
+    cr_expect(ledger.begin_trial(at(1202000), "bad"));
+}
+
+// Guards against a crashing request that is found late, and a sound one that is refused for long, over random
+// mixes of several crashing requests, sound ones that callers repeat, and crashes that no request causes.
+Test(crash_ledger, random_mixes_block_the_bad_requests)
+{
+    random_source random(20261205);
+    for (int round = 0; round < 300; ++round)
+    {
+        crash_ledger ledger;
+        std::vector<unsigned> crashes(4, 0);
+        std::int64_t now = 0;
+        for (unsigned server = 0; server < 40; ++server)
+        {
+            now += 300;
+            std::vector<std::string> lost;
+            for (std::size_t bad = 0; bad < crashes.size(); ++bad)
+            {
+                std::string const name = "bad" + std::to_string(bad);
+                bool const sent = random.below(3) == 0 && !ledger.find_block(at(now), call_named(name));
+                crashes[bad] += sent ? 1 : 0;
+                lost.insert(lost.end(), sent ? 1 : 0, name);
+            }
+            std::string const popular = "popular" + std::to_string(random.below(4));
+            bool const sent = random.below(2) == 0 && !ledger.find_block(at(now), call_named(popular));
+            lost.insert(lost.end(), sent ? 1 : 0, popular);
+            lost.push_back("debit" + std::to_string(server));
+            lose_calls(ledger, at(now), lost, server);
+            for (std::uint64_t answers = random.below(4); answers > 0; --answers)
+            {
+                (void)ledger.on_answered(at(now + 10),
+                                         call_named("popular" + std::to_string(random.below(4))));
+            }
+        }
+        for (std::size_t bad = 0; bad < crashes.size(); ++bad)
+        {
+            cr_expect_leq(crashes[bad], 3U, "round %d: request %zu, %u crashes", round, bad, crashes[bad]);
+        }
+        for (unsigned popular = 0; popular < 4; ++popular)
+        {
+            auto const block = ledger.find_block(at(now), call_named("popular" + std::to_string(popular)));
+            cr_expect(!block || block->remaining <= seconds{30}, "round %d", round);
+        }
+    }
+}
