Show that an instance without servers serves nobody, as known red

Relays before the servers find the process that owns a connection by its port, since all share one loopback address.

--- a/tests/adapters/tcp_relay.hpp
+++ b/tests/adapters/tcp_relay.hpp
@@ -8,14 +8,25 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace siskinusher
 {
 
+/// What becomes of one opener's connections.
+enum class partition
+{
+    none,
+    reset,     ///< All are reset.
+    silent,    ///< All hang.
+    reset_new, ///< Those that exist live on; new ones are reset.
+};
+
 /// Forwards TCP connections to a port of this machine and records what the openers send. It can make the open
 /// connections silent without closing them, reset them, delay what passes, and cut one direction.
 class tcp_relay
@@ -68,6 +79,12 @@
     void accept_again() { refusing_ = false; }
     /// Holds back each piece of data for this long, in both directions; zero ends it.
     void delay(std::chrono::milliseconds span) { delay_ = span; }
+    /// Sets the function that tells, by the port of its end of a connection, whether an opener is cut off. To
+    /// be called before the first connection.
+    void set_partition(std::function<partition(std::uint16_t)> of_opener)
+    {
+        partition_of_ = std::move(of_opener);
+    }
     /// Drops all that the openers send, or all that is sent to them, until heal is called. A connection that
     /// has lost data forwards nothing more and is reset when the link is healed.
     void cut(bool from_openers) { (from_openers ? cut_out_ : cut_back_) = true; }
@@ -141,8 +158,21 @@
         {
             Poco::Net::StreamSocket target(Poco::Net::SocketAddress("127.0.0.1", target_));
             bool lost_data = false;
+            std::uint16_t const opener_port = opener.peerAddress().port();
+            bool const is_new = cut_of(opener_port) != partition::none;
             while (!stopping_)
             {
+                partition const cut = cut_of(opener_port);
+                if (cut == partition::reset || (cut == partition::reset_new && is_new))
+                {
+                    reset_ends(opener, target);
+                    return;
+                }
+                if (cut == partition::silent)
+                {
+                    std::this_thread::sleep_for(std::chrono::milliseconds{5});
+                    continue;
+                }
                 if (index < reset_below_ || (lost_data && !cut_out_ && !cut_back_))
                 {
                     reset_ends(opener, target);
@@ -169,6 +199,11 @@
         }
     }
 
+    partition cut_of(std::uint16_t opener_port) const
+    {
+        return partition_of_ ? partition_of_(opener_port) : partition::none;
+    }
+
     // An end of the connection that is closed without the usual handshake sends a reset.
     static void reset_ends(Poco::Net::StreamSocket& opener, Poco::Net::StreamSocket& target)
     {
@@ -222,6 +257,7 @@
     }
 
     std::uint16_t const target_;
+    std::function<partition(std::uint16_t)> partition_of_;
     Poco::Net::ServerSocket const port_;
     Poco::Net::ServerSocket listener_;
     std::atomic<bool> refusing_{false};
--- /dev/null
+++ b/tests/wire/partition_fleet.cpp
@@ -0,0 +1,179 @@
+#include "tests/wire/partition_fleet.hpp"
+
+#include "tests/wire/connection_owner.hpp"
+#include "tests/wire/request_checks.hpp"
+#include "tests/wire/small_fleet.hpp"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <set>
+#include <thread>
+
+namespace siskinusher::standins
+{
+
+namespace
+{
+
+// Enough for a judgement when each request waits for its deadline.
+constexpr unsigned callers_of_instance = 12;
+constexpr std::chrono::milliseconds call_interval{300};
+
+} // namespace
+
+partition_fleet::partition_fleet(unsigned instances)
+{
+    store_.write("config", "main", example_config(1));
+    for (unsigned i = 0; i < 6; ++i)
+    {
+        bool const engine = i >= 3;
+        std::set<std::string> const models = engine ? std::set<std::string>{"m0"} : std::set<std::string>{};
+        servers_.push_back(std::make_unique<backend_standin>(store_, "s" + std::to_string(i),
+                                                             engine ? "llm" : "plain", models));
+        servers_.back()->set_work_time(std::chrono::milliseconds{10});
+        links_.push_back(
+            std::make_unique<tcp_relay>(Poco::Net::SocketAddress(servers_.back()->address()).port()));
+        links_.back()->set_partition([this](std::uint16_t port) { return partition_of(port); });
+        servers_.back()->publish_address(links_.back()->address());
+    }
+    for (unsigned i = 0; i < instances; ++i)
+    {
+        edges_.push_back(std::make_unique<edge_child>("edge-" + std::to_string(i), store_.address()));
+    }
+    for (auto const& edge : edges_)
+    {
+        cr_assert(edge->wait_ready(), "%s", edge->log_text().c_str());
+    }
+    cr_assert(eventually([this] { return holder() < edges_.size(); }));
+    // Each instance has reported to the holder, and connections to servers exist.
+    for (std::size_t i = 0; i < edges_.size(); ++i)
+    {
+        cr_assert(eventually(
+            [&] {
+                return i == holder() ||
+                       edges_[i]->log_text().find("event=holder_reached") != std::string::npos;
+            }));
+        (void)send_for(i, std::chrono::milliseconds{500});
+    }
+}
+
+partition_fleet::~partition_fleet() = default;
+
+std::size_t partition_fleet::holder() const
+{
+    for (std::size_t i = 0; i < edges_.size(); ++i)
+    {
+        std::string const log = edges_[i]->log_text();
+        std::size_t const gained = log.rfind("event=lease_gained");
+        if (gained != std::string::npos && log.find("event=lease_lost", gained) == std::string::npos)
+        {
+            return i;
+        }
+    }
+    return edges_.size();
+}
+
+partition partition_fleet::partition_of(std::uint16_t opener_port)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    if (cuts_.empty())
+    {
+        owners_.erase(opener_port);
+        return partition::none;
+    }
+    auto owner = owners_.find(opener_port);
+    if (owner == owners_.end())
+    {
+        std::vector<pid_t> processes;
+        for (auto const& [process, shape] : cuts_)
+        {
+            processes.push_back(process);
+        }
+        owner = owners_.emplace(opener_port, owner_of_port(opener_port, processes)).first;
+    }
+    auto const cut = cuts_.find(owner->second);
+    return cut == cuts_.end() ? partition::none : cut->second;
+}
+
+void partition_fleet::cut_off(std::size_t index, partition shape)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    owners_.clear();
+    cuts_.erase(edges_[index]->process().process_id());
+    if (shape != partition::none)
+    {
+        cuts_[edges_[index]->process().process_id()] = shape;
+    }
+}
+
+bool partition_fleet::send_one(std::size_t index, unsigned kind, std::string const& id)
+{
+    edge_child const& edge = *edges_[index];
+    if (kind == 0)
+    {
+        auto const answer =
+            edge.call("POST", "/stream/1", id, {{"Model", "m0"}, {"Deadline-Ms", "3000"}}, id);
+        return answer && answer->status == 200 && event_ids(answer->body) == all_events;
+    }
+    std::string const path = kind == 1 ? "/once/" : "/again/";
+    auto const answer = edge.call(kind == 1 ? "POST" : "GET", path + id, id, {{"Deadline-Ms", "2000"}});
+    return answer && answer->status == 200 && answer->body == "body of " + id;
+}
+
+served_share partition_fleet::send_for(std::size_t index, std::chrono::milliseconds span)
+{
+    std::atomic<unsigned> sent{0};
+    std::atomic<unsigned> served{0};
+    std::vector<std::thread> callers;
+    auto const end = std::chrono::steady_clock::now() + span;
+    for (unsigned i = 0; i < callers_of_instance; ++i)
+    {
+        callers.emplace_back(
+            [&, i]
+            {
+                while (std::chrono::steady_clock::now() < end)
+                {
+                    auto const next = std::chrono::steady_clock::now() + call_interval;
+                    std::string id;
+                    {
+                        std::lock_guard<std::mutex> const lock(mutex_);
+                        id = "r" + std::to_string(++last_id_);
+                    }
+                    ++sent;
+                    served += send_one(index, i % 3, id) ? 1 : 0;
+                    std::this_thread::sleep_until(next);
+                }
+            });
+    }
+    for (std::thread& each : callers)
+    {
+        each.join();
+    }
+    return {sent, served};
+}
+
+std::map<std::string, unsigned> partition_fleet::runs()
+{
+    std::map<std::string, unsigned> all;
+    for (auto const& server : servers_)
+    {
+        for (auto const& [id, count] : server->runs())
+        {
+            all[id] += count;
+        }
+    }
+    return all;
+}
+
+std::string partition_fleet::log_text() const
+{
+    std::string text;
+    for (auto const& edge : edges_)
+    {
+        text += edge->log_text();
+    }
+    return text;
+}
+
+} // namespace siskinusher::standins
--- /dev/null
+++ b/tests/wire/partition_fleet.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "tests/adapters/tcp_relay.hpp"
+#include "tests/wire/backend_standin.hpp"
+#include "tests/wire/edge_child.hpp"
+#include "tests/wire/store_standin.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace siskinusher::standins
+{
+
+/// Requests of one kind that were sent to an instance, and how many were served.
+struct served_share
+{
+    unsigned sent = 0;
+    unsigned served = 0;
+};
+
+/// Several instances before three plain servers and three engines. Each instance can be cut off from all
+/// servers, while callers, the store and the other instances reach it.
+class partition_fleet
+{
+public:
+    explicit partition_fleet(unsigned instances);
+    ~partition_fleet();
+    partition_fleet(partition_fleet const&) = delete;
+    partition_fleet& operator=(partition_fleet const&) = delete;
+
+    edge_child& edge(std::size_t index) { return *edges_[index]; }
+    backend_standin& server(std::size_t index) { return *servers_[index]; }
+    std::size_t servers() const { return servers_.size(); }
+    /// Index of the instance that gained the lease last; the number of instances when none has.
+    std::size_t holder() const;
+    /// Cuts the instance off from all servers, or ends that.
+    void cut_off(std::size_t index, partition shape);
+
+    /// Sends calls and streams to the instance for a while, from several callers; returns what was served.
+    served_share send_for(std::size_t index, std::chrono::milliseconds span);
+    /// How often each request ran, on all servers together.
+    std::map<std::string, unsigned> runs();
+    std::string log_text() const;
+
+private:
+    partition partition_of(std::uint16_t opener_port);
+    bool send_one(std::size_t index, unsigned kind, std::string const& id);
+
+    // The links ask for these until they end.
+    std::mutex mutex_;
+    std::map<pid_t, partition> cuts_;
+    std::map<std::uint16_t, pid_t> owners_; ///< Of the ports of connections.
+    store_standin store_;
+    std::vector<std::unique_ptr<backend_standin>> servers_;
+    std::vector<std::unique_ptr<tcp_relay>> links_;
+    std::vector<std::unique_ptr<edge_child>> edges_;
+    unsigned last_id_ = 0;
+};
+
+} // namespace siskinusher::standins
