--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -16,6 +16,19 @@
 // Interval at which a pausing stream looks whether its caller has closed.
 constexpr std::chrono::milliseconds pause_check_interval{10};
 
+// Counts a request for as long as it lives.
+class running_request
+{
+public:
+    explicit running_request(std::atomic<unsigned>& count) : count_(count) { ++count_; }
+    ~running_request() { --count_; }
+    running_request(running_request const&) = delete;
+    running_request& operator=(running_request const&) = delete;
+
+private:
+    std::atomic<unsigned>& count_;
+};
+
 } // namespace
 
 backend_standin::backend_standin(store_standin& store, std::string name, std::string service,
@@ -89,6 +102,18 @@
     limit_ = std::move(per_second);
 }
 
+void backend_standin::set_brittle(std::string per_second)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    brittle_ = std::move(per_second);
+}
+
+std::vector<std::chrono::steady_clock::time_point> backend_standin::refusals()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return refusal_times_;
+}
+
 std::vector<std::chrono::steady_clock::time_point> backend_standin::arrivals()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -173,9 +198,19 @@
     bool const absent = !model.empty() && models_.count(model) == 0;
     bool const misdirected = exchange.header("Expect-Instance") != name_;
     unsigned const reject_every = reject_every_;
+    if (!brittle_.empty())
+    {
+        exchange.set_header("Server-Brittle", brittle_);
+    }
+    running_request const inside(inside_);
+    bool const no_room = room_ > 0 && inside_ > room_;
+    if (no_room)
+    {
+        refusal_times_.push_back(std::chrono::steady_clock::now());
+    }
     bool const late = fault == backend_fault::rejects_late;
-    bool const full =
-        late || fault == backend_fault::rejects || (reject_every > 0 && ++arrivals_ % reject_every == 0);
+    bool const full = late || no_room || fault == backend_fault::rejects ||
+                      (reject_every > 0 && ++arrivals_ % reject_every == 0);
     if (absent || misdirected || full || exchange.header("Hold") == "mine")
     {
         lock.unlock();
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -79,6 +79,12 @@
     void set_crash_part(std::string part, std::function<void()> on_crash);
     /// Names this limit of requests a second in each answer; empty for none.
     void set_limit(std::string per_second);
+    /// Refuses requests beyond this many at once as full; zero refuses none.
+    void set_room(unsigned requests) { room_ = requests; }
+    /// Says in each answer that it bears this many refusals a second; empty for none.
+    void set_brittle(std::string per_second);
+    /// When requests were refused as full.
+    std::vector<std::chrono::steady_clock::time_point> refusals();
     /// When requests arrived, whether they ran or not.
     std::vector<std::chrono::steady_clock::time_point> arrivals();
     /// Writes the entry of a new start under the same name.
@@ -133,6 +139,10 @@
     std::atomic<unsigned> pausing_{0};
     std::atomic<unsigned> cancelled_{0};
     std::atomic<std::size_t> padding_{0};
+    std::string brittle_;
+    std::vector<std::chrono::steady_clock::time_point> refusal_times_;
+    std::atomic<unsigned> room_{0};
+    std::atomic<unsigned> inside_{0};
     std::atomic<unsigned> reject_every_{0};
     unsigned arrivals_ = 0;
     std::atomic<bool> exceeded_memory_{false};
