Do not trust an answer on a kept connection that names no request

Report of other operators: a faulty engine writes an earlier refusal once more on a kept connection; callers are told 'not run, try again' for calls that run, or the call runs at a second engine. Answers that name another request counted as faulty; one that names none was taken for the answer.

Change: on a connection that has carried another request, an answer that names none is faulty, so that a call that may run once ends as may have run (502). On a new connection there is nothing to mistake it for.

The test failed before with 503 and passes. Two further tests show that the other two reports, an error after a broken stream and a head that ends early, do not happen here: the caller sees no text of the error, the stream is broken off, and the answer is 502. Read, no test: siskin-entry reads heads to their end or not at all (receive_head).

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -935,6 +935,11 @@
         {
             fault = "answer_of_another_request";
         }
+        else if (!facts.names_request && !attempt->via_peer && !attempt->exchange->fresh())
+        {
+            // It may have been left on the connection by an earlier request.
+            fault = "answer_of_unknown_request";
+        }
         else if (is_success(facts.status) && (!facts.has_server_stamp || facts.encoded))
         {
             fault = "unsigned_answer";
--- /dev/null
+++ b/tests/platform/faulty_answer_test.cpp
@@ -0,0 +1,180 @@
+#include "tests/support/fault_server.hpp"
+#include "tests/wire/request_checks.hpp"
+#include "tests/wire/small_fleet.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace siskinusher;
+using namespace siskinusher::standins;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// One siskin-edge process before servers that follow scripts.
+class scripted_fleet
+{
+public:
+    scripted_fleet() { store_.write("config", "main", example_config(1)); }
+
+    void add(std::string const& name, std::string const& service, std::vector<fault_server::script> scripts)
+    {
+        servers_.push_back(std::make_unique<fault_server>(std::move(scripts)));
+        nlohmann::json entry{{"service", service}, {"address", servers_.back()->address()},
+                             {"zone", "here"},     {"version", "v1"},
+                             {"slots", 8},         {"state", "ready"},
+                             {"born", 1}};
+        if (service == "llm")
+        {
+            entry["models"] = {{{"name", "m0"}, {"version", 1}, {"adapters", nlohmann::json::array()}}};
+        }
+        store_.write("servers", name, entry);
+    }
+
+    edge_child& edge()
+    {
+        if (!edge_)
+        {
+            edge_ = std::make_unique<edge_child>("edge-1", store_.address());
+            cr_assert(edge_->wait_ready(), "%s", edge_->log_text().c_str());
+        }
+        return *edge_;
+    }
+
+private:
+    store_standin store_;
+    std::vector<std::unique_ptr<fault_server>> servers_;
+    std::unique_ptr<edge_child> edge_;
+};
+
+// An answer that names the request, unless `id` is empty.
+void send_answer(fault_connection const& connection, std::string const& status_line, std::string const& id,
+                 std::string const& header_lines, std::string const& body)
+{
+    std::string const name = id.empty() ? std::string() : "Attempt-Id: " + id + "\r\n";
+    connection.send("HTTP/1.1 " + status_line + "\r\n" + name + header_lines +
+                    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+void answer_well(fault_connection const& connection)
+{
+    std::string const id = connection.header("Attempt-Id");
+    send_answer(connection, "200 OK", id, "Server-Stamp: s\r\n", "body of " + id);
+}
+
+void refuse(fault_connection const& connection, std::string const& id)
+{
+    send_answer(connection, "503 Service Unavailable", id, "Not-Executed: 1\r\n", "");
+}
+
+// Answers an engine's report and orders until a stream's request comes.
+bool receive_stream(fault_connection& connection)
+{
+    while (connection.receive())
+    {
+        if (connection.request().rfind("POST /stream", 0) == 0)
+        {
+            return true;
+        }
+        send_answer(connection, "404 Not Found", "", "", "");
+    }
+    return false;
+}
+
+void begin_events(fault_connection const& connection)
+{
+    connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + connection.header("Attempt-Id") +
+                    "\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+    connection.send_chunk("id: 1\ndata: a\n\n");
+}
+
+} // namespace
+
+// Guards against telling the caller of a call that runs that it did not run, because of bytes left on a
+// connection.
+Test(faulty_answer, refusal_that_names_no_request_proves_nothing_on_a_kept_connection)
+{
+    scripted_fleet fleet;
+    auto const script = [](fault_connection& connection)
+    {
+        while (connection.receive())
+        {
+            if (connection.header("Attempt-Id") == "first")
+            {
+                answer_well(connection);
+                continue;
+            }
+            refuse(connection, "");
+        }
+    };
+    fleet.add("p1", "plain", {script, script, script});
+    auto const first = fleet.edge().call("POST", "/once/1", "first");
+    cr_assert(first && first->status == 200);
+    auto const second = fleet.edge().call("POST", "/once/2", "second");
+    cr_expect(second && second->status == 502, "status %d\n%s", second ? second->status : 0,
+              log_of(fleet.edge(), "second").c_str());
+}
+
+// Guards against an error's text in the middle of a stream, and against a stream that seems complete after
+// it.
+Test(faulty_answer, error_after_a_broken_stream_does_not_reach_the_caller)
+{
+    for (std::string const route : {"/stream/1", "/stream-once/1"})
+    {
+        scripted_fleet fleet;
+        auto const script = [](fault_connection& connection)
+        {
+            if (!receive_stream(connection))
+            {
+                return;
+            }
+            if (connection.header("Last-Event-Id").empty())
+            {
+                begin_events(connection);
+                connection.reset();
+                return;
+            }
+            send_answer(connection, "500 Internal Server Error", connection.header("Attempt-Id"),
+                        "Server-Stamp: s\r\n", "secret text of an error");
+        };
+        std::vector<fault_server::script> const scripts(12, script);
+        fleet.add("e1", "llm", scripts);
+        fleet.add("e2", "llm", scripts);
+        auto const answer = fleet.edge().call("POST", route, "r1", {{"Model", "m0"}});
+        std::string const body = answer ? answer->body : "";
+        cr_expect(body.find("secret") == std::string::npos && body.find("HTTP/1.1") == std::string::npos,
+                  "%s", body.c_str());
+        cr_expect(eventually([&] { return !logged_outcome(fleet.edge(), "r1").empty(); }));
+        cr_expect_eq(logged_outcome(fleet.edge(), "r1"), "broken_off");
+    }
+}
+
+// Guards against a complete answer made of a head that its server did not finish.
+Test(faulty_answer, head_that_ends_early_is_no_answer)
+{
+    for (std::string const head : {"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Le", "HTTP/1.1 200 OK\r\n",
+                                   "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n", "HTTP/1.1 20"})
+    {
+        scripted_fleet fleet;
+        auto const script = [head](fault_connection& connection)
+        {
+            if (connection.receive())
+            {
+                connection.send(head);
+            }
+        };
+        fleet.add("p1", "plain", std::vector<fault_server::script>(6, script));
+        auto const answer = fleet.edge().call("POST", "/once/1", "r1");
+        cr_expect(answer && answer->status == 502, "\"%s\": status %d", head.c_str(),
+                  answer ? answer->status : 0);
+    }
+}
