Send a request again to the same server on a new connection

A server that a request was sent to before now gets it on a new connection, where nothing can be left over. The test failed before with 503 after four sendings, and passes. The price is a connection for each sending after a refusal by the only server.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -732,7 +732,7 @@
         (replaces ? open->replacement : open->current) = attempt;
         outbound_request request = make_outbound_request(*open, *attempt);
         // A kept connection may have gone silent; a new one shows that the server can be reached.
-        request.fresh_connection = replaces || open->tries_servers;
+        request.fresh_connection = replaces || open->tries_servers || was_tried(*open, step.target.backend);
         if (via_peer)
         {
             relays.on_begin(step.target.address);
@@ -767,6 +767,13 @@
         return request;
     }
 
+    // A faulty server may repeat its first answer on the connection, and that names the same request.
+    static bool was_tried(open_exchange const& open, backend_name const& backend)
+    {
+        return std::find(open.failed_servers.begin(), open.failed_servers.end(), backend) !=
+               open.failed_servers.end();
+    }
+
     void fill_forwarded(open_exchange const& open, server_attempt const& attempt,
                         platform::attempt_headers headers, outbound_request& request) const
     {
--- a/tests/platform/faulty_answer_test.cpp
+++ b/tests/platform/faulty_answer_test.cpp
@@ -124,6 +124,30 @@
               log_of(fleet.edge(), "second").c_str());
 }
 
+// Guards against taking a refusal that a server wrote twice for the answer to the next sending of the same
+// call.
+Test(faulty_answer, repeated_refusal_does_not_answer_the_next_sending)
+{
+    scripted_fleet fleet;
+    auto const first = [](fault_connection& connection)
+    {
+        while (connection.receive())
+        {
+            refuse(connection, connection.header("Attempt-Id"));
+        }
+    };
+    auto const second = [](fault_connection& connection)
+    {
+        while (connection.receive())
+        {
+            answer_well(connection);
+        }
+    };
+    fleet.add("p1", "plain", {first, second, second});
+    auto const answer = fleet.edge().call("POST", "/once/1", "r1");
+    expect_plain_answer(fleet.edge(), "r1", answer);
+}
+
 // Guards against an error's text in the middle of a stream, and against a stream that seems complete after
 // it.
 Test(faulty_answer, error_after_a_broken_stream_does_not_reach_the_caller)
