Heed servers that say in answers that they leave or want a pause

Servers that leave say so in all answers, and servers that refuse may ask for a pause; no code read either, so that both got further requests, and a request for a service whose servers all pause waited and was sent again until its time was over.

A server that leaves gets nothing new from this instance until it starts again. One that asks for a pause gets nothing meanwhile (10 s at most, 1 s when the text cannot be read); when all servers of a request pause for too long, it is refused at once with a Retry-After that follows from the pauses, spread by a quarter.

--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -163,6 +163,24 @@
                  facts.unreadable_refusal_limit, open, attempt);
 }
 
+void request_log::server_leaves(open_exchange const& open, server_attempt const& attempt)
+{
+    metrics_.add("siskin_server_announcements_total", "leaves", 1);
+    log_.write(
+        {"server_leaves", {{"backend", attempt.target.backend}, {"request", open.request.request_id}}});
+}
+
+void request_log::server_pauses(open_exchange const& open, server_attempt const& attempt, duration span)
+{
+    std::string const& unreadable = attempt.facts->unreadable_pause;
+    metrics_.add("siskin_server_announcements_total", unreadable.empty() ? "pauses" : "pauses_unreadable", 1);
+    log_.write({"server_pauses",
+                {{"backend", attempt.target.backend},
+                 {"for_ms", ms_text(span)},
+                 {"unreadable", unreadable.substr(0, max_logged_text_length)},
+                 {"request", open.request.request_id}}});
+}
+
 void request_log::limit_change(char const* event, char const* counter, std::optional<double> per_second,
                                std::string const& unreadable, open_exchange const& open,
                                server_attempt const& attempt)
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -49,6 +49,10 @@
                        attempt_ender ender, std::string const& next);
     /// The server of an attempt has named another limit, none any more, or an unreadable one.
     void server_limit(open_exchange const& open, server_attempt const& attempt);
+    /// A server says in an answer that it leaves.
+    void server_leaves(open_exchange const& open, server_attempt const& attempt);
+    /// A server asks for a pause and gets no request for `span`.
+    void server_pauses(open_exchange const& open, server_attempt const& attempt, duration span);
     /// As server_limit, for the refusals a second that a server bears.
     void server_brittle(open_exchange const& open, server_attempt const& attempt);
     /// The server of the current attempt makes no progress. `next` is "look_elsewhere" or "keep"; `reason`
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -985,6 +985,20 @@
         learn_limit(open, attempt);
     }
 
+    void learn_announcements(open_exchange const& open, server_attempt const& attempt)
+    {
+        platform::answer_info const& facts = *attempt.facts;
+        if (facts.leaving && requests.on_leaving(attempt.target.backend))
+        {
+            log.server_leaves(open, attempt);
+        }
+        if (facts.pause || !facts.unreadable_pause.empty())
+        {
+            log.server_pauses(open, attempt,
+                              requests.on_pause_request(boot_now(), attempt.target.backend, facts.pause));
+        }
+    }
+
     void learn_limit(open_exchange const& open, server_attempt const& attempt)
     {
         platform::answer_info const& facts = *attempt.facts;
@@ -992,6 +1006,7 @@
         {
             return;
         }
+        learn_announcements(open, attempt);
         bool const unreadable = !facts.unreadable_limit.empty();
         if (unreadable || requests.on_limit(boot_now(), attempt.target.backend, facts.limit))
         {
--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -270,7 +270,7 @@
     }
     for (known_backend* const backend : list->second)
     {
-        if (!backend->entry.leaving && holds(now, *backend, key))
+        if (!backend->entry.leaving && !backend->said_leaving && holds(now, *backend, key))
         {
             found.push_back(backend);
         }
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -36,6 +36,8 @@
     std::map<placement_key, steady_time> placed_until;  ///< Set when the lease holder had it loaded.
     std::map<placement_key, steady_time> leaving_until; ///< Set when the lease holder ordered its unload.
     std::map<placement_key, unsigned> running;
+    bool said_leaving = false;  ///< It said in an answer that it leaves; its entry may not show it.
+    steady_time paused_until;   ///< The server itself wants no request before.
     double unread_tokens = 0.0; ///< Prompt tokens sent by this instance and perhaps not read yet.
     double pause_level = 0.0; ///< Pauses in streams as a share of the longest one allowed; decays with time.
     steady_time paused_at;    ///< Of the last pause.
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -55,6 +55,15 @@
 constexpr duration placement_retry_after = milliseconds{1000};
 constexpr duration overload_retry_after = milliseconds{1500};
 
+// A server that asks for a longer pause gets a request after this time, which it may refuse again: its need
+// may have ended.
+constexpr duration max_pause = seconds{10};
+// For a server that asks for a pause in words that cannot be read.
+constexpr duration unreadable_pause = seconds{1};
+// Callers are told to come back up to this much later than the first server, as a share of its pause, so that
+// they do not come together.
+constexpr double max_retry_spread = 0.25;
+
 struct waiting_request
 {
     dispatch_request request;
@@ -92,7 +101,7 @@
 {
 public:
     explicit implementation(dispatcher_settings settings_in)
-        : settings(std::move(settings_in)), limiter(settings.seed)
+        : settings(std::move(settings_in)), limiter(settings.seed), random(settings.seed)
     {
     }
 
@@ -162,7 +171,7 @@
         for (known_backend* const backend : found)
         {
             if (backend->entry.name == request.running_at || now < backend->avoid_until ||
-                !has_place(now, *backend))
+                now < backend->paused_until || !has_place(now, *backend))
             {
                 continue;
             }
@@ -239,9 +248,37 @@
                             : refusal_reason::model_not_loadable;
         answer.retry_after =
             answer.reason == refusal_reason::overloaded ? overload_retry_after : placement_retry_after;
+        if (auto const first = end_of_pauses(now, waiting.request))
+        {
+            double const spread = 1.0 + max_retry_spread * static_cast<double>(random.below(100)) / 100.0;
+            answer.retry_after = std::chrono::duration_cast<duration>((*first - now) * spread);
+        }
         return {waiting.request.number, answer, basis};
     }
 
+    // When the first of the servers ends its pause; none when one of them wants none now.
+    std::optional<steady_time> end_of_pauses(steady_time now, dispatch_request const& request)
+    {
+        std::optional<steady_time> first;
+        for (known_backend const* const each :
+             table.candidates(now, request.service, placement_key{request.model, request.adapter}))
+        {
+            if (now >= each->paused_until)
+            {
+                return std::nullopt;
+            }
+            first = first ? std::min(*first, each->paused_until) : each->paused_until;
+        }
+        return first;
+    }
+
+    // True when no server can take the request before it must be refused.
+    bool paused_too_long(steady_time now, waiting_request const& waiting)
+    {
+        auto const first = end_of_pauses(now, waiting.request);
+        return first && *first >= waiting.refuse_at;
+    }
+
     // True when no server has the version at which the request's stream began. A stream that is being passed
     // on waits: a server that crashed may come back.
     bool version_gone(dispatch_request const& request) const
@@ -266,6 +303,7 @@
     backend_state_table table;
     send_limiter limiter;
     refusal_limiter refusals;
+    random_source random;
     // Sorted by priority, then by deadline.
     std::list<waiting_request> waiting;
     std::map<request_number, dispatch_request> assigned;
@@ -311,6 +349,9 @@
     {
         impl_->limiter.forget(entry.name);
         impl_->refusals.forget(entry.name);
+        known_backend* const restarted = impl_->table.find(entry.name);
+        restarted->said_leaving = false;
+        restarted->paused_until = {};
     }
     impl_->table.on_backend(entry);
 }
@@ -373,6 +414,23 @@
     return impl_->limiter.on_answer(now, backend, per_second);
 }
 
+bool dispatcher::on_leaving(backend_name const& backend)
+{
+    known_backend* const known = impl_->table.find(backend);
+    return known != nullptr && !std::exchange(known->said_leaving, true);
+}
+
+duration dispatcher::on_pause_request(steady_time now, backend_name const& backend,
+                                      std::optional<duration> pause)
+{
+    duration const bounded = std::min<duration>(pause.value_or(unreadable_pause), max_pause);
+    if (known_backend* const known = impl_->table.find(backend))
+    {
+        known->paused_until = std::max(known->paused_until, now + bounded);
+    }
+    return bounded;
+}
+
 bool dispatcher::on_refusal_limit(backend_name const& backend, std::optional<double> per_second)
 {
     return impl_->refusals.on_answer(backend, per_second);
@@ -473,7 +531,7 @@
             steps.emplace_back(impl_->assign(now, *each, *backend, basis));
         }
         else if (now >= each->refuse_at || impl_->unknown_model(each->request) ||
-                 impl_->version_gone(each->request))
+                 impl_->version_gone(each->request) || impl_->paused_too_long(now, *each))
         {
             steps.emplace_back(impl_->reject(now, *each, basis));
         }
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -56,8 +56,9 @@
 /// It is designed for these loads: bursts of one kind of request (the more urgent are served first, then
 /// those with the nearer deadline), requests for models that no engine holds (they wait up to their max_wait
 /// while the lease holder loads the model), failing servers (they are avoided for a while), slow servers
-/// (others are preferred), servers that name a limit for all instances together (others are used), and
-/// services without servers (their requests are refused at once after a short start-up time).
+/// (others are preferred), servers that name a limit for all instances together (others are used), servers
+/// that all want a pause (what cannot wait for the first of them is refused at once, to come back after it),
+/// and services without servers (their requests are refused at once after a short start-up time).
 class dispatcher
 {
 public:
@@ -81,6 +82,11 @@
     /// An answer of the server has arrived; `per_second` is the limit that it names, if any. Returns true
     /// when that changes the limit.
     bool on_limit(steady_time now, backend_name const& backend, std::optional<double> per_second);
+    /// The server says in its answers that it leaves: this start of it gets no new request. Returns true when
+    /// that is new.
+    bool on_leaving(backend_name const& backend);
+    /// The server refused a request and wants no other for a while. Returns the time for which it gets none.
+    duration on_pause_request(steady_time now, backend_name const& backend, std::optional<duration> pause);
     /// The same for the refusals a second that the server bears, of all instances together.
     bool on_refusal_limit(backend_name const& backend, std::optional<double> per_second);
     void on_attempt_end(steady_time now, attempt_report const& report);
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -109,6 +109,12 @@
     brittle_ = std::move(per_second);
 }
 
+void backend_standin::set_pause_request(std::string retry_after)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    pause_request_ = std::move(retry_after);
+}
+
 std::vector<std::chrono::steady_clock::time_point> backend_standin::refusals()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -203,6 +209,15 @@
     {
         exchange.set_header("Server-Brittle", brittle_);
     }
+    if (leaving_)
+    {
+        exchange.set_header("Server-Leaving", "1");
+    }
+    bool const wants_pause = !pause_request_.empty();
+    if (wants_pause)
+    {
+        exchange.set_header("Retry-After", pause_request_);
+    }
     running_request const inside(inside_);
     bool const no_room = room_ > 0 && inside_ > room_;
     if (room_ > 0)
@@ -215,7 +230,7 @@
         refusal_times_.push_back(std::chrono::steady_clock::now());
     }
     bool const late = fault == backend_fault::rejects_late;
-    bool const full = late || no_room || fault == backend_fault::rejects ||
+    bool const full = late || no_room || wants_pause || fault == backend_fault::rejects ||
                       (reject_every > 0 && ++arrivals_ % reject_every == 0);
     if (absent || misdirected || full || exchange.header("Hold") == "mine")
     {
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -83,6 +83,10 @@
     void set_room(unsigned requests) { room_ = requests; }
     /// Says in each answer that it bears this many refusals a second; empty for none.
     void set_brittle(std::string per_second);
+    /// Says in each answer that it leaves.
+    void set_leaving(bool value) { leaving_ = value; }
+    /// Refuses each request, and asks with this text for a pause; empty for none.
+    void set_pause_request(std::string retry_after);
     /// When requests were refused as full.
     std::vector<std::chrono::steady_clock::time_point> refusals();
     /// When requests arrived, whether they ran or not.
@@ -141,6 +145,8 @@
     std::atomic<std::size_t> padding_{0};
     std::string brittle_;
     std::vector<std::chrono::steady_clock::time_point> refusal_times_;
+    std::string pause_request_;
+    std::atomic<bool> leaving_{false};
     std::atomic<unsigned> room_{0};
     std::atomic<unsigned> inside_{0};
     std::atomic<unsigned> reject_every_{0};
