Probe servers that have not failed before counting as cut off

Change: failed connections raise a suspicion only. Two connections without a request then look whether servers that have not failed accept; only when neither does, or no such server is left, the instance counts as cut off. The search for the end of pauses costs nothing while no server pauses.

The new test failed before (servers_lost at both instances while three engines serve) and passes, with the other six of server_partition.

--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -45,9 +45,9 @@
 constexpr double reference_cpu_share = 0.25;
 constexpr duration reference_claim_delay = milliseconds{120};
 constexpr double max_claim_delay_factor = 5.0;
-// A shorter cut from all servers does not make the balancer move callers.
 // Headers that an instance adds to a request that it passes on to a peer.
 constexpr std::size_t forwarding_bytes = 1024;
+// A shorter cut from all servers does not make the balancer move callers.
 constexpr duration unready_after = milliseconds{1000};
 constexpr duration stop_poll = milliseconds{100};
 // File descriptors that are kept for files and for connections to backend servers, the store and peers.
--- a/apps/reach_keeper.cpp
+++ b/apps/reach_keeper.cpp
@@ -51,10 +51,14 @@
                   {"after_ms", std::to_string(std::chrono::duration_cast<milliseconds>(lasted).count())}}});
             on_change();
         }
+        if (reach.suspects_cut() && probes == 0)
+        {
+            look_for_sound_server(now);
+        }
         if (known_cut_off && now >= next_probe)
         {
             next_probe = now + probe_interval;
-            probe();
+            (void)probe([](backend_name const&) { return false; });
         }
         timer.expires_after(tick_interval);
         timer.async_wait(
@@ -68,30 +72,49 @@
             });
     }
 
-    // Opens a connection to one server, on which nothing is sent.
-    void probe()
+    // Servers of another service may be sound while all those of one have failed.
+    void look_for_sound_server(steady_time now)
     {
-        std::string const address = requests.any_address(random.next());
-        if (address.empty())
+        auto const failed = [this](backend_name const& server) { return reach.has_failed(server); };
+        bool const first = probe(failed);
+        if (!first)
         {
+            reach.on_all_failed(now);
             return;
         }
+        (void)probe(failed);
+    }
+
+    // Opens a connection to one server, on which nothing is sent. False when all are left out.
+    bool probe(std::function<bool(backend_name const&)> const& left_out)
+    {
         outbound_request request;
-        request.address = address;
+        request.address = requests.any_address(random.next(), left_out);
+        if (request.address.empty())
+        {
+            return false;
+        }
         request.connect_limit = probe_time_limit;
         request.time_limit = probe_time_limit;
         request.fresh_connection = true;
+        ++probes;
+        auto const accepted = std::make_shared<bool>(false);
         exchange_handlers handlers;
-        handlers.may_send = [weak = weak_from_this()]
+        handlers.may_send = [accepted]
+        {
+            *accepted = true;
+            return false;
+        };
+        handlers.on_end = [weak = weak_from_this(), accepted](exchange_end)
         {
             if (auto const self = weak.lock())
             {
-                self->reach.on_accepted();
+                --self->probes;
+                self->reach.on_probe(boot_now(), *accepted);
             }
-            return false;
         };
-        handlers.on_end = [](exchange_end) {};
         (void)pool.start(std::move(request), std::move(handlers));
+        return true;
     }
 
     outbound_pool& pool;
@@ -102,6 +125,7 @@
     random_source random;
     std::function<void()> const on_change;
     boost::asio::steady_timer timer;
+    unsigned probes = 0; ///< In progress.
     bool known_cut_off = false;
     steady_time cut_off_at;
     steady_time next_probe;
--- a/decision/backend_state_table.cpp
+++ b/decision/backend_state_table.cpp
@@ -246,12 +246,13 @@
     }
 }
 
-std::string backend_state_table::any_address(std::uint64_t draw) const
+std::string backend_state_table::any_address(std::uint64_t draw,
+                                             std::function<bool(backend_name const&)> const& left_out) const
 {
     std::vector<std::string> addresses;
     for (auto const& [name, backend] : backends_)
     {
-        if (!backend->entry.leaving)
+        if (!backend->entry.leaving && !left_out(name))
         {
             addresses.push_back(backend->entry.address);
         }
--- a/decision/backend_state_table.hpp
+++ b/decision/backend_state_table.hpp
@@ -5,6 +5,7 @@
 #include "domain/event.hpp"
 #include "domain/placement_exchange.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -66,8 +67,9 @@
     std::size_t size() const { return backends_.size(); }
     /// The failures of late were not those of the servers.
     void forget_failures();
-    /// Address of a server that is not leaving, chosen by `draw`; empty when there is none.
-    std::string any_address(std::uint64_t draw) const;
+    /// Address of a server that is not leaving and not left out, chosen by `draw`; empty when there is none.
+    std::string any_address(std::uint64_t draw,
+                            std::function<bool(backend_name const&)> const& left_out) const;
 
     /// Servers of the service that hold the model and adapter and are not leaving.
     std::vector<known_backend*> candidates(steady_time now, std::string const& service,
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -259,6 +259,10 @@
     // When the first of the servers ends its pause; none when one of them wants none now.
     std::optional<steady_time> end_of_pauses(steady_time now, dispatch_request const& request)
     {
+        if (now >= latest_pause_end)
+        {
+            return std::nullopt;
+        }
         std::optional<steady_time> first;
         for (known_backend const* const each :
              table.candidates(now, request.service, placement_key{request.model, request.adapter}))
@@ -304,6 +308,7 @@
     send_limiter limiter;
     refusal_limiter refusals;
     random_source random;
+    steady_time latest_pause_end; ///< Of all servers.
     // Sorted by priority, then by deadline.
     std::list<waiting_request> waiting;
     std::map<request_number, dispatch_request> assigned;
@@ -427,6 +432,7 @@
     if (known_backend* const known = impl_->table.find(backend))
     {
         known->paused_until = std::max(known->paused_until, now + bounded);
+        impl_->latest_pause_end = std::max(impl_->latest_pause_end, known->paused_until);
     }
     return bounded;
 }
@@ -613,9 +619,10 @@
     impl_->table.forget_failures();
 }
 
-std::string dispatcher::any_address(std::uint64_t draw) const
+std::string dispatcher::any_address(std::uint64_t draw,
+                                    std::function<bool(backend_name const&)> const& left_out) const
 {
-    return impl_->table.any_address(draw);
+    return impl_->table.any_address(draw, left_out);
 }
 
 std::size_t dispatcher::waiting() const
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "domain/serving_config.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -122,8 +123,9 @@
     backend_entry const* find_backend(backend_name const& name) const;
     /// The failures of late were those of this instance's own link: no server is avoided because of them.
     void forget_failures();
-    /// Address of a server that is not leaving, chosen by `draw`; empty when there is none.
-    std::string any_address(std::uint64_t draw) const;
+    /// Address of a server that is not leaving and not left out, chosen by `draw`; empty when there is none.
+    std::string any_address(std::uint64_t draw,
+                            std::function<bool(backend_name const&)> const& left_out) const;
     std::size_t waiting() const;
     std::size_t backends() const;
 
--- a/decision/server_reach.cpp
+++ b/decision/server_reach.cpp
@@ -12,6 +12,8 @@
 // Servers that fail one after the other before the link of this instance is suspected. A request that ends
 // its servers reaches two.
 constexpr std::size_t failed_servers_of_cut = 3;
+// Servers that have not failed and accept no connection.
+constexpr unsigned failed_probes_of_cut = 2;
 // Failures within one moment prove little.
 constexpr duration min_unanswered_time = milliseconds{300};
 // Servers that are only slow send events of other streams in this time.
@@ -45,6 +47,7 @@
     }
     answered_fresh_at_ = now;
     failed_fresh_.clear();
+    suspects_cut_ = false;
     cut_off_ = false;
     accepted_ = false;
     trial_at_ = {};
@@ -68,19 +71,57 @@
     bool const silent = recent(failed_, now) >= needed && now - received_at_ >= min_silent_time;
     bool const refused =
         recent(failed_fresh_, now) >= needed && now - answered_fresh_at_ >= min_unanswered_time;
-    if (silent || refused)
+    if ((silent || refused) && !suspects_cut_)
     {
-        cut_off_ = true;
-        cut_off_since_ = now;
-        accepted_ = false;
-        failed_.clear();
-        failed_fresh_.clear();
+        suspects_cut_ = true;
+        failed_probes_ = 0;
+    }
+    if (suspects_cut_ && failed_.size() >= known_servers)
+    {
+        begin_cut(now);
+    }
+}
+
+void server_reach::begin_cut(steady_time now)
+{
+    suspects_cut_ = false;
+    cut_off_ = true;
+    cut_off_since_ = now;
+    accepted_ = false;
+    failed_.clear();
+    failed_fresh_.clear();
+}
+
+void server_reach::on_probe(steady_time now, bool accepted)
+{
+    if (cut_off_)
+    {
+        accepted_ = accepted_ || accepted;
+        return;
+    }
+    if (!suspects_cut_)
+    {
+        return;
+    }
+    failed_probes_ = accepted ? 0 : failed_probes_ + 1;
+    suspects_cut_ = !accepted;
+    if (failed_probes_ >= failed_probes_of_cut)
+    {
+        begin_cut(now);
+    }
+}
+
+void server_reach::on_all_failed(steady_time now)
+{
+    if (suspects_cut_)
+    {
+        begin_cut(now);
     }
 }
 
-void server_reach::on_accepted()
+bool server_reach::has_failed(backend_name const& server) const
 {
-    accepted_ = cut_off_;
+    return failed_.count(server) > 0 || failed_fresh_.count(server) > 0;
 }
 
 bool server_reach::begin_trial(steady_time now, bool repeatable)
--- a/tests/platform/server_partition_test.cpp
+++ b/tests/platform/server_partition_test.cpp
@@ -162,3 +162,16 @@
     }
     cr_expect(eventually([&] { return fleet.send_for(1, milliseconds{300}).served >= 10; }));
 }
+
+// Guards against refusing streams because all servers of another service have ended.
+Test(server_partition, streams_are_served_when_all_plain_servers_have_ended)
+{
+    partition_fleet fleet(2);
+    fleet.end_plain_servers();
+    served_share const mixed = fleet.send_for(0, seconds{4});
+    cr_assert_geq(mixed.sent, 30U);
+    // One of three callers asks for streams.
+    cr_expect_geq(mixed.served * 3U + 3U, mixed.sent, "%u of %u", mixed.served, mixed.sent);
+    cr_expect(fleet.log_of_request("none").find("event=servers_lost") == std::string::npos, "%s",
+              fleet.log_of_request("none").c_str());
+}
--- a/tests/wire/partition_fleet.cpp
+++ b/tests/wire/partition_fleet.cpp
@@ -113,6 +113,17 @@
     }
 }
 
+void partition_fleet::end_plain_servers()
+{
+    for (std::size_t i = 0; i < links_.size(); ++i)
+    {
+        if (servers_[i]->service() == "plain")
+        {
+            links_[i]->refuse();
+        }
+    }
+}
+
 bool partition_fleet::send_one(std::size_t index, unsigned kind, std::string const& id)
 {
     edge_child const& edge = *edges_[index];
--- a/tests/wire/partition_fleet.hpp
+++ b/tests/wire/partition_fleet.hpp
@@ -43,6 +43,8 @@
     /// Cuts the instance off from all servers, or ends that.
     void cut_off(std::size_t index, partition shape);
 
+    /// Makes the addresses of all plain servers refuse connections, as if they had ended.
+    void end_plain_servers();
     /// Sends calls and streams to the instance for a while; returns what was served. Twelve callers are
     /// enough for a judgement when each request waits for its deadline.
     served_share send_for(std::size_t index, std::chrono::milliseconds span, unsigned callers = 12);
