--- a/decision/crash_ledger.cpp
+++ b/decision/crash_ledger.cpp
@@ -471,7 +471,7 @@
     };
     for (std::string const& part : names.parts)
     {
-        if (auto const block = block_of(part))
+        if (auto block = block_of(part))
         {
             return block;
         }
--- a/tests/decision/refusal_limiter_test.cpp
+++ b/tests/decision/refusal_limiter_test.cpp
@@ -71,8 +71,8 @@
     (void)limiter.on_answer("s", 10.0);
     for (int i = 0; i < 3; ++i)
     {
-        cr_expect(limiter.may_send(at(100 * i), "s", 0, 0, 6));
-        limiter.on_refused(at(100 * i), "s");
+        cr_expect(limiter.may_send(at(100LL * i), "s", 0, 0, 6));
+        limiter.on_refused(at(100LL * i), "s");
     }
     cr_expect_not(limiter.may_send(at(999), "s", 0, 0, 6));
     cr_expect(limiter.may_send(at(1000), "s", 0, 0, 6));
--- a/tests/decision/server_reach_test.cpp
+++ b/tests/decision/server_reach_test.cpp
@@ -21,7 +21,7 @@
 {
     for (unsigned i = 0; i < servers; ++i)
     {
-        reach.on_failure(at(from_ms + 100 * i), "s" + std::to_string(i), true, known_servers);
+        reach.on_failure(at(from_ms + 100LL * i), "s" + std::to_string(i), true, known_servers);
     }
 }
 
@@ -35,8 +35,8 @@
     for (unsigned i = 0; i < 3; ++i)
     {
         cr_expect_not(reach.suspects_cut());
-        reach.on_answer(at(690 + 10 * i), false);
-        reach.on_failure(at(700 + 10 * i), "s" + std::to_string(i), true, known_servers);
+        reach.on_answer(at(690 + 10LL * i), false);
+        reach.on_failure(at(700 + 10LL * i), "s" + std::to_string(i), true, known_servers);
     }
     cr_expect(reach.suspects_cut() && !reach.cut_off());
     reach.on_probe(at(800), false);
@@ -54,7 +54,7 @@
     reach.on_answer(at(0), true);
     for (unsigned i = 0; i < 20; ++i)
     {
-        reach.on_failure(at(100 * i), "same", true, known_servers);
+        reach.on_failure(at(100LL * i), "same", true, known_servers);
     }
     lose_connections(reach, 5000, 2);
     cr_expect_not(reach.suspects_cut());
@@ -78,9 +78,9 @@
     server_reach hanging;
     for (unsigned i = 0; i < 6; ++i)
     {
-        busy.on_answer(at(200 * i), false);
-        busy.on_failure(at(200 * i + 1), "s" + std::to_string(i), false, known_servers);
-        hanging.on_failure(at(200 * i), "s" + std::to_string(i), false, known_servers);
+        busy.on_answer(at(200LL * i), false);
+        busy.on_failure(at(200LL * i + 1), "s" + std::to_string(i), false, known_servers);
+        hanging.on_failure(at(200LL * i), "s" + std::to_string(i), false, known_servers);
     }
     cr_expect_not(busy.suspects_cut());
     cr_expect(hanging.suspects_cut());
