--- a/tests/platform/server_partition_test.cpp
+++ b/tests/platform/server_partition_test.cpp
@@ -82,6 +82,7 @@
         }
     }
     std::vector<std::thread> callers;
+    callers.reserve(4);
     for (std::size_t const each : cut)
     {
         callers.emplace_back([&fleet, each] { (void)fleet.send_for(each, contact_time); });
