Notice a cut in which servers accept connections and do not answer

Traced: since probes decide, an accepted connection ended the suspicion, also where everything hangs.

Change: silence of three servers, while nothing arrives from any for 0.6 s, is a cut without probes; failures of new connections are remembered for 6 s, which is safe since probes can end the suspicion. The end of a kept connection no longer counts: a server that ends does the same.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -1246,13 +1246,13 @@
             relays.on_end(attempt.target.address);
             return;
         }
-        bool const no_sign =
-            !attempt.facts && (result == attempt_result::not_sent ||
-                               result == attempt_result::connection_lost || result == attempt_result::silent);
-        if (no_sign)
+        // A kept connection also ends when its server does.
+        bool const silent = result == attempt_result::silent;
+        bool const unreached =
+            fresh && (result == attempt_result::not_sent || result == attempt_result::connection_lost);
+        if (!attempt.facts && (silent || unreached))
         {
-            reach.on_failure(boot_now(), attempt.target.backend, fresh && result != attempt_result::silent,
-                             requests.backends());
+            reach.on_failure(boot_now(), attempt.target.backend, unreached, requests.backends());
         }
         bool const absent =
             attempt.facts && attempt.facts->status == 421 && !attempt.facts->from_other_server;
--- a/decision/server_reach.cpp
+++ b/decision/server_reach.cpp
@@ -18,8 +18,8 @@
 constexpr duration min_unanswered_time = milliseconds{300};
 // Servers that are only slow send events of other streams in this time.
 constexpr duration min_silent_time = milliseconds{600};
-// Servers that failed one by one over a longer time did so for reasons of their own.
-constexpr duration failure_memory = milliseconds{2000};
+// A server that has failed is avoided for up to 4 s, so that its next failure may come that much later.
+constexpr duration failure_memory = milliseconds{6000};
 // A trial without an outcome, for example because its caller has left, keeps others back for this long.
 constexpr duration trial_time = milliseconds{1000};
 // Requests that may run only once are tried after servers have accepted connections for this long.
@@ -40,7 +40,7 @@
 void server_reach::on_answer(steady_time now, bool fresh)
 {
     received_at_ = now;
-    failed_.clear();
+    silent_.clear();
     if (!fresh)
     {
         return;
@@ -63,20 +63,19 @@
         return;
     }
     std::size_t const needed = std::max<std::size_t>(std::min(failed_servers_of_cut, known_servers), 1);
-    failed_[server] = now;
-    if (fresh)
+    (fresh ? failed_fresh_ : silent_)[server] = now;
+    if (recent(silent_, now) >= needed && now - received_at_ >= min_silent_time)
     {
-        failed_fresh_[server] = now;
+        begin_cut(now); // Accepted connections would not show that servers answer.
+        return;
     }
-    bool const silent = recent(failed_, now) >= needed && now - received_at_ >= min_silent_time;
-    bool const refused =
-        recent(failed_fresh_, now) >= needed && now - answered_fresh_at_ >= min_unanswered_time;
-    if ((silent || refused) && !suspects_cut_)
+    if (recent(failed_fresh_, now) < needed || now - answered_fresh_at_ < min_unanswered_time)
     {
-        suspects_cut_ = true;
-        failed_probes_ = 0;
+        return;
     }
-    if (suspects_cut_ && failed_.size() >= known_servers)
+    failed_probes_ = suspects_cut_ ? failed_probes_ : 0;
+    suspects_cut_ = true;
+    if (failed_fresh_.size() >= known_servers)
     {
         begin_cut(now);
     }
@@ -88,7 +87,7 @@
     cut_off_ = true;
     cut_off_since_ = now;
     accepted_ = false;
-    failed_.clear();
+    silent_.clear();
     failed_fresh_.clear();
 }
 
@@ -121,7 +120,7 @@
 
 bool server_reach::has_failed(backend_name const& server) const
 {
-    return failed_.count(server) > 0 || failed_fresh_.count(server) > 0;
+    return silent_.count(server) > 0 || failed_fresh_.count(server) > 0;
 }
 
 bool server_reach::begin_trial(steady_time now, bool repeatable)
--- a/decision/server_reach.hpp
+++ b/decision/server_reach.hpp
@@ -11,22 +11,22 @@
 
 /// Tells whether this instance reaches the backend servers at all, as opposed to single servers that fail.
 ///
-/// It suspects a cut when new connections to several servers failed in a row and none brought an answer
-/// meanwhile, or when several servers gave no sign and nothing has arrived from any. Connections that are
-/// kept may live on in a cut. Since all servers of one service may be gone, connections without a request
-/// then look whether servers that have not failed accept: the instance counts as cut off when none does, or
-/// when all have failed. Only an answer on a new connection ends the cut. While it lasts, connections without
-/// a request look whether servers accept again, and then single requests on trial whether they answer: during
-/// a cut connections may be accepted and reset. The loss of all servers looks the same; the other instances
-/// can tell it from a cut.
+/// It counts as cut off when several servers were silent and nothing has arrived from any meanwhile. It
+/// suspects a cut when new connections to several servers failed in a row and none brought an answer
+/// meanwhile; those that are kept may live on in a cut. Since all servers of one service may be gone,
+/// connections without a request then look whether servers that have not failed accept: the instance counts
+/// as cut off when none does, or when all have failed. Only an answer on a new connection ends the cut. While
+/// it lasts, connections without a request look whether servers accept again, and then single requests on
+/// trial whether they answer: during a cut connections may be accepted and reset. The loss of all servers
+/// looks the same; the other instances can tell it from a cut.
 class server_reach
 {
 public:
     /// A part of an answer has arrived from a server. `fresh` when its connection has carried no other
     /// request.
     void on_answer(steady_time now, bool fresh);
-    /// No connection, a connection that ended without an answer, or silence, which is no failure of a fresh
-    /// connection. `known_servers` is the number of servers that could have answered.
+    /// A new connection failed or ended without an answer (`fresh`), or a server was silent. `known_servers`
+    /// is the number of servers that could have answered.
     void on_failure(steady_time now, backend_name const& server, bool fresh, std::size_t known_servers);
     /// A connection without a request was accepted, or was not, while a cut was suspected or lasted.
     void on_probe(steady_time now, bool accepted);
@@ -46,8 +46,8 @@
 private:
     using failures = std::map<backend_name, steady_time>;
 
-    failures failed_;       ///< Latest failure by server, since anything arrived from a server.
-    failures failed_fresh_; ///< On new connections, since one of them brought an answer.
+    failures silent_;       ///< Latest silence by server, since anything arrived from one.
+    failures failed_fresh_; ///< The same for new connections, since one of them brought an answer.
     steady_time received_at_;
     steady_time answered_fresh_at_;
     void begin_cut(steady_time now);
