Read the platform's bounds and the operators' allowances with fractions

Change: bounds are numbers. What may take at most a time, and what is allowed as a number of things, is rounded down; what must be waited for is rounded up, to the microsecond. Messages write 1000000, not 1e+06.

--- a/adapters/edge_settings.cpp
+++ b/adapters/edge_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/yaml_tree.hpp"
 
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -11,9 +12,25 @@
 namespace
 {
 
-duration milliseconds_of(yaml_map& map, char const* name, std::uint64_t low, std::uint64_t high)
+constexpr double microseconds_per_ms = 1000.0;
+constexpr double microseconds_per_s = 1000000.0;
+
+// The time that something may take at most. It is rounded down, so that the limit is never exceeded.
+duration time_limit(yaml_map& map, char const* name, double low, double high, double unit)
+{
+    return duration{static_cast<std::int64_t>(std::floor(map.number(name, low, high) * unit))};
+}
+
+// The time that must pass at least. It is rounded up.
+duration waiting_time(yaml_map& map, char const* name, double low, double high, double unit)
+{
+    return duration{static_cast<std::int64_t>(std::ceil(map.number(name, low, high) * unit))};
+}
+
+// A number of things that are allowed: what is left over after the whole ones allows none.
+std::uint64_t allowed_count(yaml_map& map, char const* name, double low, double high)
 {
-    return milliseconds{static_cast<std::int64_t>(map.integer(name, low, high))};
+    return static_cast<std::uint64_t>(std::floor(map.number(name, low, high)));
 }
 
 yaml_map section(yaml_map& parent, std::string const& name, std::string const& accepted)
@@ -54,24 +71,24 @@
 
     yaml_map platform = section(root, "platform", "a map of object_store, leaving_ms and change_ms");
     settings.store_address = platform.address("object_store");
-    settings.leaving_time = milliseconds_of(platform, "leaving_ms", 100, 600000);
-    settings.change_time = milliseconds_of(platform, "change_ms", 100, 600000);
+    settings.leaving_time = time_limit(platform, "leaving_ms", 100.0, 600000.0, microseconds_per_ms);
+    settings.change_time = time_limit(platform, "change_ms", 100.0, 600000.0, microseconds_per_ms);
     platform.finish();
 
     yaml_map retries = section(root, "retries", "a map of ratio, window_s and slack");
     settings.retry_ratio = retries.number("ratio", 0.0, 10.0);
-    settings.retry_window = seconds{static_cast<std::int64_t>(retries.integer("window_s", 1, 3600))};
-    settings.spare_retries = static_cast<unsigned>(retries.integer("slack", 0, 1000000));
+    settings.retry_window = waiting_time(retries, "window_s", 1.0, 3600.0, microseconds_per_s);
+    settings.spare_retries = static_cast<unsigned>(allowed_count(retries, "slack", 0.0, 1000000.0));
     retries.finish();
 
     yaml_map orders = section(root, "orders", "a map of holder_gap_ms and load_window_s");
-    settings.holder_gap = milliseconds_of(orders, "holder_gap_ms", 0, 600000);
+    settings.holder_gap = waiting_time(orders, "holder_gap_ms", 0.0, 600000.0, microseconds_per_ms);
     settings.load_window_s = orders.number("load_window_s", 0.1, 3600.0);
     orders.finish();
 
     yaml_map limits = section(root, "limits", "a map of stop_s, descriptors and cpu_share");
-    settings.stop_time = seconds{static_cast<std::int64_t>(limits.integer("stop_s", 1, 3600))};
-    settings.descriptors = limits.integer("descriptors", 64, 10000000);
+    settings.stop_time = time_limit(limits, "stop_s", 1.0, 3600.0, microseconds_per_s);
+    settings.descriptors = allowed_count(limits, "descriptors", 64.0, 10000000.0);
     settings.cpu_share = limits.number("cpu_share", 0.001, 1024.0, 1.0);
     limits.finish();
 
--- a/adapters/yaml_tree.cpp
+++ b/adapters/yaml_tree.cpp
@@ -229,7 +229,9 @@
 
 std::string format_number(double value)
 {
+    constexpr int exact_digits = 15; // Writes 1000000 and not 1e+06.
     std::ostringstream out;
+    out.precision(exact_digits);
     out << value;
     return out.str();
 }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -119,6 +119,30 @@
     cr_assert_not(decode_serving_config(json(), why).has_value());
 }
 
+// Guards against an allowance with a fraction, as in a scaled-down copy of a deployment, being read as its
+// default: a single attempt, no places for adapters, or no limit on bytes.
+Test(serving_config_codec, allowances_with_a_fraction_allow_the_whole_ones)
+{
+    std::string why;
+    json text = standins::example_config(7);
+    text["routes"][1]["attempts"] = 2.9;
+    text["routes"][1]["timeout_ms"] = 1500.25;
+    text["limits"] = {{"max_header_bytes", 8192.5}, {"max_body_bytes", 65536.75}};
+    text["services"][0]["max_conns"] = 99.5;
+    text["services"][0]["engine"] = {{"slots", 16.5}, {"adapter_slots", 8.2}, {"weights_mb", 100.5}};
+    auto const config = decode_serving_config(text, why);
+    cr_assert(config.has_value(), "%s", why.c_str());
+    cr_assert_eq(config->routes[1].max_backends, 2);
+    cr_assert(config->routes[1].time_limit == microseconds{1500250});
+    cr_assert_eq(config->limits.head_bytes, 8192);
+    cr_assert_eq(config->limits.body_bytes, 65536);
+    cr_assert_eq(config->services[0].max_connections, 99);
+    cr_assert_eq(config->services[0].engine->places, 16);
+    cr_assert_eq(config->services[0].engine->adapter_places, 8);
+    text["version"] = 7.5; // A version is exact.
+    cr_assert_not(decode_serving_config(text, why).has_value());
+}
+
 // Guards against a caller's headers that only the system may set reaching a server, and against the caller's
 // deadline being passed on instead of the time left.
 Test(request_codec, system_headers_of_callers_are_dropped)
