Count events, not bytes, as progress of a stream

A report of other operators: stalled streams that sent a byte now and then never ended. It could happen here until the deadline: each byte set the limit on silence anew and ended the search for another engine, and a comment counted as an event without an id, after which the stream could not go on elsewhere.

Change: only a whole event that is not a comment is progress. Comments are passed on in their place; before the first event they wait for it and do not begin the answer.

Tests: stream_of_an_engine_that_sends_parts_of_an_event_goes_on_at_another and ..._that_sends_comments_...

--- a/adapters/event_splitter.cpp
+++ b/adapters/event_splitter.cpp
@@ -34,6 +34,22 @@
     return std::nullopt;
 }
 
+// True when each line begins with a colon, but the empty one at the end.
+bool is_comment(std::string_view event)
+{
+    for (std::size_t start = 0; start < event.size();)
+    {
+        std::size_t const end = std::min(event.find('\n', start), event.size());
+        std::string_view const line = event.substr(start, end - start);
+        if (!line.empty() && line != "\r" && line.front() != ':')
+        {
+            return false;
+        }
+        start = end + 1;
+    }
+    return true;
+}
+
 // Position after the empty line that ends the first event; npos when there is none after `from`. Lines end in
 // LF or CRLF.
 std::size_t event_end(std::string_view text, std::size_t from)
@@ -70,7 +86,8 @@
     {
         std::string event = pending_.substr(start, end - start);
         auto const id = event_id(event);
-        events.push_back({std::move(event), id});
+        bool const comment = is_comment(event);
+        events.push_back({std::move(event), id, comment});
         start = end;
         end = event_end(pending_, start);
     }
--- a/adapters/event_splitter.hpp
+++ b/adapters/event_splitter.hpp
@@ -15,6 +15,7 @@
 {
     std::string bytes;
     std::optional<std::uint64_t> id; ///< Empty when the event has no numeric id.
+    bool is_comment = false;         ///< All its lines are comments: it carries nothing and is no progress.
 };
 
 /// Splits a text/event-stream into whole events, so that no part of an event is passed on when its server
--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -29,8 +29,9 @@
     std::optional<platform::answer_info> facts;
     std::string body; ///< Body of an answer that is forwarded as a whole.
     event_splitter events;
-    std::string version;        ///< Of the server's software.
-    steady_time first_event_at; ///< Zero until an event has arrived.
+    std::string leading_comments; ///< Of a stream, before its first event; they are passed on with it.
+    std::string version;          ///< Of the server's software.
+    steady_time first_event_at;   ///< Zero until an event has arrived.
     bool counted_as_answered = false;
     bool via_peer = false;     ///< Sent to another instance, which passes it on to a server.
     unsigned servers_lent = 0; ///< How many servers the peer may let run it; 0 for a server.
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -1127,10 +1127,21 @@
             }
             return;
         }
-        stop_looking(*open, "server_resumed");
-        for (stream_event const& event : attempt.events.feed(part))
+        std::vector<stream_event> const events = attempt.events.feed(part);
+        // Parts of an event and comments are no progress: a stalled server may send them.
+        bool const progress = std::any_of(events.begin(), events.end(),
+                                          [](stream_event const& each) { return !each.is_comment; });
+        if (progress)
         {
-            bool const in_order = forward_event(open, event);
+            stop_looking(*open, "server_resumed");
+        }
+        for (stream_event const& event : events)
+        {
+            bool const in_order = event.is_comment || forward_event(open, event);
+            if (event.is_comment)
+            {
+                forward_comment(*open, event);
+            }
             if (!open->is_running())
             {
                 return; // The caller disconnected while the event was written.
@@ -1142,14 +1153,38 @@
                 return;
             }
         }
-        if (attempt.events.too_large())
+        if (attempt.events.too_large() || attempt.leading_comments.size() > event_splitter::max_event_bytes)
         {
             attempt.exchange->cancel();
             end_attempt(open, attempt_result::bad_answer, "event_too_large");
             return;
         }
-        attempt.exchange->set_kept_bytes(attempt.events.pending_bytes());
-        watch_progress(open);
+        attempt.exchange->set_kept_bytes(attempt.events.pending_bytes() + attempt.leading_comments.size());
+        if (progress)
+        {
+            watch_progress(open);
+        }
+    }
+
+    // Comments do not begin an answer: its stream could not go on elsewhere after that.
+    void forward_comment(open_exchange& open, stream_event const& comment)
+    {
+        if (open.answer_started)
+        {
+            open.caller->write(comment.bytes);
+            return;
+        }
+        open.current->leading_comments.append(comment.bytes);
+    }
+
+    void begin_stream_answer(open_exchange& open)
+    {
+        open.caller->begin(open.current->facts->status, open.current->facts->header_lines);
+        if (!open.current->leading_comments.empty())
+        {
+            open.caller->write(open.current->leading_comments);
+            open.current->leading_comments.clear();
+        }
     }
 
     // Reports the first event of a stream, and long pauses after it, to the dispatcher.
@@ -1204,7 +1239,7 @@
             open->answer_started = true;
             remember_stream(*open);
             open->first_event_after = boot_now() - open->caller->arrived();
-            open->caller->begin(open->current->facts->status, open->current->facts->header_lines);
+            begin_stream_answer(*open);
         }
         steady_time const now = boot_now();
         report_stream_progress(*open, now);
@@ -1253,7 +1288,7 @@
             }
             if (!open->answer_started)
             {
-                open->caller->begin(facts.status, facts.header_lines);
+                begin_stream_answer(*open);
             }
             open->caller->end();
             streams.on_complete(stream_id(*open));
--- a/tests/adapters/event_splitter_test.cpp
+++ b/tests/adapters/event_splitter_test.cpp
@@ -143,3 +143,14 @@
         cr_expect(refused.too_large());
     }
 }
+
+// Guards against comments, which keep a connection open, being counted as events of a stream.
+Test(event_splitter, tells_comments_from_events)
+{
+    event_splitter splitter;
+    auto const events = splitter.feed(": a\n\n: b\r\n\r\nid: 1\n: c\ndata: x\n\ndata: y\n\n");
+    cr_assert_eq(events.size(), 4);
+    cr_assert(events[0].is_comment && events[1].is_comment);
+    cr_assert_not(events[2].is_comment || events[3].is_comment);
+    cr_assert(events[2].id == std::optional<std::uint64_t>(1));
+}
--- a/tests/platform/silent_server_test.cpp
+++ b/tests/platform/silent_server_test.cpp
@@ -193,6 +193,52 @@
                          seconds{1}));
 }
 
+// Guards against a stalled stream that lasts until its deadline because its engine sends a byte now and then:
+// progress is an event, not a byte.
+Test(silent_server, stream_of_an_engine_that_sends_parts_of_an_event_goes_on_at_another)
+{
+    small_fleet fleet;
+    for (backend_standin* const engine : {&fleet.engine_1, &fleet.engine_2})
+    {
+        engine->set_pause(2, milliseconds{3500}); // A stream resumed after event 2 does not pause.
+        engine->set_pause_bytes("d");
+    }
+    expect_whole_stream(fleet.edge, "r0", begin_stream(fleet.edge, "r0").get());
+    cr_expect(fleet.engine_1.runs()["r0"] == 1 && fleet.engine_2.runs()["r0"] == 1, "%s",
+              log_of(fleet.edge, "r0").c_str());
+}
+
+// Guards against the same with comments, which keep a connection open and are no progress either. They also
+// made the stream count as one that cannot go on elsewhere, because they have no id.
+Test(silent_server, stream_of_an_engine_that_sends_comments_goes_on_at_another)
+{
+    small_fleet fleet;
+    for (backend_standin* const engine : {&fleet.engine_1, &fleet.engine_2})
+    {
+        engine->set_pause(2, milliseconds{3500});
+        engine->set_pause_bytes(": waiting\n\n");
+    }
+    expect_whole_stream(fleet.edge, "r0", begin_stream(fleet.edge, "r0").get());
+    cr_expect(fleet.engine_1.runs()["r0"] == 1 && fleet.engine_2.runs()["r0"] == 1, "%s",
+              log_of(fleet.edge, "r0").c_str());
+}
+
+// Guards against giving up a slow but sound engine for that: comments and parts of events beside events that
+// come within the limit change nothing.
+Test(silent_server, slow_stream_with_comments_completes_at_its_engine)
+{
+    small_fleet fleet;
+    for (backend_standin* const engine : {&fleet.engine_1, &fleet.engine_2})
+    {
+        engine->set_work_time(milliseconds{300});
+        engine->set_pause(2, milliseconds{250});
+        engine->set_pause_bytes(": waiting\n\n");
+    }
+    expect_whole_stream(fleet.edge, "r0", begin_stream(fleet.edge, "r0").get());
+    cr_expect(fleet.engine_1.runs()["r0"] + fleet.engine_2.runs()["r0"] == 1, "%s",
+              log_of(fleet.edge, "r0").c_str());
+}
+
 // Guards against giving up a slow server of repeatable requests for one that accepts them and never answers.
 Test(silent_server, slow_answer_arrives_although_the_other_server_is_silent)
 {
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds late_rejection_delay{500};
 // Interval at which a pausing stream looks whether its caller has closed.
 constexpr std::chrono::milliseconds pause_check_interval{10};
+constexpr std::chrono::milliseconds pause_bytes_interval{100};
 
 // Counts a request for as long as it lives.
 class running_request
@@ -325,17 +326,32 @@
     }
 }
 
-void backend_standin::pause_after(unsigned event, http_exchange const& exchange)
+void backend_standin::set_pause_bytes(std::string bytes)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    pause_bytes_ = std::move(bytes);
+}
+
+void backend_standin::pause_after(unsigned event, http_exchange& exchange)
 {
     if (event != pause_after_event_)
     {
         return;
     }
+    std::unique_lock<std::mutex> lock(mutex_);
+    std::string const bytes = pause_bytes_;
+    lock.unlock();
+    auto next_bytes = std::chrono::steady_clock::now() + pause_bytes_interval;
     auto const until = std::chrono::steady_clock::now() + std::chrono::milliseconds{pause_ms_};
     ++pausing_;
     while (std::chrono::steady_clock::now() < until && !exchange.peer_closed())
     {
         std::this_thread::sleep_for(pause_check_interval);
+        if (!bytes.empty() && std::chrono::steady_clock::now() >= next_bytes)
+        {
+            next_bytes += pause_bytes_interval;
+            (void)exchange.send_piece(bytes);
+        }
     }
     --pausing_;
 }
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -72,6 +72,8 @@
     /// Makes each stream silent for this time after the event with this id. The silence ends early when the
     /// caller closes its connection.
     void set_pause(unsigned after_event, std::chrono::milliseconds value);
+    /// Bytes that are sent each 100 ms of such a silence, as a stalled server's lower layers may do.
+    void set_pause_bytes(std::string bytes);
     /// Rejects each request whose number of arrival is a multiple of this as full; zero rejects none.
     void set_reject_every(unsigned count) { reject_every_ = count; }
     /// Calls `on_crash` instead of an answer to each request with this part in its prompt, or with a body or
@@ -113,7 +115,7 @@
     void serve(http_exchange& exchange);
     void stream(http_exchange& exchange, std::string const& id, backend_fault fault);
     bool crashes_on(http_exchange const& exchange) const;
-    void pause_after(unsigned event, http_exchange const& exchange);
+    void pause_after(unsigned event, http_exchange& exchange);
     void receive_order(http_exchange& exchange);
     void report(http_exchange& exchange);
     nlohmann::json model_list() const;
@@ -146,6 +148,7 @@
     std::string brittle_;
     std::vector<std::chrono::steady_clock::time_point> refusal_times_;
     std::string pause_request_;
+    std::string pause_bytes_;
     std::atomic<bool> leaving_{false};
     std::atomic<unsigned> room_{0};
     std::atomic<unsigned> inside_{0};
