Send orders and inquiries on fresh connections

A report of other operators: a late second copy of an answer reached the next user of a connection. Requests are safe, since their answers name them; orders and inquiries shared the kept connections and their answers name nothing, so that a copy of a request's 200 could be taken for the answer to an order.

Change: a call may ask for a connection that has carried nothing; orders and inquiries do.

Tests: call_on_a_fresh_connection_gets_its_own_answer, orders_and_inquiries_use_fresh_connections.

--- a/adapters/http_connection.hpp
+++ b/adapters/http_connection.hpp
@@ -18,6 +18,9 @@
     std::string path; ///< Escaped, with the query.
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    /// Only outbound_pool heeds it: the call uses no connection that has carried another one, on which a late
+    /// second copy of an earlier answer could be taken for the answer to this call.
+    bool fresh_connection = false;
 };
 
 /// Result of a call. Without a complete answer the status is zero.
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -554,6 +554,7 @@
     request.method = what.method;
     request.bytes = write_call(what, address);
     request.time_limit = time_limit;
+    request.fresh_connection = what.fresh_connection;
     state->exchange = start(std::move(request), std::move(handlers));
 }
 
--- a/tests/adapters/outbound_pool_test.cpp
+++ b/tests/adapters/outbound_pool_test.cpp
@@ -227,3 +227,46 @@
     cr_expect_eq(owners_after_cancel, 1);
     cr_expect_eq(observer.use_count(), 0);
 }
+
+// Guards against a late second copy of an answer that is taken for the answer to an order: it arrives when
+// the kept connection is in use again, and answers to orders do not name what they answer.
+Test(outbound_pool, call_on_a_fresh_connection_gets_its_own_answer)
+{
+    fault_server const server({[](fault_connection& caller)
+                               {
+                                   if (caller.receive())
+                                   {
+                                       caller.answer(200, "first");
+                                   }
+                                   if (caller.receive())
+                                   {
+                                       caller.answer(200, "first");
+                                       caller.answer(202, "order");
+                                   }
+                                   caller.wait_for_close();
+                               },
+                               [](fault_connection& caller)
+                               {
+                                   if (caller.receive())
+                                   {
+                                       caller.answer(202, "order");
+                                   }
+                                   caller.wait_for_close();
+                               }});
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    cr_assert_eq(call(pool, loop, server.address()).body, std::string("first"));
+    std::optional<http_outcome> result;
+    http_call order;
+    order.method = "POST";
+    order.path = "/";
+    order.fresh_connection = true;
+    pool.call(server.address(), order, call_limit,
+              [&result](http_outcome outcome) { result = std::move(outcome); });
+    loop.restart();
+    loop.run();
+    cr_assert(result.has_value());
+    cr_assert_eq(result->status, 202);
+    cr_assert_eq(result->body, std::string("order"));
+    cr_assert_eq(pool.opened(), 2);
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -292,3 +292,12 @@
     cr_expect_not(older.times_sent.has_value());
     cr_expect(contains(encode_not_run(0), "Not-Executed: 1\r\n"), "read by the build before");
 }
+
+// Guards against an order or an inquiry that uses a connection on which a second copy of an earlier answer
+// may still arrive.
+Test(order_codec, orders_and_inquiries_use_fresh_connections)
+{
+    cr_assert(encode_order({"e1", "10.0.0.1:80", order_kind::load_model, "m", "", 3, "why"}, "holder", 7)
+                  .fresh_connection);
+    cr_assert(encode_inquiry("e1").fresh_connection);
+}
