Let a few standbys read the store for the others while there is no lease holder

Change: the holder names standbys in its replies, one for 16 instances of a data centre, in a header that older builds ignore. Without a current holder an instance asks a standby (a call that older builds answer 404, after which it reads the store); it reads the store itself when none answers in 0.7 s, or when theirs is old although the store answers this instance. Replies of the holder take the place of lease reads; claims of all but the standbys wait 1.5 s longer, and a claim is preceded by a fresh read. Watches wait with their retries until some call succeeds. The batches of streams are listed only where several versions are recorded.

With it the age that a reply tells is that of the configuration and the servers, no longer that of the lease: the holder counts the changes between two renewals, and asks again when one was shown by no watch.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -1,6 +1,7 @@
 #include "adapters/placement_codec.hpp"
 
 #include "adapters/field_codec.hpp"
+#include "adapters/http_message.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,8 @@
 {
 
 char const* const demand_path = "/siskin/demand";
+char const* const state_path = "/siskin/state";
+char const* const standbys_header = "Store-Standbys";
 char const* const stream_path = "/siskin/stream";
 char const* const stream_service_header = "Stream-Service";
 
@@ -387,6 +390,39 @@
 
 } // namespace
 
+std::string encode_standbys(std::vector<std::string> const& addresses)
+{
+    std::string text;
+    for (std::string const& each : addresses)
+    {
+        text.append(text.empty() ? "" : ",").append(each);
+    }
+    return text.empty() ? std::string() : std::string(standbys_header) + ": " + text + "\r\n";
+}
+
+std::vector<std::string> decode_standbys(std::vector<std::pair<std::string, std::string>> const& headers)
+{
+    std::vector<std::string> addresses;
+    auto const found =
+        std::find_if(headers.begin(), headers.end(),
+                     [](auto const& each) { return equal_ignoring_case(each.first, standbys_header); });
+    if (found == headers.end())
+    {
+        return addresses;
+    }
+    std::string const& text = found->second;
+    for (std::size_t start = 0; start < text.size();)
+    {
+        std::size_t const end = std::min(text.find(',', start), text.size());
+        if (end > start)
+        {
+            addresses.push_back(text.substr(start, end - start));
+        }
+        start = end + 1;
+    }
+    return addresses;
+}
+
 std::string encode_demand(demand_report const& report)
 {
     json rows = json::array();
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace siskinusher
@@ -28,6 +29,16 @@
                          std::vector<peer_relay> const& relays, duration age);
 std::optional<holder_reply> decode_reply(std::string const& bytes);
 
+/// Header of a reply that tells the instance which standbys to ask while there is no holder, the first one
+/// first. It is a header because builds before it read replies of a fixed length only.
+extern char const* const standbys_header;
+std::string encode_standbys(std::vector<std::string> const& addresses);
+/// The addresses in the headers of a reply; none when there is no such header, as in replies of older builds.
+std::vector<std::string> decode_standbys(std::vector<std::pair<std::string, std::string>> const& headers);
+
+/// Path of the call that asks a standby for the state that it reads from the store. The body is a demand
+/// report without demand, the answer a reply without placements. Older builds answer 404.
+extern char const* const state_path;
 /// Path of the call that carries a demand report to the lease holder.
 extern char const* const demand_path;
 /// Path of the call that asks for the software version at which a stream began: the request id is the body,
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -12,6 +12,7 @@
 #include "apps/request_service.hpp"
 #include "apps/state_follower.hpp"
 #include "apps/stream_keeper.hpp"
+#include "core/hash.hpp"
 #include "platform/metadata_store.hpp"
 #include "platform/request_codec.hpp"
 
@@ -92,8 +93,11 @@
     result.proposed_peer_key = random_key();
     result.lease.holder_gap = settings.holder_gap;
     double const cpu_ratio = reference_cpu_share / settings.cpu_share;
-    result.lease.claim_delay = std::chrono::duration_cast<duration>(
+    duration const claim_delay = std::chrono::duration_cast<duration>(
         reference_claim_delay * std::min(cpu_ratio * cpu_ratio, max_claim_delay_factor));
+    // Instances with the same share of a core claim at different times: most then see that one has claimed.
+    auto const spread = stable_hash(settings.peer_address) % static_cast<std::uint64_t>(claim_delay.count());
+    result.lease.claim_delay = claim_delay + duration{static_cast<duration::rep>(spread)};
     result.rotation.window_s = settings.load_window_s;
     return result;
 }
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -8,6 +8,7 @@
 #include "apps/forwarded_call.hpp"
 #include "apps/state_follower.hpp"
 #include "core/hash.hpp"
+#include "decision/standby_choice.hpp"
 #include "decision/stream_register.hpp"
 #include "platform/backend_entry_codec.hpp"
 #include "platform/lease_record_codec.hpp"
@@ -50,6 +51,14 @@
 // Begun streams are reported after this time, so that few are unknown when their instance is lost.
 constexpr duration stream_report_interval = milliseconds{100};
 constexpr duration report_time_limit = milliseconds{400};
+// Interval of questions to a standby while there is no holder; the same as that of reports.
+constexpr duration standby_interval = milliseconds{500};
+// After the holder is lost, the standbys, which claim the lease first, read its record within this time.
+constexpr duration lease_read_spread = milliseconds{50};
+// The other instances read it within a time that grows with the fleet, so that 1,000 reads a second are made.
+constexpr duration lease_read_spread_per_instance = milliseconds{1};
+// The standbys are chosen again after this time at most.
+constexpr duration standby_choice_interval = seconds{1};
 // Limit for a store call that is made for a peer; a watch is the call that waits longest.
 constexpr duration max_relay_time = seconds{4};
 constexpr char const* key_scheme = "Bearer ";
@@ -121,6 +130,16 @@
         {
             report(now);
         }
+        bool const wants_standby = state.wants_standby();
+        if (wants_standby && !wanted_standby)
+        {
+            lease.on_holder_lost(now, lease_read_delay());
+        }
+        wanted_standby = wants_standby;
+        if (wants_standby && !asking_standby && now >= next_standby_question)
+        {
+            ask_standby(now);
+        }
         if (now >= next_plan)
         {
             plan(now);
@@ -187,35 +206,36 @@
     void write_lease(lease_write const& write)
     {
         bool const claims = write.record.epoch != lease.epoch();
-        store.put(
-            platform::lease_kind, platform::lease_name, write.revision,
-            platform::encode_lease_record(write.record),
-            [self = shared_from_this(), claims, write](platform::store_answer<platform::store_object> answer)
-            {
-                steady_time const now = boot_now();
-                if (claims)
-                {
-                    self->log_claim(write, answer);
-                }
-                if (auto const* const object = std::get_if<platform::store_object>(&answer))
-                {
-                    self->lease.on_written(now, object->revision);
-                    return;
-                }
-                auto const failure = std::get<platform::store_failure>(answer);
-                switch (failure)
-                {
-                case platform::store_failure::unclear:
-                    self->lease.on_call_lost(now);
-                    break;
-                case platform::store_failure::rejected:
-                    self->lease.on_write_refused(now);
-                    break;
-                default:
-                    self->lease.on_write_conflict(now);
-                    break;
-                }
-            });
+        store.put(platform::lease_kind, platform::lease_name, write.revision,
+                  platform::encode_lease_record(write.record),
+                  [self = shared_from_this(), claims, write,
+                   sent_at = boot_now()](platform::store_answer<platform::store_object> answer)
+                  {
+                      steady_time const now = boot_now();
+                      if (claims)
+                      {
+                          self->log_claim(write, answer);
+                      }
+                      if (auto const* const object = std::get_if<platform::store_object>(&answer))
+                      {
+                          self->lease.on_written(now, object->revision);
+                          self->state.on_renewed(object->revision, sent_at);
+                          return;
+                      }
+                      auto const failure = std::get<platform::store_failure>(answer);
+                      switch (failure)
+                      {
+                      case platform::store_failure::unclear:
+                          self->lease.on_call_lost(now);
+                          break;
+                      case platform::store_failure::rejected:
+                          self->lease.on_write_refused(now);
+                          break;
+                      default:
+                          self->lease.on_write_conflict(now);
+                          break;
+                      }
+                  });
     }
 
     void update_lease_state(steady_time now)
@@ -303,6 +323,7 @@
             instances = reply->placement.instances;
             holder_config = reply->config;
             holder_config.text.clear();
+            take_standbys(decode_standbys(outcome.headers));
             streams.on_reported(told);
             for (stream_versions const& each : reply->versions)
             {
@@ -310,6 +331,10 @@
             }
             streams.on_confirmed(asked_at);
             state.on_reply(*reply);
+            if (!state.wants_standby())
+            {
+                lease.on_holder_reply(boot_now());
+            }
             tell_relays(self_cut_off, reply->relays);
             on_placement_update(reply->placement);
         }
@@ -323,6 +348,119 @@
         }
     }
 
+    // A time after the loss of the holder that differs between instances.
+    duration lease_read_delay() const
+    {
+        bool const is_standby = !standbys.empty() && standbys.front() == settings.peer_address;
+        duration const spread =
+            is_standby ? lease_read_spread
+                       : std::max<duration>(lease_read_spread, lease_read_spread_per_instance * instances);
+        return duration{static_cast<duration::rep>(stable_hash(settings.peer_address) %
+                                                   static_cast<std::uint64_t>(spread.count()))};
+    }
+
+    void take_standbys(std::vector<std::string> told)
+    {
+        if (told == standbys)
+        {
+            return;
+        }
+        standbys = std::move(told);
+        bool const is_standby = !standbys.empty() && standbys.front() == settings.peer_address;
+        bool const knows_others = standbys.size() > (is_standby ? 1U : 0U);
+        next_standby = 0;
+        state.on_standbys(is_standby, knows_others);
+        lease.defer_claims(!is_standby && knows_others);
+        std::string names;
+        for (std::string const& each : standbys)
+        {
+            names.append(names.empty() ? "" : ",").append(each);
+        }
+        log.write({"standbys", {{"addresses", names}, {"self", is_standby ? "true" : "false"}}});
+    }
+
+    // A question is a report without demand: the standby needs to know only what this instance knows.
+    void ask_standby(steady_time now)
+    {
+        order_lease_record const* const record = lease.record();
+        if (record == nullptr || standbys.empty())
+        {
+            return;
+        }
+        demand_report own;
+        own.instance = settings.name;
+        own.peer_address = settings.peer_address;
+        own.servers_position = state.position();
+        own.crash_marks_digest = state.crashes_digest();
+        own.new_crash_marks = state.new_crashes();
+        own.config = state.config_for(standby_config);
+        http_call call;
+        call.method = "POST";
+        call.path = state_path;
+        call.headers = {{"Authorization", key_scheme + record->peer_key},
+                        {"Content-Type", "application/cbor"}};
+        call.body = encode_demand(own);
+        std::string const address = standbys[next_standby % standbys.size()];
+        next_standby_question = now + standby_interval;
+        asking_standby = true;
+        metrics.add("siskin_standby_questions_total", "", 1);
+        pool.call(address, call, report_time_limit,
+                  [self = shared_from_this(), address](http_outcome const& outcome)
+                  { self->on_standby_answer(address, outcome); });
+    }
+
+    void on_standby_answer(std::string const& address, http_outcome const& outcome)
+    {
+        asking_standby = false;
+        auto const reply = outcome.status == 200 ? decode_reply(outcome.body) : std::nullopt;
+        if (!reply)
+        {
+            log.write({"standby_lost",
+                       {{"standby", address},
+                        {"status", std::to_string(outcome.status)},
+                        {"why", outcome.status == 200 ? "unreadable reply" : outcome.why}}});
+            ++next_standby;
+            next_standby_question = {}; // The next one is asked at once.
+            return;
+        }
+        standby_config = reply->config;
+        standby_config.text.clear();
+        state.on_standby_reply(*reply);
+    }
+
+    // Answers a question for the state. Its age tells whether it is of use.
+    void answer_state_question(caller_exchange& call, demand_report const& report)
+    {
+        if (!state.servers_known())
+        {
+            call.answer(503, "", "");
+            return;
+        }
+        auto const crashes = state.crashes_since(report.crash_marks_digest);
+        call.answer(200, "Content-Type: application/cbor\r\n",
+                    encode_reply(encode_placement_update({}), encoded_update(boot_now(), report),
+                                 crashes ? encode_crash_marks(*crashes) : std::string(), {},
+                                 state.config_for(report.config), {}, {}, state.age()));
+    }
+
+    std::string encoded_standbys(steady_time now, demand_report const& report)
+    {
+        if (now - standbys_chosen_at >= standby_choice_interval)
+        {
+            standbys_chosen_at = now;
+            std::vector<peer_relay> reporting;
+            for (auto const& [address, peer] : peers)
+            {
+                if (!peer.cut_off && now - peer.reported_at < relay_lifetime)
+                {
+                    reporting.push_back({address, peer.data_centre});
+                }
+            }
+            chosen_standbys = choose_standbys(reporting);
+        }
+        return encode_standbys(standbys_of({report.peer_address, report.data_centre}, chosen_standbys));
+    }
+
     // An instance of an older build does not name the service, and is told of known streams only.
     void answer_stream_question(caller_exchange& call) const
     {
@@ -392,6 +530,21 @@
     // Reuses encoded parts of replies: hundreds of instances report at almost the same time, and most of them
     // have the same update position.
     std::string encoded_reply(steady_time now, demand_report const& report)
+    {
+        std::string const& update = encoded_update(now, report);
+        std::string& placement = placement_bytes[report.sent_early ? 1 : 0];
+        if (placement.empty())
+        {
+            placement = encode_placement_update(placement_update_at(now, report.sent_early));
+        }
+        auto const crashes = state.crashes_since(report.crash_marks_digest);
+        return encode_reply(placement, update, crashes ? encode_crash_marks(*crashes) : std::string(),
+                            limits.grant(now, report.limits), state.config_for(report.config),
+                            streams.recorded(), relays_for(now, report),
+                            std::max(state.age(), now - lease.confirmed_at()));
+    }
+
+    std::string const& encoded_update(steady_time now, demand_report const& report)
     {
         if (now - encoded_at >= min_plan_interval)
         {
@@ -399,21 +552,13 @@
             placement_bytes = {};
             update_bytes.clear();
         }
-        std::string& placement = placement_bytes[report.sent_early ? 1 : 0];
-        if (placement.empty())
-        {
-            placement = encode_placement_update(placement_update_at(now, report.sent_early));
-        }
         update_position const& known = report.servers_position;
         std::string& update = update_bytes[known.source + "/" + std::to_string(known.sequence)];
         if (update.empty())
         {
             update = encode_update(state.servers_since(known));
         }
-        auto const crashes = state.crashes_since(report.crash_marks_digest);
-        return encode_reply(placement, update, crashes ? encode_crash_marks(*crashes) : std::string(),
-                            limits.grant(now, report.limits), state.config_for(report.config),
-                            streams.recorded(), relays_for(now, report), now - lease.confirmed_at());
+        return update;
     }
 
     void plan(steady_time now)
@@ -525,7 +670,8 @@
             on_forwarded(call);
             return;
         }
-        if (call->head().getURI() != demand_path)
+        bool const asks_state = call->head().getURI() == state_path;
+        if (call->head().getURI() != demand_path && !asks_state)
         {
             call->answer(404, "", "");
             return;
@@ -539,7 +685,12 @@
         }
         state.on_peer_crashes(report->new_crash_marks);
         state.on_peer_config(report->config);
-        if (!lease.may_send_orders(now))
+        if (asks_state)
+        {
+            answer_state_question(*call, *report);
+            return;
+        }
+        if (!lease.may_send_orders(now) || !state.servers_known())
         {
             // Marks need no lease. In an outage of the store the instances go on reporting to the last
             // holder.
@@ -556,7 +707,8 @@
         {
             plan(now);
         }
-        call->answer(200, "Content-Type: application/cbor\r\n", encoded_reply(now, *report));
+        call->answer(200, "Content-Type: application/cbor\r\n" + encoded_standbys(now, *report),
+                     encoded_reply(now, *report));
     }
 
     // Makes a store call for a peer that cannot reach the store.
@@ -631,6 +783,14 @@
     bool reporting = false;
     bool holder_reached = false;
     bool lease_held = false;
+    std::vector<std::string> standbys; ///< As the holder told them; this instance first if it is one.
+    std::size_t next_standby = 0;      ///< Index of the standby to ask.
+    steady_time next_standby_question;
+    bool asking_standby = false;
+    bool wanted_standby = false;             ///< At the latest tick.
+    std::vector<peer_relay> chosen_standbys; ///< By this instance as the holder.
+    steady_time standbys_chosen_at;
+    known_config standby_config;             ///< Without the text; of the latest answer.
     known_config holder_config;              ///< Without the text; of the latest reply.
     std::string other_holder_address;        ///< Of the latest holder beside this instance, if any.
     std::map<std::string, known_peer> peers; ///< By peer address.
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -3,6 +3,7 @@
 #include "adapters/boot_clock.hpp"
 #include "adapters/ports.hpp"
 #include "decision/backend_directory.hpp"
+#include "decision/change_ledger.hpp"
 #include "decision/state_source_selector.hpp"
 #include "platform/backend_entry_codec.hpp"
 #include "platform/crash_mark_codec.hpp"
@@ -33,6 +34,21 @@
 // The lease holder needs each change of an engine soon; changes within this time, for example the effects of
 // several orders, are read with one call.
 constexpr duration holder_batch_delay = milliseconds{25};
+// A standby reads for others, which hear of a change with their next question, up to 500 ms later.
+constexpr duration standby_batch_delay = milliseconds{150};
+// A watch of a standby waits this long at most: two waits and a batch delay must be shorter than the age at
+// which others take what it tells for too old.
+constexpr duration confirming_wait = milliseconds{400};
+// On the holder, time for the watches to show the changes that a renewal of the lease reveals, and the age
+// from which the state is then confirmed by a call.
+constexpr duration explaining_time = milliseconds{150};
+constexpr duration verified_age = milliseconds{350};
+// That age, as a share of the time within which a change must take effect.
+constexpr double max_told_age_share = 0.4;
+// The watch of the marks of crashes begins this long after their listing: usually there is a holder by then.
+constexpr duration crash_watch_delay = milliseconds{1000};
+// Names in one line of the log; their number is logged too.
+constexpr std::size_t max_logged_names = 8;
 // A single change of the configuration is read at once; changes that follow it are gathered for this share of
 // the time within which they must be in force.
 constexpr double config_batch_delay_share = 0.3;
@@ -67,20 +83,107 @@
 class state_follower::implementation
 {
 public:
-    implementation(boost::asio::io_context& loop, platform::metadata_store& store, log_port& log_in,
+    // The state of a watch contains all changes up to a revision, which was the store's at that time.
+    struct watch_confirmation
+    {
+        store_revision through;
+        steady_time at;
+    };
+    struct renewal_to_explain
+    {
+        store_revision revision;
+        steady_time sent_at;
+        steady_time acknowledged_at;
+    };
+
+    implementation(boost::asio::io_context& loop, platform::metadata_store& store_in, log_port& log_in,
                    metric_port& metrics_in, crash_ledger& crashes_in, state_follower_settings settings_in,
                    state_handlers handlers_in)
-        : log(log_in), metrics(metrics_in), crashes(crashes_in), settings(std::move(settings_in)),
-          handlers(std::move(handlers_in)), directory(settings.source), timer(loop),
+        : store(store_in), log(log_in), metrics(metrics_in), crashes(crashes_in),
+          settings(std::move(settings_in)), handlers(std::move(handlers_in)), directory(settings.source),
+          choice(share_of(std::min(settings.leaving_time, settings.change_time), max_told_age_share)),
+          timer(loop),
           config_watch(loop, store, log, watch_settings(config_kind, duration{0}), config_handlers()),
           backend_watch(loop, store, log, watch_settings(backend_kind, backend_outage_grace),
                         backend_handlers()),
           crash_watch(loop, store, log, watch_settings(platform::crash_mark_kind, duration{0}),
                       crash_handlers())
     {
-        backend_watch.set_batch_delay(share_of(settings.leaving_time, batch_delay_share));
-        config_watch.set_batch_delay(share_of(settings.change_time, config_batch_delay_share));
+        crash_watch.set_pace(crash_watch_delay, platform::object_watch_settings().wait);
+        set_pace();
         store.on_restored([this] { on_store_restored(); });
+        store.on_written([this](store_revision const& revision) { changes.on_change(revision); });
+    }
+
+    // How soon changes are read: at once on the holder, soon on a standby while it reads the store, otherwise
+    // as late as the limits on changes allow.
+    void set_pace()
+    {
+        duration const lazy_servers = share_of(settings.leaving_time, batch_delay_share);
+        duration const lazy_config = share_of(settings.change_time, config_batch_delay_share);
+        if (!holds && !is_standby)
+        {
+            backend_watch.set_pace(lazy_servers, platform::object_watch_settings().wait);
+            config_watch.set_pace(lazy_config, platform::object_watch_settings().wait);
+            return;
+        }
+        // The renewals of the lease confirm the holder's state.
+        duration const wait = holds ? platform::object_watch_settings().wait : confirming_wait;
+        duration const eager_servers = holds ? holder_batch_delay : standby_batch_delay;
+        backend_watch.set_pace(std::min(lazy_servers, eager_servers), wait);
+        config_watch.set_pace(std::min(lazy_config, standby_batch_delay), wait);
+    }
+
+    // Extends the confirmation of a watch up to a renewal of the lease if each change before it is known.
+    bool confirm(watch_confirmation& known, platform::object_watch const& watch,
+                 store_revision const& revision, steady_time sent_at) const
+    {
+        known.through = std::max(known.through, watch.revision());
+        if (known.through < revision && !changes.knows_all(known.through, revision))
+        {
+            return false;
+        }
+        known.through = std::max(known.through, revision);
+        known.at = std::max(known.at, sent_at);
+        return true;
+    }
+
+    void on_renewed(store_revision const& revision, steady_time sent_at)
+    {
+        renewal = renewal_to_explain{revision, sent_at, boot_now()};
+        explain_renewal();
+    }
+
+    // A renewal shows the store's revision. A change before it that no watch has shown may have been missed
+    // by a watch whose connection is silent.
+    void explain_renewal()
+    {
+        if (!renewal || !holds || source != state_source::store)
+        {
+            return;
+        }
+        bool const config = confirm(config_confirmed, config_watch, renewal->revision, renewal->sent_at);
+        bool const servers = confirm(servers_confirmed, backend_watch, renewal->revision, renewal->sent_at);
+        changes.forget_until(std::min(config_confirmed.through, servers_confirmed.through));
+        steady_time const now = boot_now();
+        if (config && servers)
+        {
+            renewal.reset();
+        }
+        else if (now - renewal->acknowledged_at >= explaining_time)
+        {
+            verify(config, config_confirmed, config_watch);
+            verify(servers, servers_confirmed, backend_watch);
+            renewal.reset();
+        }
+    }
+
+    void verify(bool is_confirmed, watch_confirmation const& known, platform::object_watch& watch) const
+    {
+        if (!is_confirmed && boot_now() - std::max(known.at, watch.confirmed_at()) >= verified_age)
+        {
+            watch.verify();
+        }
     }
 
     void on_store_restored()
@@ -119,6 +222,7 @@
         platform::object_watch_handlers result;
         result.on_object = [this](platform::store_object const& object)
         {
+            changes.on_change(object.revision);
             auto const crash = platform::decode_crash_mark(object.spec);
             if (crash && id_of(*crash) == object.name)
             {
@@ -140,6 +244,7 @@
         {
             return;
         }
+        changes.on_change(object.revision);
         known.revision = std::max(known.revision, object.revision);
         apply_config(object.spec, object.revision);
     }
@@ -187,6 +292,7 @@
 
     void on_backend_object(platform::store_object const& object)
     {
+        changes.on_change(object.revision);
         auto const decoded = platform::decode_backend_entry(object.name, object.spec);
         if (!decoded)
         {
@@ -200,7 +306,7 @@
         case directory_change::outdated:
             return;
         case directory_change::changed:
-            log_backend(entry, object.revision);
+            note_change(entry, object.revision);
             break;
         case directory_change::same:
             break; // The copies of weights may have changed; the lease holder needs them.
@@ -230,9 +336,14 @@
     void on_reply(holder_reply const& reply)
     {
         choice.on_reply(boot_now(), reply.store_state_age);
+        take_over(reply);
+    }
+
+    void take_over(holder_reply const& reply)
+    {
         // While expired entries may still appear again, a list without them does not prove that they are
         // gone.
-        if (!reply.servers.complete || backend_watch.is_up_to_date() || !servers_known)
+        if (!reply.servers.complete || backend_watch.proves_absence() || !servers_known)
         {
             apply_update(reply.servers);
         }
@@ -242,8 +353,11 @@
         }
         on_peer_config(reply.config);
         choose_source();
-        if (source == state_source::holder && reply.config.revision > known.revision)
+        steady_time const now = boot_now();
+        if (source != state_source::store && reply.config.revision > known.revision &&
+            now >= next_config_read)
         {
+            next_config_read = now + share_of(settings.change_time, config_batch_delay_share);
             config_watch.refresh();
         }
     }
@@ -256,7 +370,7 @@
         for (revised_backend const& each : effect.changed)
         {
             backend_watch.mark_known(each.entry.name, each.revision);
-            log_backend(each.entry, each.revision);
+            note_change(each.entry, each.revision);
             handlers.on_backend(each.entry);
         }
         for (backend_name const& name : effect.removed)
@@ -266,6 +380,42 @@
         }
     }
 
+    // The lease holder logs each change. On the other instances, changes of one interval share a line: a line
+    // for each change and instance would grow with both.
+    void note_change(backend_entry const& entry, store_revision const& revision)
+    {
+        if (holds)
+        {
+            log_backend(entry, revision);
+            return;
+        }
+        ++noted_changes;
+        noted_leaving += entry.leaving ? 1 : 0;
+        noted_revision = std::max(noted_revision, revision);
+        if (noted_changes <= max_logged_names)
+        {
+            noted_names.append(noted_names.empty() ? "" : ",").append(entry.name);
+            noted_names.append(entry.leaving ? ":leaving" : "");
+        }
+    }
+
+    void log_noted_changes()
+    {
+        if (noted_changes == 0)
+        {
+            return;
+        }
+        log.write({"backends",
+                   {{"changed", std::to_string(noted_changes)},
+                    {"leaving", std::to_string(noted_leaving)},
+                    {"backends", noted_names},
+                    {"revision", to_string(noted_revision)},
+                    {"source", to_string(source)}}});
+        noted_changes = 0;
+        noted_leaving = 0;
+        noted_names.clear();
+    }
+
     void apply_crashes(std::vector<crash_mark> const& told)
     {
         for (crash_mark const& each : crashes.crashes())
@@ -282,22 +432,32 @@
 
     void choose_source()
     {
-        bool const follow_holder = choice.choose(boot_now()) == state_source::holder &&
-                                   backend_watch.is_up_to_date() && config_watch.is_up_to_date();
-        auto const chosen = follow_holder ? state_source::holder : state_source::store;
+        steady_time const now = boot_now();
+        // Only the store tells the text of the configuration.
+        bool const knows_state = config != nullptr && servers_known;
+        state_source const wanted = choice.choose(now, store.answered_at());
+        state_source const chosen = knows_state ? wanted : state_source::store;
         if (chosen == source)
         {
             return;
         }
+        bool const was_paused = source != state_source::store;
         source = chosen;
+        bool const pauses = source != state_source::store;
         metrics.add("siskin_state_source_changes_total", to_string(source), 1);
         log.write({"state_source",
                    {{"source", to_string(source)},
+                    {"age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(age(now)).count())},
+                    {"store_answers", store.answers() ? "true" : "false"},
                     {"servers_revision", to_string(backend_watch.revision())},
                     {"config_revision", to_string(known.revision)}}});
+        if (pauses == was_paused)
+        {
+            return;
+        }
         for (platform::object_watch* const watch : {&config_watch, &backend_watch, &crash_watch})
         {
-            if (follow_holder)
+            if (pauses)
             {
                 watch->pause();
             }
@@ -308,9 +468,19 @@
         }
     }
 
+    // The older one of the configuration and the servers, by the source that confirmed them last.
+    duration age(steady_time now) const
+    {
+        duration const read = now - std::min(std::max(config_watch.confirmed_at(), config_confirmed.at),
+                                             std::max(backend_watch.confirmed_at(), servers_confirmed.at));
+        return std::min(read, choice.told_age(now).value_or(read));
+    }
+
     void tick()
     {
         choose_source();
+        log_noted_changes();
+        explain_renewal();
         timer.expires_after(choice_interval);
         timer.async_wait(
             [this](boost::system::error_code error)
@@ -322,6 +492,7 @@
             });
     }
 
+    platform::metadata_store& store;
     log_port& log;
     metric_port& metrics;
     crash_ledger& crashes;
@@ -335,6 +506,18 @@
     known_config known; ///< With the text of the configuration in force.
     bool servers_known = false;
     bool servers_fresh = false;
+    bool holds = false;      ///< This instance holds the lease.
+    bool is_standby = false; ///< This instance reads the store for others while there is no holder.
+    change_ledger changes;
+    watch_confirmation config_confirmed; ///< By renewals of the lease.
+    watch_confirmation servers_confirmed;
+    std::optional<renewal_to_explain> renewal; ///< The latest one, until it is explained.
+    std::size_t noted_changes = 0;             ///< Of entries, since the latest line of the log about them.
+    std::size_t noted_leaving = 0;
+    store_revision noted_revision;
+    std::string noted_names; ///< The first of them.
+    steady_time
+        next_config_read;       ///< Limits how often a peer's news make this instance read the configuration.
     bool crashes_known = false; ///< All marks have been read once, from the store or from a holder.
     boost::asio::steady_timer timer;
     platform::object_watch config_watch;
@@ -367,16 +550,47 @@
     {
         impl_->servers_fresh = false;
     }
-    impl_->backend_watch.set_batch_delay(holds ? holder_batch_delay
-                                               : share_of(impl_->settings.leaving_time, batch_delay_share));
+    impl_->holds = holds;
+    impl_->set_pace();
     impl_->choose_source();
 }
 
+void state_follower::on_renewed(store_revision const& revision, steady_time sent_at)
+{
+    impl_->on_renewed(revision, sent_at);
+}
+
 void state_follower::on_reply(holder_reply const& reply)
 {
     impl_->on_reply(reply);
 }
 
+void state_follower::on_standby_reply(holder_reply const& reply)
+{
+    impl_->choice.on_standby_reply(boot_now(), reply.store_state_age);
+    impl_->take_over(reply);
+}
+
+void state_follower::on_standbys(bool is_standby, bool knows_others)
+{
+    impl_->choice.on_standbys(is_standby, knows_others);
+    if (is_standby != impl_->is_standby)
+    {
+        impl_->is_standby = is_standby;
+        impl_->set_pace();
+    }
+}
+
+bool state_follower::wants_standby() const
+{
+    return impl_->choice.wants_standby(boot_now()) && impl_->config != nullptr && impl_->servers_known;
+}
+
+duration state_follower::age() const
+{
+    return impl_->age(boot_now());
+}
+
 void state_follower::on_holder_lost()
 {
     impl_->choice.on_holder_lost();
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -45,8 +45,8 @@
 };
 
 /// Follows the configuration, the entries of the backend servers and the marks of crashes: through the lease
-/// holder's replies while the holder answers, otherwise by watching the store. On the lease holder it also
-/// keeps the changes that are sent to the peers.
+/// holder's replies while the holder answers, through a standby while there is none, otherwise by watching
+/// the store. On the lease holder and the standbys it also keeps the changes that are sent to the peers.
 class state_follower
 {
 public:
@@ -61,7 +61,18 @@
     void start();
     /// Called when this instance gains or loses the lease.
     void on_lease(bool holds);
+    /// On the lease holder: the lease was written, by a call that was sent at `sent_at`.
+    void on_renewed(store_revision const& revision, steady_time sent_at);
     void on_reply(holder_reply const& reply);
+    /// A standby answered a question for the state.
+    void on_standby_reply(holder_reply const& reply);
+    /// Sets whether this instance is a standby, and whether it knows others to ask.
+    void on_standbys(bool is_standby, bool knows_others);
+    /// True when this instance should ask a standby.
+    bool wants_standby() const;
+    /// Age of the configuration and the servers that this instance knows, whatever their source. More than
+    /// any limit when it has not listed them.
+    duration age() const;
     /// Called when the holder answers that it no longer holds the lease, or when nothing listens at its
     /// address.
     void on_holder_lost();
--- a/apps/stream_keeper.cpp
+++ b/apps/stream_keeper.cpp
@@ -32,6 +32,8 @@
 constexpr duration question_time_limit = milliseconds{400};
 // Interval of writes while the lease holder does not answer: 360 instances make 900 calls a second.
 constexpr duration unreported_interval = milliseconds{400};
+// While the store answers no other call of this instance either, the records are asked for this often.
+constexpr duration outage_call_delay = seconds{3};
 // 40 KB; with the interval of writes, 20,000 streams a second.
 constexpr std::size_t max_streams_of_batch = 2000;
 // Streams that wait for the store; further ones are not recorded until it answers.
@@ -79,7 +81,8 @@
         {
             listed = false; // Records and batches may be lost.
         }
-        if (!listed && !calling && now >= next_call)
+        bool const may_be_answered = store.answers() || held || now >= next_call + outage_call_delay;
+        if (!listed && !calling && now >= next_call && may_be_answered)
         {
             list(platform::stream_versions_kind, "");
         }
@@ -115,6 +118,7 @@
         if (kind == platform::stream_versions_kind && after.empty())
         {
             records_asked_at = boot_now();
+            several_recorded = false;
         }
         store.list(
             kind, after,
@@ -151,20 +155,32 @@
         {
             records_era = page->revision.era;
             streams.on_confirmed(records_asked_at);
-            list(platform::stream_batch_kind, "");
+            // While one version is recorded, streams go on at any engine; only the holder, which removes old
+            // batches, needs to know them.
+            if (several_recorded || held)
+            {
+                list(platform::stream_batch_kind, "");
+                return;
+            }
+            finish_listing(now, page->revision);
         }
         else
         {
-            listed = page->revision.era == records_era; // Otherwise the next tick reads the records again.
-            listed_era = page->revision.era;
-            streams.on_records_known();
-            log.write({"streams_listed",
-                       {{"revision", to_string(page->revision)}, {"known", std::to_string(streams.size())}}});
-            next_call = now + listing_interval;
-            answer_questions();
+            finish_listing(now, page->revision);
         }
     }
 
+    void finish_listing(steady_time now, store_revision const& revision)
+    {
+        listed = revision.era == records_era; // Otherwise the next tick reads the records again.
+        listed_era = revision.era;
+        streams.on_records_known();
+        log.write({"streams_listed",
+                   {{"revision", to_string(revision)}, {"known", std::to_string(streams.size())}}});
+        next_call = now + listing_interval;
+        answer_questions();
+    }
+
     void take_record(steady_time now, platform::store_object const& object)
     {
         auto const record = platform::decode_stream_versions(object.name, object.spec);
@@ -174,6 +190,8 @@
             return;
         }
         revisions[object.name] = object.revision;
+        several_recorded = several_recorded || record->versions.versions.size() > 1 ||
+                           record->store_era != object.revision.era;
         streams.on_recorded(now, record->versions, record->store_era == object.revision.era);
     }
 
@@ -464,9 +482,10 @@
     steady_time next_batch;
     steady_time next_expiry;
     bool held = false;
-    bool listed = false;  ///< All objects were read since the lease or the era changed.
-    bool calling = false; ///< A listing or the write of a record is in flight.
-    bool writing = false; ///< The write of a batch is in flight.
+    bool listed = false;           ///< All objects were read since the lease or the era changed.
+    bool several_recorded = false; ///< The latest listing of the records shows several versions.
+    bool calling = false;          ///< A listing or the write of a record is in flight.
+    bool writing = false;          ///< The write of a batch is in flight.
 };
 
 stream_keeper::stream_keeper(boost::asio::io_context& loop, outbound_pool& pool,
--- a/decision/order_lease.cpp
+++ b/decision/order_lease.cpp
@@ -12,6 +12,10 @@
 // Delay of the holder after a call without a clear answer. Other instances wait for read_interval instead, so
 // that a fleet does not flood a store that is unavailable.
 constexpr duration holder_retry_delay = milliseconds{200};
+// A record that was read longer ago is read again before a claim.
+constexpr duration max_observation_age = milliseconds{300};
+// An instance hears from the holder every 500 ms. After two lost replies it reads the record itself.
+constexpr duration reply_lifetime = milliseconds{1300};
 // Era of a store that has never come back from a copy.
 constexpr std::uint64_t first_era = 1;
 // Epochs of a later era begin at this multiple of the era, plus the revision number of the claim's condition,
@@ -50,11 +54,16 @@
         }
         if (!record && !is_restored())
         {
-            return revision_seen_at + times.claim_delay;
+            return revision_seen_at + claim_delay();
         }
         bool const released = record && record->holder.empty() && !is_restored();
         duration const lease_left = released ? duration{0} : times.lease_duration;
-        return revision_seen_at + lease_left + times.holder_gap + times.clock_allowance + times.claim_delay;
+        return revision_seen_at + lease_left + times.holder_gap + times.clock_allowance + claim_delay();
+    }
+
+    duration claim_delay() const
+    {
+        return times.claim_delay + (claims_deferred ? times.deferred_claim_delay : duration{0});
     }
 
     order_lease_record next_record(bool claim) const
@@ -131,6 +140,9 @@
     bool claimed_here = false; ///< This process, not an earlier one on this machine, wrote the current claim.
     std::optional<lease_write> pending_write;
     steady_time write_sent_at;
+    steady_time read_at;          ///< Of the latest answered read.
+    bool store_failed = false;    ///< The latest call failed.
+    bool claims_deferred = false; ///< Others are meant to claim before this instance.
     bool call_in_flight = false;
     bool last_call_is_write = false; ///< The call in flight, or the last one, is a write.
     bool retired = false;
@@ -166,6 +178,11 @@
         return std::nullopt;
     }
     bool const may_write = now >= it.claim_at(now);
+    bool const observed_lately = !it.store_failed && now - it.read_at <= max_observation_age;
+    if (may_write && !it.is_holder() && !it.is_restored() && !observed_lately)
+    {
+        return it.start_read(true);
+    }
     if (may_write && !it.revision_stale)
     {
         // A lease of an earlier process on this machine is claimed again, so that the two do not share an
@@ -180,6 +197,8 @@
 {
     implementation& it = *impl_;
     it.call_in_flight = false;
+    it.store_failed = false;
+    it.read_at = now;
     it.next_call = now + it.times.read_interval;
     if (it.is_stale(record, revision))
     {
@@ -211,6 +230,7 @@
         return;
     }
     it.call_in_flight = false;
+    it.store_failed = false;
     it.revision_seen_at = now;
     it.set_record(it.pending_write->record, revision);
     it.revision_stale = false;
@@ -223,6 +243,7 @@
 {
     implementation& it = *impl_;
     it.call_in_flight = false;
+    it.store_failed = false;
     it.revision_current = false;
     it.next_call = now;
 }
@@ -230,6 +251,7 @@
 void order_lease::on_write_refused(steady_time now)
 {
     impl_->call_in_flight = false;
+    impl_->store_failed = true;
     impl_->next_call = now + impl_->delay_after_failure();
 }
 
@@ -237,11 +259,37 @@
 {
     implementation& it = *impl_;
     it.call_in_flight = false;
+    it.store_failed = true;
     // A lost read changes nothing: the last observation remains valid, and a claim is a conditional write.
     it.revision_current = it.revision_current && !it.last_call_is_write;
     it.next_call = now + it.delay_after_failure();
 }
 
+void order_lease::on_holder_reply(steady_time now)
+{
+    implementation& it = *impl_;
+    if (it.retired || it.is_holder())
+    {
+        return;
+    }
+    it.revision_seen_at = std::max(it.revision_seen_at, now);
+    it.next_call = std::max(it.next_call, now + reply_lifetime);
+}
+
+void order_lease::on_holder_lost(steady_time now, duration delay)
+{
+    implementation& it = *impl_;
+    if (!it.is_holder() && it.revision_current)
+    {
+        it.next_call = std::min(it.next_call, now + delay);
+    }
+}
+
+void order_lease::defer_claims(bool defer)
+{
+    impl_->claims_deferred = defer;
+}
+
 bool order_lease::may_send_orders(steady_time now) const
 {
     return !impl_->retired && impl_->claimed_here && now < impl_->valid_until;
--- a/decision/order_lease.hpp
+++ b/decision/order_lease.hpp
@@ -36,6 +36,8 @@
     duration read_interval = seconds{1}; ///< For instances that do not hold the lease.
     duration holder_gap = seconds{3};    ///< Between the last order of a holder and the first of the next.
     duration claim_delay{0};             ///< Lets instances with more CPU, if there are any, claim first.
+    /// Added to the claim delay of an instance while others are meant to claim before it.
+    duration deferred_claim_delay = milliseconds{1500};
     /// Allowance for orders in flight and for clock differences.
     duration clock_allowance = milliseconds{300};
 };
@@ -66,6 +68,11 @@
 /// each instance waits as for a lease that has just been renewed, except the latest holder while its lease,
 /// with the gap, shows that no other instance can have claimed one. Epochs of a later era are higher, and a
 /// write whose condition is of an earlier era does not count as done.
+///
+/// In a fleet of hundreds of instances the calls must not grow with the fleet. An instance to which the
+/// holder replies does not read the record. Before a claim the record is read again unless it was read just
+/// before: of many instances that may claim, most then see that another one has. While the store fails, only
+/// stale reads, which cost least, look for its return.
 class order_lease
 {
 public:
@@ -88,6 +95,15 @@
     /// The call got no answer; a write may have taken effect, or may take effect later.
     void on_call_lost(steady_time now);
 
+    /// The holder answered this instance as holder. Its replies take the place of reads: the record is read
+    /// again when they cease. Nothing is known of the record's revision since, so that a claim waits as after
+    /// a renewal.
+    void on_holder_reply(steady_time now);
+    /// The holder has ceased to answer: the record is read after `delay`, which differs between instances.
+    void on_holder_lost(steady_time now, duration delay);
+    /// Sets whether others are meant to claim the lease before this instance.
+    void defer_claims(bool defer);
+
     /// True when an order sent now is covered by the lease.
     bool may_send_orders(steady_time now) const;
     /// When the last renewal that the store acknowledged was sent.
--- a/domain/peer_relay.hpp
+++ b/domain/peer_relay.hpp
@@ -5,7 +5,8 @@
 namespace siskinusher
 {
 
-/// An instance that takes requests for another one which is cut off from all servers.
+/// An instance that helps others: it takes requests for those that are cut off from all servers, or reads the
+/// store for them.
 struct peer_relay
 {
     std::string address; ///< Where it accepts calls from its peers.
--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -112,3 +112,18 @@
         }
     }
 }
+
+// Guards against a reply that an instance of an older build cannot read: the standbys travel in a header, and
+// a reply without it, as an older holder sends, names none.
+Test(placement_codec, standbys_travel_beside_the_reply)
+{
+    cr_assert(encode_standbys({}).empty());
+    std::string const line = encode_standbys({"10.0.0.1:7260", "10.0.0.2:7260"});
+    cr_assert_eq(line, std::string("Store-Standbys: 10.0.0.1:7260,10.0.0.2:7260\r\n"));
+    std::vector<std::string> const expected{"10.0.0.1:7260", "10.0.0.2:7260"};
+    cr_assert(decode_standbys({{"Content-Type", "application/cbor"},
+                               {"store-standbys", "10.0.0.1:7260,10.0.0.2:7260"}}) == expected);
+    cr_assert(decode_standbys({{"Store-Standbys", ",10.0.0.1:7260,,10.0.0.2:7260,"}}) == expected);
+    cr_assert(decode_standbys({{"Content-Type", "application/cbor"}}).empty());
+    cr_assert(decode_standbys({{"Store-Standbys", ""}}).empty());
+}
--- a/tests/decision/order_lease_test.cpp
+++ b/tests/decision/order_lease_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -480,3 +481,138 @@
     }
     cr_assert(held_at >= 4500 && held_at < 6500, "held after %ld ms", static_cast<long>(held_at));
 }
+
+namespace
+{
+
+// Calls that instances make in each 100 ms of a time without a holder.
+struct call_count
+{
+    std::map<std::int64_t, unsigned> by_span;
+
+    void add(std::int64_t ms) { ++by_span[ms / 100]; }
+    unsigned most() const
+    {
+        unsigned result = 0;
+        for (auto const& [span, count] : by_span)
+        {
+            result = std::max(result, count);
+        }
+        return result;
+    }
+};
+
+} // namespace
+
+// Guards against a read each second by each instance: at 300 instances over half of the store's calls.
+Test(order_lease, replies_of_the_holder_replace_reads)
+{
+    lease_store store;
+    auto a = make_lease("a");
+    auto b = make_lease("b");
+    run_step(*a, store, at(0));
+    run_step(*a, store, at(50));
+    run_step(*b, store, at(100));
+    unsigned calls = 0;
+    for (std::int64_t ms = 150; ms < 20000; ms += 50)
+    {
+        run_step(*a, store, at(ms));
+        if (ms % 500 == 0)
+        {
+            b->on_holder_reply(at(ms));
+        }
+        if (b->next_call(at(ms)))
+        {
+            ++calls;
+            b->on_read(at(ms), store.record, {store.era, store.revision});
+        }
+    }
+    cr_assert_leq(calls, 1, "%u calls in 20 s", calls);
+    cr_assert(a->may_send_orders(at(20000)));
+    cr_assert_not(b->may_send_orders(at(20000)));
+}
+
+// Guards against an instance that claims although the holder has renewed the lease since it last read the
+// record, and against one that never claims after the holder is lost.
+Test(order_lease, lease_is_taken_over_after_replies_cease)
+{
+    lease_store store;
+    auto a = make_lease("a");
+    auto b = make_lease("b");
+    run_step(*a, store, at(0));
+    run_step(*a, store, at(50));
+    run_step(*b, store, at(100));
+    for (std::int64_t ms = 150; ms <= 10000; ms += 50)
+    {
+        run_step(*a, store, at(ms));
+        if (ms % 500 == 0)
+        {
+            b->on_holder_reply(at(ms));
+        }
+    }
+    b->on_holder_lost(at(10050), milliseconds{30});
+    std::int64_t taken_over_at = 0;
+    for (std::int64_t ms = 10050; ms < 20000 && taken_over_at == 0; ms += 50)
+    {
+        run_step(*b, store, at(ms));
+        taken_over_at = b->may_send_orders(at(ms)) ? ms : 0;
+    }
+    cr_assert(taken_over_at >= 10000 + 4500 && taken_over_at < 15500, "taken over at %ld ms",
+              static_cast<long>(taken_over_at));
+}
+
+// Guards against a rush on the store when the holder is lost: most instances let others claim first and see
+// their claim, and their reads are spread.
+Test(order_lease, few_of_many_instances_write_when_the_holder_is_lost)
+{
+    for (unsigned const count : {9U, 90U, 300U, 1000U})
+    {
+        lease_store store;
+        auto holder = make_lease("holder");
+        run_step(*holder, store, at(0));
+        run_step(*holder, store, at(50));
+        std::vector<std::unique_ptr<order_lease>> leases;
+        unsigned const standbys = std::max(1U, count / 16);
+        for (unsigned i = 0; i < count; ++i)
+        {
+            std::string const name = "i" + std::to_string(i);
+            order_lease_times times;
+            times.claim_delay = milliseconds{300 + i * 7 % 300};
+            leases.push_back(std::make_unique<order_lease>(name, name + ":1", "key", times));
+            leases.back()->defer_claims(i >= standbys);
+            run_step(*leases.back(), store, at(100));
+            leases.back()->on_holder_reply(at(5000));
+            leases.back()->on_holder_lost(at(5050), milliseconds{i < standbys ? 20 : i});
+        }
+        call_count calls;
+        unsigned writes = 0;
+        unsigned holders = 0;
+        for (std::int64_t ms = 5050; ms < 15000; ms += 10)
+        {
+            for (auto const& each : leases)
+            {
+                auto const step = each->next_call(at(ms));
+                if (!step)
+                {
+                    continue;
+                }
+                calls.add(ms);
+                if (auto const* const write = std::get_if<lease_write>(&*step))
+                {
+                    ++writes;
+                    store.write(*write) ? each->on_written(at(ms), {store.era, store.revision})
+                                        : each->on_write_conflict(at(ms));
+                    continue;
+                }
+                each->on_read(at(ms), store.record, {store.era, store.revision});
+            }
+        }
+        for (auto const& each : leases)
+        {
+            holders += each->may_send_orders(at(15000)) ? 1 : 0;
+        }
+        cr_assert_eq(holders, 1, "%u holders of %u instances", holders, count);
+        cr_assert_leq(writes, 40, "%u writes of %u instances", writes, count);
+        cr_assert_leq(calls.most(), 160, "%u calls in 100 ms of %u instances", calls.most(), count);
+    }
+}
--- a/tests/wire/store_standin.cpp
+++ b/tests/wire/store_standin.cpp
@@ -123,6 +123,12 @@
     era_ = std::move(era);
 }
 
+unsigned store_standin::refused_calls()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return refused_calls_;
+}
+
 unsigned store_standin::server_entry_reads()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -155,6 +161,8 @@
     std::string const path = exchange.path().substr(0, exchange.path().find('?'));
     if (now == mode::busy || path.rfind(prefix, 0) != 0)
     {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        refused_calls_ += now == mode::busy && exchange.query("stale_ok").empty() ? 1 : 0;
         exchange.reply(now == mode::busy ? 503 : 404, "{}");
         return;
     }
--- a/tests/wire/store_standin.hpp
+++ b/tests/wire/store_standin.hpp
@@ -53,6 +53,8 @@
     void set_era(std::optional<std::string> era);
     /// Number of lists and watches of the servers' entries so far.
     unsigned server_entry_reads();
+    /// Number of calls that were refused in mode busy so far, without stale reads, which cost little.
+    unsigned refused_calls();
     nlohmann::json spec_of(std::string const& kind, std::string const& name);
 
 private:
@@ -97,6 +99,7 @@
     mode mode_{mode::up};
     bool stopping_ = false;
     unsigned server_entry_reads_ = 0;
+    unsigned refused_calls_ = 0;
     http_server server_;
 };
 
