--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -119,6 +119,30 @@
     cr_assert_not(decode_serving_config(json(), why).has_value());
 }
 
+// Guards against an allowance with a fraction, as in a scaled-down copy of a deployment, being read as its
+// default: a single attempt, no places for adapters, or no limit on bytes.
+Test(serving_config_codec, allowances_with_a_fraction_allow_the_whole_ones)
+{
+    std::string why;
+    json text = standins::example_config(7);
+    text["routes"][1]["attempts"] = 2.9;
+    text["routes"][1]["timeout_ms"] = 1500.25;
+    text["limits"] = {{"max_header_bytes", 8192.5}, {"max_body_bytes", 65536.75}};
+    text["services"][0]["max_conns"] = 99.5;
+    text["services"][0]["engine"] = {{"slots", 16.5}, {"adapter_slots", 8.2}, {"weights_mb", 100.5}};
+    auto const config = decode_serving_config(text, why);
+    cr_assert(config.has_value(), "%s", why.c_str());
+    cr_assert_eq(config->routes[1].max_backends, 2);
+    cr_assert(config->routes[1].time_limit == microseconds{1500250});
+    cr_assert_eq(config->limits.head_bytes, 8192);
+    cr_assert_eq(config->limits.body_bytes, 65536);
+    cr_assert_eq(config->services[0].max_connections, 99);
+    cr_assert_eq(config->services[0].engine->places, 16);
+    cr_assert_eq(config->services[0].engine->adapter_places, 8);
+    text["version"] = 7.5; // A version is exact.
+    cr_assert_not(decode_serving_config(text, why).has_value());
+}
+
 // Guards against a caller's headers that only the system may set reaching a server, and against the caller's
 // deadline being passed on instead of the time left.
 Test(request_codec, system_headers_of_callers_are_dropped)
@@ -268,3 +292,12 @@
     cr_expect_not(older.times_sent.has_value());
     cr_expect(contains(encode_not_run(0), "Not-Executed: 1\r\n"), "read by the build before");
 }
+
+// Guards against an order or an inquiry that uses a connection on which a second copy of an earlier answer
+// may still arrive.
+Test(order_codec, orders_and_inquiries_use_fresh_connections)
+{
+    cr_assert(encode_order({"e1", "10.0.0.1:80", order_kind::load_model, "m", "", 3, "why"}, "holder", 7)
+                  .fresh_connection);
+    cr_assert(encode_inquiry("e1").fresh_connection);
+}
