Read HTTP heads with a parser that keeps values as they came

A header value with an RFC 2047 encoded word was decoded on the way and written to the server with the line ends it contained, so that the server read a second request with the caller's body.

Cause: the raw bytes of a head were checked, and then read by Poco::Net::MessageHeader, a class for mail headers that decodes encoded words, joins folded lines and has its own limits. The checked text was not the text that was used. The same reader served answers of servers, the store and peers, the inner head of calls that are passed on, and both directions of siskin-entry.

Change: http_head reads heads with Boost.Beast's parser, in one step with the check, into header_fields, which keep names and values. A folded line, a bare line end or a control character makes a head malformed. The list of connection options is read once for each head instead of once for each field.

--- a/adapters/answer_writer.cpp
+++ b/adapters/answer_writer.cpp
@@ -1,10 +1,9 @@
 #include "adapters/answer_writer.hpp"
 
+#include "adapters/http_head.hpp"
 #include "adapters/problem_document.hpp"
 #include "adapters/process_clock.hpp"
 
-#include <Poco/Net/HTTPResponse.h>
-
 #include <array>
 #include <charconv>
 #include <utility>
@@ -31,9 +30,7 @@
 {
     status_ = head.status;
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
-    text.append(Poco::Net::HTTPResponse::getReasonForStatus(
-        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(head.status)));
-    text.append("\r\n");
+    text.append(reason_phrase(head.status)).append("\r\n");
     if (!head.content_type.empty())
     {
         text.append("Content-Type: ").append(head.content_type).append("\r\n");
--- a/adapters/backend_client.cpp
+++ b/adapters/backend_client.cpp
@@ -298,12 +298,13 @@
             case head_status::malformed:
                 return end_as_bad_answer();
             }
-            response_.clear();
-            if (!parse_response_head(head, response_))
+            auto parsed = parse_response_head(head);
+            if (!parsed)
             {
                 return end_as_bad_answer();
             }
-            if (response_.getStatus() >= 200)
+            response_ = std::move(*parsed);
+            if (response_.status >= 200)
             {
                 return check_answer_head();
             }
@@ -313,10 +314,10 @@
 
     bool check_answer_head()
     {
-        result_.status = response_.getStatus();
-        result_.content_type = response_.getContentType();
-        result_.boot_id = parse_number(header_value(response_, "X-Boot-Id")).value_or(0);
-        if (header_value(response_, "X-Request-Id") != id_)
+        result_.status = response_.status;
+        result_.content_type = response_.fields.value("Content-Type");
+        result_.boot_id = parse_number(response_.fields.value("X-Boot-Id")).value_or(0);
+        if (response_.fields.value("X-Request-Id") != id_)
         {
             return end_as_bad_answer();
         }
@@ -333,7 +334,7 @@
     void receive_body()
     {
         body_reader reader(*connection_, framing_);
-        if (call_.inference && response_.getStatus() == 200 && is_event_stream(result_.content_type))
+        if (call_.inference && response_.status == 200 && is_event_stream(result_.content_type))
         {
             relay_stream(reader);
             return;
@@ -343,20 +344,16 @@
 
     answer_head head_for_caller() const
     {
-        answer_head head{response_.getStatus(), response_.getContentType(), {}, std::nullopt};
+        answer_head head{response_.status, response_.fields.value("Content-Type"), {}, std::nullopt};
         if (call_.method == "HEAD")
         {
-            head.length = parse_number(header_value(response_, "Content-Length"));
+            head.length = parse_number(response_.fields.value("Content-Length"));
         }
         else if (framing_.kind != body_kind::chunked)
         {
             head.length = framing_.length;
         }
-        if (head.content_type == Poco::Net::HTTPMessage::UNKNOWN_CONTENT_TYPE)
-        {
-            head.content_type.clear();
-        }
-        for (auto const& field : response_)
+        for (auto const& field : response_.fields)
         {
             if (!is_hop_header(field.first))
             {
@@ -368,7 +365,7 @@
 
     void reuse_connection()
     {
-        if (response_.getKeepAlive())
+        if (keeps_connection(response_.version, response_.fields))
         {
             owner_.pool_.give_back(target_.address, std::move(connection_));
         }
@@ -469,13 +466,13 @@
 
     bool proves_not_run(std::string_view body) const
     {
-        if (response_.getStatus() < 400)
+        if (response_.status < 400)
         {
             return false;
         }
-        if (response_.has("X-Execution"))
+        if (response_.fields.has("X-Execution"))
         {
-            return header_value(response_, "X-Execution") == to_string(execution_verdict::not_run);
+            return response_.fields.value("X-Execution") == to_string(execution_verdict::not_run);
         }
         return result_.content_type == problem_content_type &&
                problem_execution(body) == to_string(execution_verdict::not_run);
@@ -549,7 +546,7 @@
     std::unique_ptr<wire_connection> connection_;
     bool reused_ = false;
     bool streaming_ = false;
-    Poco::Net::HTTPResponse response_;
+    response_head response_;
     body_framing framing_;
     /// Start of a long answer to a call with an idempotency key. The whole body is too long to be recorded.
     std::string recorded_start_;
--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -3,8 +3,6 @@
 #include "adapters/http_message.hpp"
 #include "adapters/socket_options.hpp"
 
-#include <Poco/Net/HTTPResponse.h>
-
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -158,11 +156,10 @@
         }
         return false;
     }
-    head_.emplace();
-    bool const valid = parse_request_head(received_.substr(0, end + 4), *head_);
+    head_ = parse_request_head(std::string_view(received_).substr(0, end + 4));
     received_.erase(0, end + 4);
-    auto const framing = valid ? request_framing(*head_) : std::nullopt;
-    if (!framing || !head_->has("Host"))
+    auto const framing = head_ ? request_framing(*head_) : std::nullopt;
+    if (!framing || !head_->fields.has("Host"))
     {
         refuse(400);
         return false;
@@ -172,9 +169,9 @@
         refuse(413);
         return false;
     }
-    bool const is_http_1_1 = head_->getVersion() == "HTTP/1.1";
+    bool const is_http_1_1 = head_->version == http_version::http_1_1;
     // HTTP/1.0 has no interim answers.
-    if (is_http_1_1 && equal_ignoring_case(header_value(*head_, "Expect"), "100-continue"))
+    if (is_http_1_1 && equal_ignoring_case(head_->fields.value("Expect"), "100-continue"))
     {
         enqueue("HTTP/1.1 100 Continue\r\n\r\n");
         if (phase_ == phase::closed)
@@ -182,8 +179,8 @@
             return false;
         }
     }
-    keep_alive_ = is_http_1_1 && !has_token(*head_, "Connection", "close");
-    head_only_ = head_->getMethod() == "HEAD";
+    keep_alive_ = is_http_1_1 && keeps_connection(head_->version, head_->fields);
+    head_only_ = head_->method == "HEAD";
     decoder_.emplace(*framing);
     body_.clear();
     phase_ = phase::body;
@@ -237,10 +234,8 @@
 
 std::string caller_connection::status_line(int status, std::string_view header_lines) const
 {
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
-                       Poco::Net::HTTPResponse::getReasonForStatus(
-                           static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status)) +
-                       "\r\n";
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text.append(reason_phrase(status)).append("\r\n");
     text.append(header_lines);
     text.append(announces_close() ? "Connection: close\r\n" : "");
     return text;
@@ -276,9 +271,9 @@
     }
     close_announced_ = announces_close();
     // A caller that speaks HTTP/1.0 does not know chunks.
-    body_kind const framing = !status_has_body(status)            ? body_kind::none
-                              : head_->getVersion() == "HTTP/1.1" ? body_kind::chunked
-                                                                  : body_kind::until_close;
+    body_kind const framing = !status_has_body(status)                   ? body_kind::none
+                              : head_->version == http_version::http_1_1 ? body_kind::chunked
+                                                                         : body_kind::until_close;
     answer_framing_ = head_only_ ? body_kind::none : framing;
     // The head for HEAD is the same as for GET.
     enqueue(status_line(status, header_lines) +
--- a/adapters/caller_connection_impl.hpp
+++ b/adapters/caller_connection_impl.hpp
@@ -92,7 +92,7 @@
     bool head_only_ = false;
     /// Framing of the body that follows begin(); until_close until the whole body has been written.
     body_kind answer_framing_{body_kind::none};
-    std::optional<Poco::Net::HTTPRequest> head_;
+    std::optional<request_head> head_;
     std::optional<body_decoder> decoder_;
     std::string body_;
     steady_time idle_since_;
--- a/adapters/caller_server.cpp
+++ b/adapters/caller_server.cpp
@@ -22,8 +22,8 @@
 
 } // namespace
 
-caller_exchange::caller_exchange(std::shared_ptr<caller_connection> connection,
-                                 Poco::Net::HTTPRequest const& head, std::string body, steady_time arrived)
+caller_exchange::caller_exchange(std::shared_ptr<caller_connection> connection, request_head const& head,
+                                 std::string body, steady_time arrived)
     : connection_(std::move(connection)), head_(head), body_(std::move(body)), arrived_(arrived)
 {
 }
@@ -33,7 +33,7 @@
     abort();
 }
 
-std::shared_ptr<caller_exchange> caller_exchange::unwrap(Poco::Net::HTTPRequest const& head, std::string body)
+std::shared_ptr<caller_exchange> caller_exchange::unwrap(request_head const& head, std::string body)
 {
     done_ = true;
     return std::make_shared<caller_exchange>(connection_, head, std::move(body), arrived_);
--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
+#include "adapters/http_head.hpp"
 #include "core/steady_time.hpp"
 #include "domain/serving_config.hpp"
 
-#include <Poco/Net/HTTPRequest.h>
-
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -25,17 +24,17 @@
 class caller_exchange
 {
 public:
-    caller_exchange(std::shared_ptr<caller_connection> connection, Poco::Net::HTTPRequest const& head,
-                    std::string body, steady_time arrived);
+    caller_exchange(std::shared_ptr<caller_connection> connection, request_head const& head, std::string body,
+                    steady_time arrived);
     ~caller_exchange();
     caller_exchange(caller_exchange const&) = delete;
     caller_exchange& operator=(caller_exchange const&) = delete;
 
     /// An exchange for a request that the body of this one holds. It answers in place of this one, which must
     /// not be answered any more.
-    std::shared_ptr<caller_exchange> unwrap(Poco::Net::HTTPRequest const& head, std::string body);
+    std::shared_ptr<caller_exchange> unwrap(request_head const& head, std::string body);
 
-    Poco::Net::HTTPRequest const& head() const { return head_; }
+    request_head const& head() const { return head_; }
     std::string const& body() const { return body_; }
     steady_time arrived() const { return arrived_; }
     /// IP number and port of the caller.
@@ -57,7 +56,7 @@
 
 private:
     std::shared_ptr<caller_connection> connection_;
-    Poco::Net::HTTPRequest const head_;
+    request_head const head_;
     std::string const body_;
     steady_time const arrived_;
     bool done_ = false;
--- a/adapters/http_front.cpp
+++ b/adapters/http_front.cpp
@@ -73,15 +73,15 @@
                        [name](std::string_view own) { return equal_ignoring_case(own, name); });
 }
 
-std::string service_header_lines(Poco::Net::HTTPRequest const& request)
+std::string service_header_lines(header_fields const& fields)
 {
-    std::string const connection_tokens = header_value(request, "Connection");
+    auto const connection_options = fields.tokens("Connection");
     std::string lines;
-    for (auto const& field : request)
+    for (auto const& [name, value] : fields)
     {
-        if (!is_own_header(field.first) && !equal_ignoring_case(connection_tokens, field.first))
+        if (!is_own_header(name) && connection_options.count(name) == 0)
         {
-            lines.append(field.first).append(": ").append(field.second).append("\r\n");
+            lines.append(name).append(": ").append(value).append("\r\n");
         }
     }
     return lines;
@@ -256,11 +256,12 @@
         default:
             return false;
         }
-        request_ = Poco::Net::HTTPRequest();
-        if (!parse_request_head(head, request_))
+        auto parsed_head = parse_request_head(head);
+        if (!parsed_head)
         {
             return refuse_malformed("the request is not valid HTTP/1.1", 400);
         }
+        request_ = std::move(*parsed_head);
         return receive_request_body() && answer();
     }
 
@@ -279,7 +280,7 @@
         }
         steady_time const until = steady_now() + owner_.settings.body_time;
         if (framing->kind != body_kind::none &&
-            equal_ignoring_case(header_value(request_, "Expect"), "100-continue"))
+            equal_ignoring_case(request_.fields.value("Expect"), "100-continue"))
         {
             (void)wire_.write_all("HTTP/1.1 100 Continue\r\n\r\n", until);
         }
@@ -310,13 +311,14 @@
     {
         arrived_ = steady_now();
         request_number const number = ++owner_.last_number;
-        std::string const& given_id = header_value(request_, "X-Request-Id");
+        std::string const& given_id = request_.fields.value("X-Request-Id");
         bool const has_id = is_valid_request_id(given_id);
-        bool const http_1_1 = request_.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
-        answer_writer writer(wire_, http_1_1, request_.getMethod() == "HEAD",
-                             request_.getKeepAlive() && !owner_.shutdown_announced,
+        bool const http_1_1 = request_.version == http_version::http_1_1;
+        answer_writer writer(wire_, http_1_1, request_.method == "HEAD",
+                             keeps_connection(request_.version, request_.fields) &&
+                                 !owner_.shutdown_announced,
                              has_id ? given_id : owner_.request_id_for(number));
-        if (request_.has("X-Request-Id") && !has_id)
+        if (request_.fields.has("X-Request-Id") && !has_id)
         {
             return refuse(writer, malformed(), "X-Request-Id must have 1 to 128 visible ASCII characters");
         }
@@ -334,7 +336,7 @@
 
     void route(answer_writer& writer, request_number number)
     {
-        std::string const& target = request_.getURI();
+        std::string const& target = request_.target;
         std::string const path = target.substr(0, target.find('?'));
         if (path == "/v1/chat/completions")
         {
@@ -400,7 +402,7 @@
 
     void serve_operator(answer_writer& writer, std::string const& path)
     {
-        std::string const& given = header_value(request_, "Authorization");
+        std::string const& given = request_.fields.value("Authorization");
         std::string const expected = "Bearer " + owner_.settings.operator_key;
         if (owner_.settings.operator_key.empty() || !equal_in_constant_time(given, expected))
         {
@@ -416,7 +418,7 @@
         {
             explain(writer);
         }
-        else if (path == "/operator/drain" && request_.getMethod() == "POST")
+        else if (path == "/operator/drain" && request_.method == "POST")
         {
             send_text(writer, 202, json_type, "{\"draining\":true}");
             owner_.parts.on_drain();
@@ -447,7 +449,7 @@
         std::string model;
         try
         {
-            for (auto const& parameter : Poco::URI(request_.getURI()).getQueryParameters())
+            for (auto const& parameter : Poco::URI(request_.target).getQueryParameters())
             {
                 (parameter.first == "request" ? request_id : model) = parameter.second;
             }
@@ -484,7 +486,7 @@
 
     void serve_inference(answer_writer& writer, request_number number)
     {
-        if (request_.getMethod() != "POST")
+        if (request_.method != "POST")
         {
             refuse(writer, malformed(), "the method must be POST", 405, "Allow: POST\r\n");
             return;
@@ -507,7 +509,7 @@
 
     void serve_service(answer_writer& writer, request_number number)
     {
-        std::string const& target = request_.getURI();
+        std::string const& target = request_.target;
         std::size_t const end = std::min(target.find_first_of("/?", service_root.size()), target.size());
         std::string const name = target.substr(service_root.size(), end - service_root.size());
         if (name.empty())
@@ -522,7 +524,7 @@
         {
             call.backend_path.insert(0, "/");
         }
-        call.header_lines = service_header_lines(request_);
+        call.header_lines = service_header_lines(request_.fields);
         auto const config = owner_.parts.core.config();
         auto profile = build_profile(request_, nullptr, name, call.backend_path, body_, config.get());
         serve_call(writer, number, std::move(profile), call);
@@ -531,16 +533,15 @@
     // Checks the proof of a request that another instance forwarded. Returns false when the proof is wrong.
     bool accept_forwarded(request_profile& profile, backend_call& call) const
     {
-        if (!request_.has(forward_proof_header))
+        if (!request_.fields.has(forward_proof_header))
         {
             return true;
         }
-        std::string const& id = header_value(request_, forward_request_header);
-        std::string const& token = header_value(request_, forward_token_header);
+        std::string const& id = request_.fields.value(forward_request_header);
+        std::string const& token = request_.fields.value(forward_token_header);
         auto const next_token = parse_number(token);
         std::string const expected = forward_proof(owner_.settings.shared_key, id, token, body_);
-        bool const is_genuine =
-            equal_in_constant_time(header_value(request_, forward_proof_header), expected);
+        bool const is_genuine = equal_in_constant_time(request_.fields.value(forward_proof_header), expected);
         if (!is_genuine || !next_token || *next_token > 1U << 30U)
         {
             return false;
@@ -574,7 +575,7 @@
         }
         profile.value->number = number;
         call.number = number;
-        call.method = request_.getMethod();
+        call.method = request_.method;
         call.request_id = owner_.request_id_for(number);
         call.idempotency_key = profile.value->idempotency_key;
         call.request_rank = profile.value->request_rank;
@@ -739,7 +740,7 @@
 
     front& owner_;
     wire_connection wire_;
-    Poco::Net::HTTPRequest request_;
+    request_head request_;
     std::string body_;
     steady_time arrived_{};
     execution_verdict verdict_{execution_verdict::not_run};
--- a/adapters/http_message.cpp
+++ b/adapters/http_message.cpp
@@ -1,10 +1,5 @@
 #include "adapters/http_message.hpp"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
-
-#include <algorithm>
-#include <cctype>
 #include <charconv>
 
 namespace siskinusher
@@ -13,112 +8,11 @@
 namespace
 {
 
-constexpr std::size_t header_line_limit = 100;
-
-bool is_token_char(char c)
-{
-    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-           std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-}
-
-bool is_valid_header_line(std::string_view line)
-{
-    std::size_t const colon = line.find(':');
-    return colon != std::string_view::npos && colon > 0 &&
-           std::all_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), is_token_char);
-}
-
-// POCO skips header lines that it cannot parse; a line that another server understands differently could
-// smuggle a request, so that such a head is refused.
-bool is_valid_head(std::string_view head)
-{
-    std::size_t lines = 0;
-    std::size_t start = head.find("\r\n");
-    if (start == std::string_view::npos)
-    {
-        return false;
-    }
-    for (char const c : head)
-    {
-        bool const is_control = static_cast<unsigned char>(c) < 0x20 && c != '\r' && c != '\n' && c != '\t';
-        if (is_control || c == 0x7F)
-        {
-            return false;
-        }
-    }
-    for (start += 2; start < head.size(); ++lines)
-    {
-        std::size_t const end = head.find("\r\n", start);
-        if (end == std::string_view::npos || lines > header_line_limit)
-        {
-            return false;
-        }
-        std::string_view const line = head.substr(start, end - start);
-        if (line.find_first_of("\r\n") != std::string_view::npos)
-        {
-            return false;
-        }
-        start = end + 2;
-        if (line.empty())
-        {
-            return start == head.size();
-        }
-        if (!is_valid_header_line(line))
-        {
-            return false;
-        }
-    }
-    return false;
-}
-
-template <typename Message>
-bool parse_head(std::string const& head, Message& message)
-{
-    if (!is_valid_head(head))
-    {
-        return false;
-    }
-    try
-    {
-        Poco::MemoryInputStream stream(head.data(), static_cast<std::streamsize>(head.size()));
-        message.read(stream);
-        return message.getVersion() == "HTTP/1.1" || message.getVersion() == "HTTP/1.0";
-    }
-    catch (Poco::Exception const&)
-    {
-        return false;
-    }
-}
-
-// Searches a comma-separated list.
-bool list_contains(std::string_view list, std::string_view token)
-{
-    std::size_t start = 0;
-    while (start < list.size())
-    {
-        std::size_t const end = std::min(list.find(',', start), list.size());
-        std::string_view item = list.substr(start, end - start);
-        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
-        item = item.substr(0, item.find_last_not_of(" \t") + 1);
-        if (equal_ignoring_case(item, token))
-        {
-            return true;
-        }
-        start = end + 1;
-    }
-    return false;
-}
-
 // Sets `announced` when one of the two headers is present; without them the framing is that of no body.
-std::optional<body_framing> announced_framing(Poco::Net::HTTPMessage const& message, bool& announced)
+std::optional<body_framing> announced_framing(header_fields const& fields, bool& announced)
 {
-    auto const count = [&message](std::string const& name)
-    {
-        return std::count_if(message.begin(), message.end(),
-                             [&name](auto const& field) { return equal_ignoring_case(field.first, name); });
-    };
-    auto const lengths = count("Content-Length");
-    auto const encodings = count("Transfer-Encoding");
+    auto const lengths = fields.count("Content-Length");
+    auto const encodings = fields.count("Transfer-Encoding");
     announced = lengths + encodings > 0;
     if (lengths + encodings > 1)
     {
@@ -126,7 +20,7 @@
     }
     if (encodings == 1)
     {
-        if (!equal_ignoring_case(header_value(message, "Transfer-Encoding"), "chunked"))
+        if (!equal_ignoring_case(fields.value("Transfer-Encoding"), "chunked"))
         {
             return std::nullopt;
         }
@@ -134,7 +28,7 @@
     }
     if (lengths == 1)
     {
-        auto const length = parse_number(header_value(message, "Content-Length"));
+        auto const length = parse_number(fields.value("Content-Length"));
         if (!length)
         {
             return std::nullopt;
@@ -179,36 +73,25 @@
     }
 }
 
-bool parse_request_head(std::string const& head, Poco::Net::HTTPRequest& request)
-{
-    return parse_head(head, request);
-}
-
-bool parse_response_head(std::string const& head, Poco::Net::HTTPResponse& response)
-{
-    return parse_head(head, response);
-}
-
 bool status_has_body(int status)
 {
     return status != 204 && status != 304;
 }
 
-std::optional<body_framing> request_framing(Poco::Net::HTTPRequest const& request)
+std::optional<body_framing> request_framing(request_head const& request)
 {
     bool announced = false;
-    return announced_framing(request, announced);
+    return announced_framing(request.fields, announced);
 }
 
-std::optional<body_framing> response_framing(Poco::Net::HTTPResponse const& response,
-                                             std::string const& method)
+std::optional<body_framing> response_framing(response_head const& response, std::string const& method)
 {
-    if (method == "HEAD" || !status_has_body(response.getStatus()))
+    if (method == "HEAD" || !status_has_body(response.status))
     {
         return body_framing{};
     }
     bool announced = false;
-    auto const framing = announced_framing(response, announced);
+    auto const framing = announced_framing(response.fields, announced);
     if (framing && !announced)
     {
         return body_framing{body_kind::until_close, 0};
@@ -248,28 +131,6 @@
     }
 }
 
-std::string const& header_value(Poco::Net::MessageHeader const& headers, std::string const& name)
-{
-    static std::string const none;
-    return headers.get(name, none);
-}
-
-bool equal_ignoring_case(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() &&
-           std::equal(a.begin(), a.end(), b.begin(),
-                      [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
-}
-
-bool has_token(Poco::Net::MessageHeader const& headers, std::string_view name, std::string_view token)
-{
-    return std::any_of(headers.begin(), headers.end(),
-                       [&](auto const& field) {
-                           return equal_ignoring_case(field.first, name) &&
-                                  list_contains(field.second, token);
-                       });
-}
-
 std::optional<std::uint64_t> parse_number(std::string_view text)
 {
     std::uint64_t value = 0;
--- a/adapters/http_message.hpp
+++ b/adapters/http_message.hpp
@@ -1,12 +1,9 @@
 #pragma once
 
 #include "adapters/body_decoder.hpp"
+#include "adapters/http_head.hpp"
 #include "adapters/wire_connection.hpp"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/MessageHeader.h>
-
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -31,18 +28,13 @@
 head_status receive_head(wire_connection& from, std::string& head, std::size_t limit, steady_time until,
                          int watched = -1);
 
-/// Parses a head received by receive_head; false when it is not valid HTTP/1.x.
-bool parse_request_head(std::string const& head, Poco::Net::HTTPRequest& request);
-bool parse_response_head(std::string const& head, Poco::Net::HTTPResponse& response);
-
 /// False for the statuses whose answers have no body, whatever the request: 204 and 304.
 bool status_has_body(int status);
 
 /// Framing of a request body; empty when the headers contradict each other, which would let two servers see
 /// different message ends.
-std::optional<body_framing> request_framing(Poco::Net::HTTPRequest const& request);
-std::optional<body_framing> response_framing(Poco::Net::HTTPResponse const& response,
-                                             std::string const& method);
+std::optional<body_framing> request_framing(request_head const& request);
+std::optional<body_framing> response_framing(response_head const& response, std::string const& method);
 
 /// Result of one step of reading a body.
 enum class body_status
@@ -69,16 +61,6 @@
     body_decoder decoder_;
 };
 
-/// Returns the value of a header, or an empty string when the header is missing.
-std::string const& header_value(Poco::Net::MessageHeader const& headers, std::string const& name);
-
-/// Compares header names and tokens without regard to case.
-bool equal_ignoring_case(std::string_view a, std::string_view b);
-
-/// True when a header whose value is a list, for example Connection, contains the token without regard to
-/// case. The list may be spread over several lines.
-bool has_token(Poco::Net::MessageHeader const& headers, std::string_view name, std::string_view token);
-
 /// Parses a text that consists of an unsigned decimal number only.
 std::optional<std::uint64_t> parse_number(std::string_view text);
 
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -96,9 +96,9 @@
 
 // Half of the time for which the server keeps an idle connection open, so that a request is not sent while
 // the server closes the connection.
-duration reuse_time(Poco::Net::HTTPResponse const& head)
+duration reuse_time(header_fields const& fields)
 {
-    std::string const& text = header_value(head, "Keep-Alive");
+    std::string const& text = fields.value("Keep-Alive");
     std::size_t const at = text.find("timeout=");
     if (at == std::string::npos)
     {
@@ -373,17 +373,16 @@
     // False when the exchange is over.
     bool parse_head(std::size_t size)
     {
-        Poco::Net::HTTPResponse head;
-        bool const valid = parse_response_head(in_.substr(0, size), head);
+        auto const head = parse_response_head(std::string_view(in_).substr(0, size));
         in_.erase(0, size);
         searched_ = 0;
-        auto const framing = valid ? response_framing(head, request_.method) : std::nullopt;
+        auto const framing = head ? response_framing(*head, request_.method) : std::nullopt;
         if (!framing)
         {
             finish(exchange_end::malformed);
             return false;
         }
-        if (head.getStatus() >= 100 && head.getStatus() < 200)
+        if (head->status < 200)
         {
             if (++interim_answers_ > interim_answer_limit)
             {
@@ -394,11 +393,11 @@
         }
         head_received_.emplace();
         decoder_.emplace(*framing);
-        keep_alive_ = framing->kind != body_kind::until_close && head.getVersion() == "HTTP/1.1" &&
-                      !equal_ignoring_case(header_value(head, "Connection"), "close");
-        reuse_time_ = reuse_time(head);
+        keep_alive_ = framing->kind != body_kind::until_close && head->version == http_version::http_1_1 &&
+                      keeps_connection(head->version, head->fields);
+        reuse_time_ = reuse_time(head->fields);
         auto const handlers = handlers_;
-        if (handlers->on_head && !handlers->on_head(head))
+        if (handlers->on_head && !handlers->on_head(*head))
         {
             cancel();
             return false;
@@ -530,10 +529,10 @@
     auto const state = std::make_shared<collected>();
     exchange_handlers handlers;
     handlers.may_send = std::move(may_send);
-    handlers.on_head = [state](Poco::Net::HTTPResponse const& head)
+    handlers.on_head = [state](response_head const& head)
     {
-        state->outcome.status = head.getStatus();
-        state->outcome.headers.assign(head.begin(), head.end());
+        state->outcome.status = head.status;
+        state->outcome.headers.assign(head.fields.begin(), head.fields.end());
         return true;
     };
     handlers.on_body = [state](std::string const& part) { state->outcome.body.append(part); };
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "adapters/http_connection.hpp"
+#include "adapters/http_head.hpp"
 #include "core/steady_time.hpp"
 
-#include <Poco/Net/HTTPResponse.h>
-
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -40,7 +39,7 @@
     /// empty.
     std::function<bool()> may_send;
     /// The head of the answer. Returning false ends the exchange at once, without a call of on_end.
-    std::function<bool(Poco::Net::HTTPResponse const&)> on_head;
+    std::function<bool(response_head const&)> on_head;
     /// Decoded bytes of the body, as they arrive.
     std::function<void(std::string const&)> on_body;
     std::function<void(exchange_end)> on_end;
--- a/adapters/request_parser.cpp
+++ b/adapters/request_parser.cpp
@@ -194,14 +194,14 @@
     return {std::move(scanner.found), {}};
 }
 
-parsed<request_profile> build_profile(Poco::Net::HTTPRequest const& request, inference_body const* inference,
+parsed<request_profile> build_profile(request_head const& request, inference_body const* inference,
                                       std::string const& service, std::string_view path,
                                       std::string_view body, fleet_config const* config)
 {
     request_profile profile;
-    if (request.has("X-Rank"))
+    if (request.fields.has("X-Rank"))
     {
-        auto const value = parse_rank(header_value(request, "X-Rank"));
+        auto const value = parse_rank(request.fields.value("X-Rank"));
         if (!value)
         {
             return {std::nullopt, "X-Rank must be urgent, standard or background"};
@@ -209,25 +209,25 @@
         profile.request_rank = *value;
     }
     profile.time_to_deadline = milliseconds(default_deadline_ms);
-    if (request.has("X-Deadline-Ms"))
+    if (request.fields.has("X-Deadline-Ms"))
     {
-        auto const value = parse_number(header_value(request, "X-Deadline-Ms"));
+        auto const value = parse_number(request.fields.value("X-Deadline-Ms"));
         if (!value || *value < 1 || *value > static_cast<std::uint64_t>(max_deadline_ms))
         {
             return {std::nullopt, "X-Deadline-Ms must be a whole number from 1 to 600000"};
         }
         profile.time_to_deadline = milliseconds(static_cast<std::int64_t>(*value));
     }
-    if (request.has("Idempotency-Key"))
+    if (request.fields.has("Idempotency-Key"))
     {
-        std::string const& key = header_value(request, "Idempotency-Key");
+        std::string const& key = request.fields.value("Idempotency-Key");
         if (key.empty() || key.size() > max_key_length || !std::all_of(key.begin(), key.end(), is_visible))
         {
             return {std::nullopt, "Idempotency-Key must have 1 to 128 visible ASCII characters"};
         }
         profile.idempotency_key = key;
     }
-    std::string target = request.getMethod();
+    std::string target = request.method;
     target.append(" ").append(path);
     // The digest covers the method and the path too: the same body sent to another path is another call.
     profile.body_digest = stable_hash(body, stable_hash(target));
@@ -244,7 +244,7 @@
     else
     {
         profile.service = service;
-        profile.repeatable = is_repeatable_call(request.getMethod(), service, path, config);
+        profile.repeatable = is_repeatable_call(request.method, service, path, config);
     }
     std::string const identity = profile.service + "\n" + profile.model + "\n" + profile.adapter;
     profile.fingerprint = stable_hash(identity, profile.body_digest);
--- a/adapters/request_parser.hpp
+++ b/adapters/request_parser.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
+#include "adapters/http_head.hpp"
 #include "domain/fleet_config.hpp"
 #include "domain/request_profile.hpp"
 
-#include <Poco/Net/HTTPRequest.h>
-
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,7 +33,7 @@
 
 /// Builds the profile of an inference request, or of a plain call when `inference` is null. `path` is the
 /// path below /services/<name>. The request number is left zero.
-parsed<request_profile> build_profile(Poco::Net::HTTPRequest const& request, inference_body const* inference,
+parsed<request_profile> build_profile(request_head const& request, inference_body const* inference,
                                       std::string const& service, std::string_view path,
                                       std::string_view body, fleet_config const* config);
 
--- a/apps/bench_caller.cpp
+++ b/apps/bench_caller.cpp
@@ -114,17 +114,17 @@
     steady_time const start = steady_now();
     steady_time const until = start + limit;
     std::string head;
-    Poco::Net::HTTPResponse response;
+    std::optional<response_head> response;
     bool const answered = connection_->write_all(request, until) == io_status::ok &&
                           receive_head(*connection_, head, max_head_bytes, until) == head_status::ok &&
-                          parse_response_head(head, response);
-    auto const framing = answered ? response_framing(response, "POST") : std::nullopt;
+                          (response = parse_response_head(head)).has_value();
+    auto const framing = answered ? response_framing(*response, "POST") : std::nullopt;
     if (!framing)
     {
         connection_.reset();
         return result;
     }
-    result.status = static_cast<int>(response.getStatus());
+    result.status = response->status;
     token_timer timer(start);
     body_reader reader(*connection_, *framing);
     std::string received;
@@ -148,7 +148,7 @@
         result.error_text = received.substr(0, max_error_text_bytes);
     }
     if (status != body_status::complete || framing->kind == body_kind::until_close ||
-        !response.getKeepAlive())
+        !keeps_connection(response->version, response->fields))
     {
         connection_.reset();
     }
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -338,7 +338,7 @@
 
     void on_readiness(std::shared_ptr<caller_exchange> const& exchange)
     {
-        std::string const& target = exchange->head().getURI();
+        std::string const& target = exchange->head().target;
         if (target == platform::readiness_path)
         {
             exchange->answer(ready() ? 200 : 503, "", "");
@@ -349,7 +349,7 @@
 
     void on_peer(std::shared_ptr<caller_exchange> const& exchange)
     {
-        if (exchange->head().getURI() == "/metrics")
+        if (exchange->head().target == "/metrics")
         {
             exchange->answer(200, "Content-Type: text/plain\r\n", metrics.text());
             return;
--- a/apps/forwarded_call.cpp
+++ b/apps/forwarded_call.cpp
@@ -29,17 +29,21 @@
     return text.append(inner);
 }
 
-std::optional<forwarded_call> decode_forwarded_call(Poco::Net::HTTPRequest const& call,
-                                                    std::string const& bytes)
+std::optional<forwarded_call> decode_forwarded_call(request_head const& call, std::string const& bytes)
 {
-    auto const servers_left = parse_number(header_value(call, servers_left_header));
+    auto const servers_left = parse_number(call.fields.value(servers_left_header));
     std::size_t const end = bytes.find("\r\n\r\n");
-    forwarded_call decoded;
-    if (!servers_left || end == std::string::npos ||
-        !parse_request_head(bytes.substr(0, end + 4), decoded.head))
+    if (!servers_left || end == std::string::npos)
     {
         return std::nullopt;
     }
+    auto head = parse_request_head(std::string_view(bytes).substr(0, end + 4));
+    if (!head)
+    {
+        return std::nullopt;
+    }
+    forwarded_call decoded;
+    decoded.head = std::move(*head);
     decoded.body = bytes.substr(end + 4);
     decoded.servers_left = static_cast<unsigned>(std::min(*servers_left, max_servers));
     return decoded;
--- a/apps/forwarded_call.hpp
+++ b/apps/forwarded_call.hpp
@@ -2,8 +2,6 @@
 
 #include "platform/request_codec.hpp"
 
-#include <Poco/Net/HTTPRequest.h>
-
 #include <optional>
 #include <string>
 
@@ -16,7 +14,7 @@
 /// A caller's request that another instance has accepted and cannot pass on to a server.
 struct forwarded_call
 {
-    Poco::Net::HTTPRequest head;
+    request_head head;
     std::string body;
     unsigned servers_left = 0; ///< How many servers may still run it.
 };
@@ -27,7 +25,6 @@
                                   platform::attempt_headers const& headers, unsigned servers_left,
                                   std::string const& peer_address, std::string const& authorization);
 /// Returns no value when the bytes are no such call.
-std::optional<forwarded_call> decode_forwarded_call(Poco::Net::HTTPRequest const& call,
-                                                    std::string const& bytes);
+std::optional<forwarded_call> decode_forwarded_call(request_head const& call, std::string const& bytes);
 
 } // namespace siskinusher
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -465,7 +465,7 @@
     void answer_stream_question(caller_exchange& call) const
     {
         constexpr char const* text_line = "Content-Type: text/plain\r\n";
-        std::string const& service = header_value(call.head(), stream_service_header);
+        std::string const& service = call.head().fields.value(stream_service_header);
         auto const version = streams.find(call.body());
         if (version)
         {
@@ -649,29 +649,29 @@
     void on_peer_call(std::shared_ptr<caller_exchange> const& call)
     {
         order_lease_record const* const record = lease.record();
-        std::string const given = call->head().get("Authorization", "");
+        std::string const given = call->head().fields.value("Authorization");
         if (record == nullptr || !same_secret(given, key_scheme + record->peer_key))
         {
             call->answer(401, "", "");
             return;
         }
-        if (call->head().getURI().rfind(platform::relay_path, 0) == 0)
+        if (call->head().target.rfind(platform::relay_path, 0) == 0)
         {
             relay_store_call(call);
             return;
         }
-        if (call->head().getURI() == stream_path)
+        if (call->head().target == stream_path)
         {
             answer_stream_question(*call);
             return;
         }
-        if (call->head().getURI() == forward_path && on_forwarded)
+        if (call->head().target == forward_path && on_forwarded)
         {
             on_forwarded(call);
             return;
         }
-        bool const asks_state = call->head().getURI() == state_path;
-        if (call->head().getURI() != demand_path && !asks_state)
+        bool const asks_state = call->head().target == state_path;
+        if (call->head().target != demand_path && !asks_state)
         {
             call->answer(404, "", "");
             return;
@@ -715,14 +715,14 @@
     void relay_store_call(std::shared_ptr<caller_exchange> const& call)
     {
         http_call forwarded;
-        forwarded.method = call->head().getMethod();
-        forwarded.path = call->head().getURI().substr(std::string(platform::relay_path).size());
+        forwarded.method = call->head().method;
+        forwarded.path = call->head().target.substr(std::string(platform::relay_path).size());
         forwarded.body = call->body();
         if (!forwarded.body.empty())
         {
-            forwarded.headers.emplace_back("Content-Type", call->head().getContentType());
+            forwarded.headers.emplace_back("Content-Type", call->head().fields.value("Content-Type"));
         }
-        auto const limit = parse_number(call->head().get(platform::relay_limit_header, ""));
+        auto const limit = parse_number(call->head().fields.value(platform::relay_limit_header));
         duration const span =
             std::min<duration>(milliseconds{static_cast<std::int64_t>(limit.value_or(1000))}, max_relay_time);
         store.call_for_peer(forwarded, span,
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -761,7 +761,7 @@
         {
             handlers.may_send = [self, open] { return self->may_send_replacement(open); };
         }
-        handlers.on_head = [self, open, attempt](Poco::Net::HTTPResponse const& head)
+        handlers.on_head = [self, open, attempt](response_head const& head)
         { return self->on_head(open, attempt, head); };
         handlers.on_body = [self, open, attempt](std::string const& part)
         {
@@ -967,7 +967,7 @@
 
     // Returns false to end the exchange in the connection pool; the attempt is then ended by the posted task.
     bool on_head(open_pointer const& open, std::shared_ptr<server_attempt> const& attempt,
-                 Poco::Net::HTTPResponse const& head)
+                 response_head const& head)
     {
         attempt->facts = platform::decode_answer(head, open->request.request_id, attempt->target.backend);
         platform::answer_info const& facts = *attempt->facts;
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -207,7 +207,7 @@
 // Answers /stream with two parts and all other requests with a whole body that names the path.
 void answer_by_path(exchange_pointer const& exchange)
 {
-    std::string const path = exchange->head().getURI();
+    std::string const path = exchange->head().target;
     if (path == "/stream")
     {
         exchange->begin(200, event_stream);
@@ -329,7 +329,7 @@
 {
     running_server const server(
         [](exchange_pointer const& exchange)
-        { exchange->answer(200, "", exchange->head().getURI() == "/known" ? "known body" : ""); });
+        { exchange->answer(200, "", exchange->head().target == "/known" ? "known body" : ""); });
     raw_caller caller(server.address());
     cr_assert(caller.send(request("HEAD /unknown HTTP/1.1")));
     std::string const unknown = caller.receive_until("\r\n\r\n");
@@ -354,7 +354,7 @@
     running_server const server(
         [](exchange_pointer const& exchange)
         {
-            std::string const target = exchange->head().getURI();
+            std::string const target = exchange->head().target;
             if (target == "/next")
             {
                 exchange->answer(200, "", "next body");
@@ -567,7 +567,7 @@
         [&held, &frames](exchange_pointer const& exchange)
         {
             frames.push_back(static_cast<char const*>(__builtin_frame_address(0)));
-            if (exchange->head().getURI() == "/first")
+            if (exchange->head().target == "/first")
             {
                 held.push_back(exchange);
                 return;
@@ -637,7 +637,7 @@
     running_server server(
         [&held](exchange_pointer const& exchange)
         {
-            if (exchange->head().getURI() == "/stream")
+            if (exchange->head().target == "/stream")
             {
                 hold_after_first_event(held)(exchange);
                 return;
--- a/tests/adapters/http_front_test.cpp
+++ b/tests/adapters/http_front_test.cpp
@@ -248,6 +248,25 @@
     cr_assert(fixture.record.finished.at(0).status == 201 && fixture.record.finished.at(0).body == "made");
 }
 
+// Guards against header values that are decoded on the way, which could carry a second message.
+Test(http_front, header_values_pass_through_as_they_were_sent)
+{
+    std::string const lines =
+        "X-A: =?utf-8?B?eA0KSG9sZDogMQ==?=\r\nX-B: caf\xc3\xa9  \t au lait\r\nX-C: \r\n";
+    std::string seen;
+    fault_server const backend({[&](fault_connection& c)
+                                {
+                                    c.receive();
+                                    seen = c.request();
+                                    c.answer(200, "made", lines);
+                                }});
+    front_fixture fixture({backend.address()});
+    std::string const answer = fixture.call("POST", "/services/ledger/debits/1", lines, "{ }");
+    cr_expect_eq(status_of(answer), 200);
+    cr_expect(contains(answer, lines), "%s", answer.c_str());
+    cr_expect(contains(seen, lines), "%s", seen.c_str());
+}
+
 // Guards against operator calls without the key.
 Test(http_front, operator_calls_need_the_key)
 {
--- a/tests/apps/forwarded_call_test.cpp
+++ b/tests/apps/forwarded_call_test.cpp
@@ -20,11 +20,11 @@
            servers_left + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-Poco::Net::HTTPRequest head_of(std::string const& call)
+request_head head_of(std::string const& call)
 {
-    Poco::Net::HTTPRequest head;
-    cr_assert(parse_request_head(call.substr(0, call.find("\r\n\r\n") + 4), head));
-    return head;
+    auto const head = parse_request_head(call.substr(0, call.find("\r\n\r\n") + 4));
+    cr_assert(head.has_value());
+    return *head;
 }
 
 } // namespace
@@ -35,15 +35,27 @@
     auto const decoded = decode_forwarded_call(head_of(call_of_build_79343ca("2")), inner);
     cr_assert(decoded.has_value());
     cr_expect_eq(decoded->servers_left, 2U);
-    cr_expect_eq(decoded->head.getURI(), "/again/1");
+    cr_expect_eq(decoded->head.target, "/again/1");
     platform::caller_request const request = platform::decode_request(decoded->head);
     std::string const call =
         encode_forwarded_call(request, "", platform::attempt_headers{}, 1, "127.0.0.1:1", "Bearer k");
     auto const head = head_of(call);
-    cr_expect_eq(head.getMethod(), "POST");
-    cr_expect_eq(head.getURI(), "/forward");
-    cr_expect_eq(header_value(head, "Servers-Left"), "1");
-    cr_expect_eq(header_value(head, "Authorization"), "Bearer k");
+    cr_expect_eq(head.method, "POST");
+    cr_expect_eq(head.target, "/forward");
+    cr_expect_eq(head.fields.value("Servers-Left"), "1");
+    cr_expect_eq(head.fields.value("Authorization"), "Bearer k");
     cr_expect_not(
         decode_forwarded_call(head_of("POST /forward HTTP/1.1\r\nHost: h\r\n\r\n"), inner).has_value());
 }
+
+// Guards against a header value that a peer decodes before it passes the request on.
+Test(forwarded_call, header_values_pass_a_peer_as_they_are)
+{
+    std::string const line = "X-Note: =?utf-8?B?eA0KSG9sZDogMQ==?= caf\xc3\xa9\r\n";
+    std::string const bytes = "POST /once/1 HTTP/1.1\r\nHost: h\r\n" + line + "\r\n";
+    auto const decoded = decode_forwarded_call(head_of(call_of_build_79343ca("1")), bytes);
+    cr_assert(decoded.has_value());
+    std::string const call = encode_forwarded_call(platform::decode_request(decoded->head), "",
+                                                   platform::attempt_headers{}, 1, "127.0.0.1:1", "Bearer k");
+    cr_expect_neq(call.find(line), std::string::npos, "%s", call.c_str());
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -147,21 +147,23 @@
 // deadline being passed on instead of the time left.
 Test(request_codec, system_headers_of_callers_are_dropped)
 {
-    Poco::Net::HTTPRequest head("POST", "/a/b?c=d", "HTTP/1.1");
+    request_head head;
+    head.method = "POST";
+    head.target = "/a/b?c=d";
     for (char const* const name :
          {"Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Request-Priority", "Expect-Instance"})
     {
-        head.set(name, "from-caller");
+        head.fields.add(name, "from-caller");
     }
-    head.set("Attempt-Id", "r1");
-    head.set("Model", "m/a2");
-    head.set("Prompt-Prefix", "5c:800,91:10");
-    head.set("Deadline-Ms", "2000");
-    head.set("Connection", "X-Hop");
-    head.set("X-Hop", "1");
-    head.add("Connection", "te, X-Hop-2");
-    head.set("X-Hop-2", "1");
-    head.set("X-Kept", "2");
+    head.fields.add("Attempt-Id", "r1");
+    head.fields.add("Model", "m/a2");
+    head.fields.add("Prompt-Prefix", "5c:800,91:10");
+    head.fields.add("Deadline-Ms", "2000");
+    head.fields.add("Connection", "X-Hop");
+    head.fields.add("X-Hop", "1");
+    head.fields.add("Connection", "te, X-Hop-2");
+    head.fields.add("X-Hop-2", "1");
+    head.fields.add("X-Kept", "2");
     caller_request const request = decode_request(head);
     cr_assert_eq(request.model, "m");
     cr_assert_eq(request.adapter, "a2");
@@ -188,13 +190,15 @@
     auto const name = [](std::string const& method, std::string const& target, std::string const& attempt,
                          std::string const& caller, std::string const& model, std::string const& body)
     {
-        Poco::Net::HTTPRequest head(method, target, "HTTP/1.1");
-        head.set("Host", "h");
-        head.set("Attempt-Id", attempt);
-        head.set("Deadline-Ms", attempt);
-        head.set("Authorization", caller);
-        head.set("Model", model);
-        head.set("Prompt-Prefix", "a:1,b:2,own:3");
+        request_head head;
+        head.method = method;
+        head.target = target;
+        head.fields.add("Host", "h");
+        head.fields.add("Attempt-Id", attempt);
+        head.fields.add("Deadline-Ms", attempt);
+        head.fields.add("Authorization", caller);
+        head.fields.add("Model", model);
+        head.fields.add("Prompt-Prefix", "a:1,b:2,own:3");
         return suspects_in(decode_request(head), body).request;
     };
     std::string const first = name("GET", "/p/1?page=2", "1", "me", "m", "body");
@@ -213,20 +217,24 @@
 // Guards against an answer of another request, or one that did not run, being taken for this request's.
 Test(request_codec, answers_are_told_apart)
 {
-    Poco::Net::HTTPResponse head(Poco::Net::HTTPResponse::HTTP_OK);
-    head.set("Attempt-Id", "r2");
+    response_head head;
+    head.status = 200;
+    head.fields.add("Attempt-Id", "r2");
     cr_assert(decode_answer(head, "r1", "i-1").wrong_request_id);
     cr_assert_not(decode_answer(head, "r2", "i-1").has_server_stamp);
-    Poco::Net::HTTPResponse full(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    response_head full;
+    full.status = 503;
     cr_assert_not(decode_answer(full, "r1", "i-1").not_run);
-    full.set("Not-Executed", "1");
+    full.fields.add("Not-Executed", "1");
     cr_assert(decode_answer(full, "r1", "i-1").not_run);
-    Poco::Net::HTTPResponse misdirected(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(421));
-    misdirected.set("Instance-Id", "i-2");
+    response_head misdirected;
+    misdirected.status = 421;
+    misdirected.fields.add("Instance-Id", "i-2");
     cr_assert(decode_answer(misdirected, "r1", "i-1").not_run);
     cr_assert(decode_answer(misdirected, "r1", "i-1").from_other_server);
-    Poco::Net::HTTPResponse odd(Poco::Net::HTTPResponse::HTTP_OK);
-    odd.set("Server-Load", "none");
+    response_head odd;
+    odd.status = 200;
+    odd.fields.add("Server-Load", "none");
     cr_assert_not(decode_answer(odd, "r1", "i-1").load.has_value());
 }
 
@@ -280,9 +288,9 @@
 {
     auto const decode = [](std::string const& lines)
     {
-        Poco::Net::HTTPResponse head;
-        cr_assert(parse_response_head("HTTP/1.1 503 x\r\n" + lines + "\r\n", head));
-        return decode_answer(head, "r1", "");
+        auto const head = parse_response_head("HTTP/1.1 503 x\r\n" + lines + "\r\n");
+        cr_assert(head.has_value());
+        return decode_answer(*head, "r1", "");
     };
     answer_info const told = decode(encode_not_run(3));
     cr_expect(told.not_run);
--- a/tests/platform/faulty_answer_test.cpp
+++ b/tests/platform/faulty_answer_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/fault_server.hpp"
 #include "tests/wire/request_checks.hpp"
+#include "tests/wire/scripted_fleet.hpp"
 #include "tests/wire/small_fleet.hpp"
 
 #include <criterion/criterion.h>
@@ -20,42 +21,6 @@
 
 using std::chrono::milliseconds;
 
-/// One siskin-edge process before servers that follow scripts.
-class scripted_fleet
-{
-public:
-    scripted_fleet() { store_.write("config", "main", example_config(1)); }
-
-    void add(std::string const& name, std::string const& service, std::vector<fault_server::script> scripts)
-    {
-        servers_.push_back(std::make_unique<fault_server>(std::move(scripts)));
-        nlohmann::json entry{{"service", service}, {"address", servers_.back()->address()},
-                             {"zone", "here"},     {"version", "v1"},
-                             {"slots", 8},         {"state", "ready"},
-                             {"born", 1}};
-        if (service == "llm")
-        {
-            entry["models"] = {{{"name", "m0"}, {"version", 1}, {"adapters", nlohmann::json::array()}}};
-        }
-        store_.write("servers", name, entry);
-    }
-
-    edge_child& edge()
-    {
-        if (!edge_)
-        {
-            edge_ = std::make_unique<edge_child>("edge-1", store_.address());
-            cr_assert(edge_->wait_ready(), "%s", edge_->log_text().c_str());
-        }
-        return *edge_;
-    }
-
-private:
-    store_standin store_;
-    std::vector<std::unique_ptr<fault_server>> servers_;
-    std::unique_ptr<edge_child> edge_;
-};
-
 // An answer that names the request, unless `id` is empty.
 void send_answer(fault_connection const& connection, std::string const& status_line, std::string const& id,
                  std::string const& header_lines, std::string const& body)
