Answer 502 when a server fails with a status that reads as a promise

Cause: a server's failure was passed on with its status. 408, 421, 429 and 503 tell a caller that the request has not run and never will, but a server says that only with Not-Executed (or 421). The instance promised what the server had not. 408 and 429 did not even count as failures, so that repeatable requests ended with them while another server could serve.

Change: an answer with one of these statuses and without the proof is a failure of the server. A request that may be repeated goes to another one; otherwise the caller gets 502 without the server's signature, outcome=unproven_refusal in the log.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -38,6 +38,9 @@
 constexpr duration failed_retry_after = milliseconds{500};
 // Short, because another instance can take the request at once.
 constexpr duration stopping_retry_after = milliseconds{50};
+// The server answered with a status that callers take for a promise, and does not state that the request has
+// not run.
+constexpr char const* unproven_refusal = "unproven_refusal";
 // The server may end a stream that has no length by closing the connection, also when it crashes.
 constexpr char const* broken_event = "stream_ends_in_event";
 constexpr char const* no_event = "stream_without_event";
@@ -121,6 +124,21 @@
     return status >= 200 && status < 300;
 }
 
+bool is_unproven_refusal(platform::answer_info const& facts)
+{
+    return facts.reads_as_not_run && !facts.not_run;
+}
+
+bool is_server_failure(platform::answer_info const& facts)
+{
+    return facts.status >= 500 || is_unproven_refusal(facts);
+}
+
+char const* failure_reason(platform::answer_info const& facts)
+{
+    return is_unproven_refusal(facts) ? unproven_refusal : "server_error";
+}
+
 } // namespace
 
 class request_service::implementation : public std::enable_shared_from_this<implementation>
@@ -1060,7 +1078,8 @@
     // False for an answer after which another server may be tried.
     static bool is_usable(open_exchange const& open, platform::answer_info const& facts)
     {
-        return !facts.not_run && (open.route.streaming ? is_success(facts.status) : facts.status < 500);
+        return !facts.not_run &&
+               (open.route.streaming ? is_success(facts.status) : !is_server_failure(facts));
     }
 
     // Of two servers, the first one that begins a stream, or completes another answer, serves the request.
@@ -1075,7 +1094,7 @@
             }
             return true;
         }
-        char const* const why = facts.not_run ? reason_not_run(facts) : "server_error";
+        char const* const why = facts.not_run ? reason_not_run(facts) : failure_reason(facts);
         boost::asio::post(loop,
                           [self = shared_from_this(), open, attempt, why]
                           {
@@ -1295,11 +1314,11 @@
             close(*open, "served", facts.status);
             return;
         }
-        if (facts.status >= 500)
+        if (is_server_failure(facts))
         {
             open->failed_facts = facts;
             open->failed_body = open->current->body;
-            end_attempt(open, attempt_result::answered, "server_error");
+            end_attempt(open, attempt_result::answered, failure_reason(facts));
             return;
         }
         report_end(*open->current, attempt_result::answered);
@@ -1445,9 +1464,16 @@
         run_dispatcher();
     }
 
-    // Forwards the failure answer of a server to the caller.
+    // Forwards the failure answer of a server to the caller. A status that would promise more than the server
+    // did is replaced, without the server's signature.
     void forward_server_failure(open_exchange& open)
     {
+        if (is_unproven_refusal(*open.failed_facts))
+        {
+            open.caller->answer(502, "", "");
+            close(open, unproven_refusal, 502);
+            return;
+        }
         open.caller->answer(open.failed_facts->status, open.failed_facts->header_lines, open.failed_body);
         close(open, "server_error", open.failed_facts->status);
     }
--- a/tests/platform/forwarded_request_test.cpp
+++ b/tests/platform/forwarded_request_test.cpp
@@ -163,6 +163,29 @@
     }
 }
 
+// Guards against a server's status that becomes a promise on its way through a peer.
+Test(forwarded_request, unproven_refusal_at_a_peer_is_no_promise)
+{
+    partition_fleet fleet(3);
+    std::size_t const cut = cut_off_one(fleet);
+    for (std::size_t i = 0; i < plain_servers; ++i)
+    {
+        fleet.server(i).set_fault(backend_fault::unproven_refusal);
+    }
+    unsigned ran = 0;
+    for (unsigned i = 0; i < 10; ++i)
+    {
+        std::string const id = "unproven" + std::to_string(i);
+        auto const answer = fleet.edge(cut).call("POST", "/once/" + id, id, {{"Deadline-Ms", "3500"}});
+        cr_assert(answer.has_value());
+        bool const has_run = fleet.runs()[id] > 0;
+        ran += has_run ? 1 : 0;
+        cr_expect(!has_run || answer->status == 502, "status %d\n%s", answer->status,
+                  fleet.log_of_request(id).c_str());
+    }
+    cr_expect_gt(ran, 0);
+}
+
 // Guards against forgetting what a peer used before it ended.
 Test(forwarded_request, a_peer_that_ends_has_used_the_servers_it_was_given)
 {
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -272,6 +272,11 @@
         exchange.reply(404, "none", "text/plain");
         return;
     }
+    if (fault == backend_fault::unproven_refusal)
+    {
+        exchange.reply(503, "unavailable", "text/plain");
+        return;
+    }
     if (engine_ && fault != backend_fault::server_error)
     {
         stream(exchange, id, fault);
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -33,6 +33,7 @@
     empty_stream,     ///< Begins a stream that ends with its connection, and closes without an event.
     broken_stream,    ///< As above, but closes in the middle of the first event.
     open_stream,      ///< A whole stream that ends with its connection.
+    unproven_refusal, ///< Runs and answers 503, without stating that the request did not run.
 };
 
 /// An order that a backend stand-in has received, accepted or not.
