--- a/adapters/http_head.cpp
+++ b/adapters/http_head.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
-#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
 #include <algorithm>
@@ -20,7 +19,6 @@
 using boost::system::error_code;
 
 constexpr int lowest_status = 100;
-constexpr std::size_t header_line_limit = 100;
 
 std::string to_text(string_view text)
 {
@@ -53,13 +51,10 @@
         status = code;
         set_version(version_number);
     }
-    void on_field_impl(http::field /*name*/, string_view name, string_view value, error_code& error) override
+    void on_field_impl(http::field /*name*/, string_view name, string_view value,
+                       error_code& /*error*/) override
     {
         fields.add(to_text(name), to_text(value));
-        if (++lines_ > header_line_limit)
-        {
-            error = http::error::header_limit;
-        }
     }
     void on_header_impl(error_code& /*error*/) override {}
     // The body is read by body_decoder.
@@ -78,8 +73,6 @@
     }
     void on_finish_impl(error_code& /*error*/) override {}
 
-    std::size_t lines_ = 0;
-
     void set_version(int number) { version = number == 10 ? http_version::http_1_0 : http_version::http_1_1; }
 };
 
--- a/adapters/http_head.hpp
+++ b/adapters/http_head.hpp
@@ -33,7 +33,8 @@
 };
 
 /// Parses a head that ends with its empty line; nothing when it is not valid HTTP/1.x. A line that continues
-/// the one before it is not valid, because servers read it in different ways.
+/// the one before it is not valid, because servers read it in different ways. The parser sets no limit on
+/// the length of a name or value or on the number of lines: whoever receives the head limits its size.
 std::optional<request_head> parse_request_head(std::string_view head);
 std::optional<response_head> parse_response_head(std::string_view head);
 
--- a/tests/platform/header_values_test.cpp
+++ b/tests/platform/header_values_test.cpp
@@ -119,3 +119,59 @@
     expect_lines(answer, plain_values);
     cr_expect_eq(answer.substr(answer.find("\r\n\r\n")), "\r\n\r\nok");
 }
+
+// Guards against a limit beside those of the configuration (16,384 bytes of a head), under which long prompts
+// were denied.
+Test(header_values, of_any_length_and_number_pass_within_the_limits)
+{
+    std::vector<std::vector<std::string>> const heads{
+        {std::string(15800, 'v')}, std::vector<std::string>(900, "v"), {std::string(8193, '"'), "v"}};
+    for (auto const& values : heads)
+    {
+        recording_server server(header_lines(values));
+        scripted_fleet fleet;
+        fleet.add("p1", "plain", {server.script()});
+        std::string const answer =
+            siskinusher::exchange(fleet.edge().caller_address(), debit(header_lines(values)));
+        cr_expect_eq(answer.rfind("HTTP/1.1 200 ", 0), 0, "%.300s", answer.c_str());
+        expect_lines(answer, values);
+        cr_assert_eq(server.requests().size(), 1);
+        expect_lines(server.requests()[0], values);
+    }
+    std::string const name(15000, 'n');
+    recording_server server(name + ": v\r\n");
+    scripted_fleet fleet;
+    fleet.add("p1", "plain", {server.script()});
+    std::string const answer = siskinusher::exchange(fleet.edge().caller_address(), debit(name + ": v\r\n"));
+    cr_expect_neq(answer.find("\r\n" + name + ": v\r\n"), std::string::npos, "%.300s", answer.c_str());
+    cr_assert_eq(server.requests().size(), 1);
+    cr_expect_neq(server.requests()[0].find("\r\n" + name + ": v\r\n"), std::string::npos);
+}
+
+// Guards against a request that is accepted beyond the limit of the configuration.
+Test(header_values, beyond_the_limit_of_a_head_are_refused)
+{
+    recording_server server;
+    scripted_fleet fleet;
+    fleet.add("p1", "plain", {server.script()});
+    std::string const answer =
+        siskinusher::exchange(fleet.edge().caller_address(), debit(header_lines({std::string(16384, 'v')})));
+    cr_expect_eq(answer.rfind("HTTP/1.1 431 ", 0), 0, "%.300s", answer.c_str());
+    cr_expect_eq(server.requests().size(), 0);
+}
+
+// Guards against a request whose long target is denied, although the head is within its limit.
+Test(header_values, long_targets_pass_within_the_limits)
+{
+    std::string const target = "/once/1?q=" + std::string(16100, 'q');
+    recording_server server;
+    scripted_fleet fleet;
+    fleet.add("p1", "plain", {server.script()});
+    std::string const answer = siskinusher::exchange(
+        fleet.edge().caller_address(), "POST " + target +
+                                           " HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\nConnection: "
+                                           "close\r\nContent-Length: 5\r\n\r\ndebit");
+    cr_expect_eq(answer.rfind("HTTP/1.1 200 ", 0), 0, "%.300s", answer.c_str());
+    cr_assert_eq(server.requests().size(), 1);
+    cr_expect_eq(server.requests()[0].rfind("POST " + target + " HTTP/1.1\r\n", 0), 0);
+}
