Handle a request only after the earlier answers of its connection are sent

What callers saw: a caller that sends requests one behind the other and reads slowly lost its connection, and requests that had run had not a byte of an answer.

Cause: caller_connection took the next request when an answer was complete, not when it was sent, and closed the connection with a request in progress when more than 4 MiB were unsent.

Evidence: the new test caller_server/request_behind_unsent_answers_is_not_handled fails on the parent commit: 5 requests handled, 1 answer begun, connection closed. It passes now, as do the 20 other tests of caller_server.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -144,8 +144,19 @@
 }
 
 // Returns true when it has consumed a valid head; the body follows.
+//
+// A request waits until all earlier answers are sent: if the connection ended with it in progress, its caller
+// would see a reset without a byte of its answer, take it for unread and send it again.
 bool caller_connection::take_head()
 {
+    if (has_unsent())
+    {
+        if (queued_.size() + writing_.size() > unsent_limit)
+        {
+            close();
+        }
+        return false;
+    }
     std::size_t const limit = server_->limits.head_bytes;
     std::size_t const end = received_.find("\r\n\r\n");
     if (end == std::string::npos || end + 4 > limit)
@@ -372,6 +383,8 @@
                                      return;
                                  }
                                  self->flush();
+                                 self->process(); // A request may have waited for the end of the sending.
+                                 self->read_more();
                              });
 }
 
@@ -411,14 +424,15 @@
         close();
         return;
     }
+    if (phase_ == phase::head && has_unsent())
+    {
+        // The connection is not idle while the caller reads an answer, and a request that waits for that is
+        // not late.
+        start_timer(server_->limits.idle_timeout);
+        return;
+    }
     if (phase_ == phase::head && received_.empty())
     {
-        if (has_unsent())
-        {
-            // The connection is not idle while the caller reads an answer.
-            start_timer(server_->limits.idle_timeout);
-            return;
-        }
         close();
         return;
     }
--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -556,6 +556,38 @@
     }
 }
 
+// Guards against a request that runs and whose connection is then closed without a byte of its answer: the
+// caller sees a reset, takes the request for unread and sends it again.
+Test(caller_server, request_behind_unsent_answers_is_not_handled)
+{
+    constexpr std::size_t requests = 20;
+    std::atomic<std::size_t> handled{0};
+    running_server const server(
+        [&handled](exchange_pointer const& exchange)
+        {
+            ++handled;
+            exchange->answer(200, "", std::string(1U << 20U, 'x'));
+        });
+    raw_caller caller(server.address(), 65536);
+    std::string bytes;
+    for (std::size_t i = 0; i < requests; ++i)
+    {
+        bytes += request("POST /once HTTP/1.1", "Content-Length: 0\r\n");
+    }
+    cr_assert(caller.send(bytes));
+    std::this_thread::sleep_for(milliseconds{500}); // The caller does not read.
+    (void)caller.receive_all();
+    std::string const& received = caller.received();
+    std::size_t begun = 0;
+    for (std::size_t at = received.find("HTTP/1.1 "); at != std::string::npos;
+         at = received.find("HTTP/1.1 ", at + 1))
+    {
+        ++begun;
+    }
+    cr_expect_eq(handled, begun, "%zu requests were handled, %zu answers have begun", handled.load(), begun);
+    cr_expect_eq(begun, requests);
+}
+
 // Guards against a stack that grows with the number of pipelined requests that are answered at once.
 Test(caller_server, pipelined_requests_use_no_stack_each)
 {
--- a/tests/edge_soak/answer_judge.cpp
+++ b/tests/edge_soak/answer_judge.cpp
@@ -56,6 +56,7 @@
         judge_answer(record);
         judge_version(record);
     }
+    judge_repetitions(records);
     return broken_;
 }
 
@@ -87,6 +88,21 @@
     }
 }
 
+// What must be done once is done once, also when its caller has sent it again after an answer or a close that
+// said that it had not run.
+void answer_judge::judge_repetitions(std::vector<request_record> const& records)
+{
+    std::map<std::string, std::size_t> runs;
+    for (request_record const& record : records)
+    {
+        if (record.at_most_once && (runs[record.first_id] += ran_on_[record.id].size()) > 1 &&
+            !ran_on_[record.id].empty() && record.id != record.first_id)
+        {
+            report(record, "repeats " + record.first_id + ", which has run");
+        }
+    }
+}
+
 void answer_judge::judge_answer(request_record const& record)
 {
     caller_answer const& answer = record.answer;
--- a/tests/edge_soak/answer_judge.hpp
+++ b/tests/edge_soak/answer_judge.hpp
@@ -18,6 +18,8 @@
 struct request_record
 {
     std::string id;
+    /// Id of the first attempt at what the caller wants done; equal to `id` for that attempt.
+    std::string first_id;
     std::size_t instance = 0;
     std::string prefix; ///< Path prefix of the route.
     bool at_most_once = false;
@@ -69,6 +71,7 @@
     };
 
     void judge_runs(request_record const& record);
+    void judge_repetitions(std::vector<request_record> const& records);
     void judge_answer(request_record const& record);
     void judge_version(request_record const& record);
     bool is_excused(request_record const& record) const;
--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -31,6 +31,9 @@
 DEFINE_uint32(instances, 3, "number of siskin-edge processes");
 DEFINE_uint32(callers, 12, "number of callers that send one request after the other");
 DEFINE_bool(restorations, false, "lets the store go back to older copies too");
+DEFINE_bool(repetitions, false,
+            "lets callers repeat what must run once after an answer or a reset that says it has not run, and "
+            "servers answer 503 to what they have run");
 DEFINE_string(logs, "", "folder for the logs of all processes of a seed that fails; empty to drop them");
 
 namespace siskinusher::standins
@@ -47,13 +50,22 @@
 // sender loses the lease, because SIGSTOP can stop the sender just before the write.
 constexpr milliseconds order_gap_tolerance{50};
 constexpr seconds settle_time{12};
+constexpr unsigned attempts_of_caller = 3;
+
+// True when the caller may send a request again that must run once.
+bool looks_unread(caller_answer const& answer)
+{
+    static std::set<int> const promises{408, 421, 429, 503};
+    return promises.count(answer.status) > 0 || answer.reset;
+}
 
 /// One run of a seed: sends requests, injects faults and checks the guarantees.
 class soak_run
 {
 public:
     explicit soak_run(std::uint64_t seed)
-        : seed_(seed), random_(seed), restoration_random_(seed), configs_(store_, seed)
+        : seed_(seed), random_(seed), restoration_random_(seed), repetition_random_(seed),
+          configs_(store_, seed)
     {
         for (auto const& [name, service] : {std::pair{"p1", "plain"}, {"p2", "plain"}, {"p3", "other"}})
         {
@@ -90,6 +102,10 @@
             {
                 restore_store();
             }
+            if (FLAGS_repetitions)
+            {
+                tempt_callers();
+            }
             end_process_faults(); // Before the wait, in which a new process installs its signal handlers.
             std::this_thread::sleep_for(milliseconds{100 + random_.below(900)});
         }
@@ -149,6 +165,27 @@
         faults_.end("store");
     }
 
+    // Makes a server refuse what it has run, or ends a process that has not read what its callers have sent.
+    void tempt_callers()
+    {
+        if (repetition_random_.below(2) == 0)
+        {
+            faulty_backend& backend = *backends_[repetition_random_.below(backends_.size())];
+            record_fault("backend " + backend.server().name() + "=unproven_refusal");
+            backend.set_fault(backend_fault::unproven_refusal);
+            return;
+        }
+        faulty_edge& instance = *instances_[repetition_random_.below(instances_.size())];
+        if (instance.busy())
+        {
+            return;
+        }
+        record_fault(instance.span_name("suspend and kill"));
+        instance.suspend(milliseconds{0});
+        std::this_thread::sleep_for(milliseconds{repetition_random_.below(300)});
+        instance.kill();
+    }
+
     void inject_fault()
     {
         faulty_edge& instance = *instances_[random_.below(instances_.size())];
@@ -324,12 +361,29 @@
         }
     }
 
-    // Returns the status; 0 when no answer arrived.
+    // Returns the status of the last attempt; 0 when no answer arrived.
     int send(wire_caller& caller, std::size_t instance, std::string const& prefix, std::uint64_t model,
              milliseconds time_allowed)
+    {
+        request_record last = send_once(caller, instance, prefix, model, time_allowed, {});
+        std::string const first_id = last.id;
+        for (unsigned attempt = 1; FLAGS_repetitions && attempt < attempts_of_caller && last.at_most_once &&
+                                   looks_unread(last.answer);
+             ++attempt)
+        {
+            wire_caller other(false);
+            std::size_t const next = (instance + attempt) % instances_.size();
+            last = send_once(other, next, prefix, model, time_allowed, first_id);
+        }
+        return last.answer.status;
+    }
+
+    request_record send_once(wire_caller& caller, std::size_t instance, std::string const& prefix,
+                             std::uint64_t model, milliseconds time_allowed, std::string const& first_id)
     {
         request_record record;
         record.id = "s" + std::to_string(seed_) + "-" + std::to_string(++next_id_);
+        record.first_id = first_id.empty() ? record.id : first_id;
         record.instance = instance;
         record.prefix = prefix;
         record.at_most_once = prefix == "/once/" || prefix == "/stream-once/";
@@ -349,7 +403,7 @@
         served_ += record.answer.status == 200 && record.answer.whole ? 1 : 0;
         std::lock_guard<std::mutex> const lock(mutex_);
         records_.push_back(record);
-        return record.answer.status;
+        return record;
     }
 
     void check_guarantees()
@@ -415,6 +469,7 @@
     fault_clock::time_point const begin_ = fault_clock::now();
     random_source random_;
     random_source restoration_random_; ///< Of its own, so that the other faults of a seed stay the same.
+    random_source repetition_random_;  ///< The same.
     bool has_copy_ = false;
     fault_spans faults_;
     store_standin store_;
--- a/tests/wire/wire_caller.cpp
+++ b/tests/wire/wire_caller.cpp
@@ -97,6 +97,13 @@
         }
         socket_->sendBytes(text.str().data(), static_cast<int>(text.str().size()));
     }
+    catch (Poco::Net::ConnectionResetException const&)
+    {
+        socket_.reset();
+        caller_answer answer;
+        answer.reset = true;
+        return answer;
+    }
     catch (Poco::Exception const&)
     {
         socket_.reset();
@@ -125,9 +132,14 @@
             decode(received, head, answer);
         }
     }
+    catch (Poco::Net::ConnectionResetException const&)
+    {
+        answer.whole = false;
+        answer.reset = received.empty();
+    }
     catch (Poco::Exception const&)
     {
-        answer.whole = false; // Reset, or no answer in time.
+        answer.whole = false; // No answer in time.
     }
     if (!answer.whole || !keeps_connection_ || !head.getKeepAlive())
     {
--- a/tests/wire/wire_caller.hpp
+++ b/tests/wire/wire_caller.hpp
@@ -15,6 +15,9 @@
     bool sent = false;  ///< The whole request was written to a connection.
     int status = 0;     ///< 0 when no head arrived.
     bool whole = false; ///< The answer has arrived to its end.
+    /// The connection was reset before a byte of the answer arrived. To a caller this looks as if the process
+    /// had closed the connection without reading the request.
+    bool reset = false;
     std::string body;   ///< Without the framing of chunks.
     std::string server; ///< Name of the backend server in the Server-Stamp; empty when absent.
 };
