Name what is not UTF-8 by a hash in records

Cause: a header value may hold any bytes, and the id went as it was into the records of begun streams; writing them as JSON throws, and nothing catches it. Names of models and adapters in reports went the same way.

Records and orders are written without throwing.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -320,7 +320,7 @@
     static std::string const& stream_id(open_exchange const& open)
     {
         return is_take_up(open) && !open.request.taken_up_id.empty() ? open.request.taken_up_id
-                                                                     : open.request.request_id;
+                                                                     : open.request.record_id;
     }
 
     // Ends a request that crashes servers, unless it may be sent as a trial. Returns false when it goes on.
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -184,6 +184,38 @@
     cr_assert(contains(text, "Content-Length: 3\r\n\r\nxyz"));
 }
 
+// Guards against text in a record that cannot be written or read, and against other names for ids of UTF-8,
+// which instances of the build before have recorded.
+Test(request_codec, names_in_records_are_utf8)
+{
+    auto const decoded = [](std::string const& text)
+    {
+        request_head head;
+        head.fields.add("Attempt-Id", text);
+        head.fields.add("Resumes", text);
+        head.fields.add("Model", text + "/" + text);
+        return decode_request(head);
+    };
+    for (std::string const text : {"9c41d07be2a35f68", "caf\xc3\xa9", "a b\"c"})
+    {
+        caller_request const request = decoded(text);
+        cr_expect_eq(request.record_id, text);
+        cr_expect_eq(request.taken_up_id, text);
+        cr_expect_eq(request.model, text);
+    }
+    for (std::string const text : {"caf\xe9", "\xff", "\xc3", "\xed\xa0\x80"})
+    {
+        caller_request const request = decoded(text);
+        cr_expect_eq(request.request_id, text);
+        cr_expect_eq(request.record_id.rfind("hash-", 0), 0, "%s", request.record_id.c_str());
+        cr_expect_eq(request.taken_up_id, request.record_id);
+        cr_expect_eq(request.model, request.record_id);
+        cr_expect_eq(request.adapter, request.record_id);
+        cr_expect_neq(request.header_lines.find("Attempt-Id: " + text + "\r\n"), std::string::npos);
+    }
+    cr_expect_neq(decoded("caf\xe9").record_id, decoded("caf\xe8").record_id);
+}
+
 // Guards against a request that is not recognised when it comes again, and against taking another one for it.
 Test(request_codec, repetitions_of_a_request_have_one_name)
 {
--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -376,3 +376,25 @@
     cr_assert_geq(cut, std::size_t{12}, "%zu streams were cut", cut);
     cr_expect_geq(fleet.gone_on() * 2, cut, "%zu of %zu go on", fleet.gone_on(), cut);
 }
+
+// Guards against an id that is not UTF-8 ending the process that writes it to the store while two versions
+// serve, and against its stream being taken for another one.
+Test(software_version, ids_that_are_not_utf8_are_recorded)
+{
+    version_fleet fleet({"v1", "v2"});
+    for (unsigned i = 0; i < 6; ++i)
+    {
+        std::string const id = "caf\xe9-" + std::to_string(i);
+        auto const answer = fleet.edge(i % 3).call("POST", "/stream/1", id, {{"Model", "m0"}});
+        cr_expect(answer && answer->status == 200, "status %d", answer ? answer->status : 0);
+        auto const odd = fleet.edge(i % 3).call("POST", "/stream/1", "odd" + std::to_string(i),
+                                                {{"Model", "mod\xe8le"}, {"Deadline-Ms", "600"}});
+        cr_expect(odd && odd->status == 503, "status %d", odd ? odd->status : 0);
+    }
+    std::this_thread::sleep_for(seconds{2});
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        cr_expect(fleet.edge(i).process().running(), "edge-%zu has ended", i);
+        cr_expect_eq(fleet.edge(i).log_text().find("event=holder_lost"), std::string::npos);
+    }
+}
