--- a/tests/platform/unproven_refusal_test.cpp
+++ b/tests/platform/unproven_refusal_test.cpp
@@ -20,9 +20,10 @@
     {
         while (connection.receive())
         {
-            connection.send("HTTP/1.1 " + status + "\r\nAttempt-Id: " + connection.header("Attempt-Id") +
-                            "\r\nServer-Stamp: s\r\nRetry-After: 0.1\r\n" + lines +
-                            "Content-Length: 4\r\n\r\nbusy");
+            std::string answer = "HTTP/1.1 " + status + "\r\nAttempt-Id: ";
+            answer.append(connection.header("Attempt-Id")).append("\r\nServer-Stamp: s\r\n");
+            answer.append("Retry-After: 0.1\r\n").append(lines).append("Content-Length: 4\r\n\r\nbusy");
+            connection.send(answer);
         }
     };
 }
@@ -53,6 +54,7 @@
                          log_of(fleet.edge(), "r1").c_str());
             cr_expect_eq(answer->headers.count("Server-Stamp"), 0);
             cr_expect_eq(answer->headers.count("Retry-After"), 0);
+            cr_expect(eventually([&] { return !logged_outcome(fleet.edge(), "r1").empty(); }));
             cr_expect_eq(logged_outcome(fleet.edge(), "r1"), "unproven_refusal");
         }
     }
