--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -104,7 +104,7 @@
             }
             if (FLAGS_repetitions)
             {
-                tempt_callers();
+                inject_false_refusal();
             }
             end_process_faults(); // Before the wait, in which a new process installs its signal handlers.
             std::this_thread::sleep_for(milliseconds{100 + random_.below(900)});
@@ -166,7 +166,7 @@
     }
 
     // Makes a server refuse what it has run, or ends a process that has not read what its callers have sent.
-    void tempt_callers()
+    void inject_false_refusal()
     {
         if (repetition_random_.below(2) == 0)
         {
