Log which connection carries an attempt, and what its answer names

Cause: no line named a connection or what it had carried, so that a copy of a refusal on a kept connection could not be told from a server that refuses twice. Change: attempt has connection, connection_requests and closed_with_bytes, attempt_failed has answer_status and answer_names; bytes that arrive on a connection without a request are counted (siskin_extra_answers_total). The line of an attempt is written after its connection is chosen. No decision changes.

--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/body_decoder.hpp"
 #include "adapters/boot_clock.hpp"
+#include "adapters/connection_history.hpp"
 #include "adapters/http_message.hpp"
 #include "adapters/socket_options.hpp"
 
@@ -45,6 +46,7 @@
 struct idle_connection
 {
     tcp::socket socket;
+    connection_history history;
     steady_time usable_until;
 };
 
@@ -86,12 +88,23 @@
     std::size_t total_ = 0;
 };
 
-// True when neither data nor the end of the stream has arrived on the connection.
-bool has_no_pending_input(tcp::socket& socket)
+enum class idle_input
+{
+    none,
+    bytes, ///< They belong to no request.
+    end,   ///< The server has closed the connection.
+};
+
+// What has arrived on a connection that is not in use.
+idle_input pending_input(tcp::socket& socket)
 {
     char byte = 0;
     ssize_t const got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (got > 0)
+    {
+        return idle_input::bytes;
+    }
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? idle_input::none : idle_input::end;
 }
 
 // Half of the time for which the server keeps an idle connection open, so that a request is not sent while
@@ -139,7 +152,8 @@
 public:
     explicit implementation(boost::asio::io_context& loop_in) : loop(loop_in) {}
 
-    std::optional<tcp::socket> take_idle(std::string const& address)
+    // `closed_with_bytes` counts the connections that are closed because of such bytes.
+    std::optional<idle_connection> take_idle(std::string const& address, unsigned& closed_with_bytes)
     {
         auto& list = idle[address];
         steady_time const now = boot_now();
@@ -147,15 +161,18 @@
         {
             idle_connection candidate = std::move(list.back());
             list.pop_back();
-            if (now < candidate.usable_until && has_no_pending_input(candidate.socket))
+            idle_input const input = pending_input(candidate.socket);
+            if (now < candidate.usable_until && input == idle_input::none)
             {
-                return std::move(candidate.socket);
+                return candidate;
             }
+            closed_with_bytes += input == idle_input::bytes ? 1 : 0;
         }
         return std::nullopt;
     }
 
-    void keep_idle(std::string const& address, tcp::socket socket, duration usable_for)
+    void keep_idle(std::string const& address, tcp::socket socket, connection_history const& history,
+                   duration usable_for)
     {
         auto& list = idle[address];
         steady_time const now = boot_now();
@@ -165,7 +182,7 @@
         }
         if (list.size() < idle_connections_per_address)
         {
-            list.push_back({std::move(socket), now + usable_for});
+            list.push_back({std::move(socket), history, now + usable_for});
         }
     }
 
@@ -181,27 +198,32 @@
 class running_exchange final : public outbound_exchange, public std::enable_shared_from_this<running_exchange>
 {
 public:
+    using connection_return = std::function<void(tcp::socket, connection_history const&, duration)>;
+
     // `return_to_pool` receives the connection if it can be used again.
     running_exchange(boost::asio::io_context& loop, outbound_request request, exchange_handlers handlers,
-                     std::shared_ptr<kept_bytes> kept,
-                     std::function<void(tcp::socket, duration)> return_to_pool)
+                     std::shared_ptr<kept_bytes> kept, connection_return return_to_pool)
         : request_(std::move(request)),
           handlers_(std::make_shared<exchange_handlers const>(std::move(handlers))), kept_(std::move(kept)),
           return_to_pool_(std::move(return_to_pool)), socket_(loop), timer_(loop), connect_timer_(loop)
     {
     }
 
-    void start_on(tcp::socket socket)
+    void set_closed_with_bytes(unsigned connections) { closed_with_bytes_ = connections; }
+
+    void start_on(idle_connection kept)
     {
-        socket_ = std::move(socket);
-        fresh_ = false;
+        socket_ = std::move(kept.socket);
+        history_ = kept.history;
         start_timer(timer_, request_.time_limit);
         // The handlers must not run before start() has returned the exchange to its user.
         boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->write(); });
     }
 
-    void connect(tcp::endpoint const& endpoint)
+    // `number` names the new connection.
+    void connect(tcp::endpoint const& endpoint, std::uint64_t number)
     {
+        history_ = connection_history(number);
         start_timer(timer_, request_.time_limit);
         start_timer(connect_timer_, std::min(request_.connect_limit, request_.time_limit));
         socket_.async_connect(endpoint,
@@ -238,7 +260,12 @@
 
     bool sent() const override { return sent_; }
 
-    bool fresh() const override { return fresh_; }
+    bool fresh() const override { return history_.earlier_requests() == 0; }
+
+    connection_use use() const override
+    {
+        return {history_.number(), history_.earlier_requests(), closed_with_bytes_};
+    }
 
     void set_kept_bytes(std::size_t bytes) override { kept_by_user_ = bytes; }
 
@@ -418,7 +445,9 @@
         stop();
         if (reusable)
         {
-            return_to_pool_(std::move(socket), reuse_time_);
+            connection_history history = history_;
+            history.on_request_ended();
+            return_to_pool_(std::move(socket), history, reuse_time_);
         }
         else
         {
@@ -449,8 +478,10 @@
     // may call cancel() and go on to use what it has captured.
     std::shared_ptr<exchange_handlers const> handlers_;
     std::shared_ptr<kept_bytes> const kept_;
-    std::function<void(tcp::socket, duration)> const return_to_pool_;
+    connection_return const return_to_pool_;
     tcp::socket socket_;
+    connection_history history_;
+    unsigned closed_with_bytes_ = 0;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer connect_timer_;
     std::array<char, 16384> chunk_{};
@@ -462,7 +493,6 @@
     std::size_t kept_by_user_ = 0; ///< Bytes of the body that the user of the exchange keeps.
     duration reuse_time_{0};
     bool keep_alive_ = false;
-    bool fresh_ = true;
     bool sent_ = false;
     bool written_ = false;
     bool ended_ = false;
@@ -479,18 +509,22 @@
     std::string const address = request.address;
     bool const fresh = request.fresh_connection;
     auto const return_to_pool =
-        [weak = std::weak_ptr<implementation>(impl_), address](tcp::socket socket, duration usable_for)
+        [weak = std::weak_ptr<implementation>(impl_),
+         address](tcp::socket socket, connection_history const& history, duration usable_for)
     {
         if (auto const pool = weak.lock())
         {
-            pool->keep_idle(address, std::move(socket), usable_for);
+            pool->keep_idle(address, std::move(socket), history, usable_for);
         }
     };
     auto exchange = std::make_shared<running_exchange>(impl_->loop, std::move(request), std::move(handlers),
                                                        impl_->kept, return_to_pool);
-    if (auto socket = fresh ? std::nullopt : impl_->take_idle(address))
+    unsigned closed_with_bytes = 0;
+    auto kept = fresh ? std::nullopt : impl_->take_idle(address, closed_with_bytes);
+    exchange->set_closed_with_bytes(closed_with_bytes);
+    if (kept)
     {
-        exchange->start_on(std::move(*socket));
+        exchange->start_on(std::move(*kept));
         return exchange;
     }
     auto const endpoint = parse_endpoint(address);
@@ -500,7 +534,7 @@
         return exchange;
     }
     ++impl_->opened;
-    exchange->connect(*endpoint);
+    exchange->connect(*endpoint, impl_->opened);
     return exchange;
 }
 
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -5,6 +5,7 @@
 #include "core/steady_time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -56,6 +57,21 @@
     bool fresh_connection = false;              ///< Do not use a connection that has carried other requests.
 };
 
+/// How an exchange got its connection.
+struct connection_use
+{
+    std::uint64_t connection = 0;  ///< Number of the connection in this process, from 1; 0 for none.
+    unsigned earlier_requests = 0; ///< Requests that the connection has carried before.
+    /// Kept connections that were closed instead, because bytes had arrived that belong to no request.
+    unsigned closed_with_bytes = 0;
+
+    friend bool operator==(connection_use const& a, connection_use const& b)
+    {
+        return a.connection == b.connection && a.earlier_requests == b.earlier_requests &&
+               a.closed_with_bytes == b.closed_with_bytes;
+    }
+};
+
 /// A request in progress.
 class outbound_exchange
 {
@@ -67,6 +83,8 @@
     virtual bool sent() const = 0;
     /// True when the connection has carried no other request.
     virtual bool fresh() const = 0;
+    /// Known from the start of the exchange on.
+    virtual connection_use use() const = 0;
     /// Bytes of the answer that the user still keeps. Without this call all bytes that on_body has received
     /// count as kept, and an answer that keeps too many ends as too_large.
     virtual void set_kept_bytes(std::size_t bytes) = 0;
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -31,6 +31,15 @@
     return text;
 }
 
+char const* named_by(platform::answer_info const& facts)
+{
+    if (!facts.names_request)
+    {
+        return "none";
+    }
+    return facts.wrong_request_id ? "another" : "this";
+}
+
 } // namespace
 
 char const* to_string(attempt_ender ender)
@@ -114,8 +123,13 @@
 }
 
 void request_log::attempt_started(open_exchange const& open, server_attempt const& attempt,
-                                  assign_request const& step)
+                                  assign_request const& step, backend_name const& replaced)
 {
+    connection_use const use = attempt.exchange->use();
+    if (use.closed_with_bytes > 0)
+    {
+        metrics_.add("siskin_extra_answers_total", "idle", use.closed_with_bytes);
+    }
     log_.write({"attempt",
                 {{"request", open.request.request_id},
                  {"service", open.service},
@@ -131,7 +145,10 @@
                  {"servers_lent", std::to_string(attempt.servers_lent)},
                  {"servers_run", std::to_string(open.backends_run)},
                  {"version", open.version.value_or("")},
-                 {"replaces", open.is_running() ? open.current->target.backend : backend_name()}}});
+                 {"replaces", replaced},
+                 {"connection", std::to_string(use.connection)},
+                 {"connection_requests", std::to_string(use.earlier_requests)},
+                 {"closed_with_bytes", std::to_string(use.closed_with_bytes)}}});
 }
 
 void request_log::attempt_ended(open_exchange const& open, server_attempt const& attempt,
@@ -139,10 +156,13 @@
 {
     metrics_.add("siskin_attempts_ended_total", why, 1);
     steady_time const now = boot_now();
+    bool const answered = attempt.facts.has_value();
     log_.write({"attempt_failed",
                 {{"request", open.request.request_id},
                  {"backend", attempt.target.backend},
                  {"why", why},
+                 {"answer_status", answered ? std::to_string(attempt.facts->status) : ""},
+                 {"answer_names", answered ? named_by(*attempt.facts) : ""},
                  {"ended_by", to_string(ender)},
                  {"after_ms", ms_text(now - attempt.begun_at)},
                  {"silent_ms", ms_text(now - std::max(attempt.begun_at, open.last_event_at))},
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -43,8 +43,9 @@
     void crash_blocked(open_exchange const& open, crash_block const& block);
     /// A caller takes up a stream. `source` tells who knew the version at which it must go on.
     void take_up(open_exchange const& open, char const* source);
-    void attempt_started(open_exchange const& open, server_attempt const& attempt,
-                         assign_request const& step);
+    /// `replaced` is the server of the attempt that makes no progress; empty for none.
+    void attempt_started(open_exchange const& open, server_attempt const& attempt, assign_request const& step,
+                         backend_name const& replaced);
     /// `next` names what follows, for example "send_again" or "end".
     void attempt_ended(open_exchange const& open, server_attempt const& attempt, std::string const& why,
                        attempt_ender ender, std::string const& next);
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -770,11 +770,10 @@
         backend_entry const* const server = requests.find_backend(step.target.backend);
         attempt->version = server == nullptr ? std::string() : server->software_version;
         attempt->servers_lent = via_peer ? servers_lent_to_peer : 0;
-        log.attempt_started(*open, *attempt, step);
-        ++open->attempts;
         exchange_handlers handlers;
         auto const self = shared_from_this();
         bool const replaces = open->is_running();
+        backend_name const replaced = replaces ? open->current->target.backend : backend_name();
         if (replaces)
         {
             handlers.may_send = [self, open] { return self->may_send_replacement(open); };
@@ -801,6 +800,8 @@
             relays.on_begin(step.target.address);
         }
         attempt->exchange = pool.start(std::move(request), std::move(handlers));
+        log.attempt_started(*open, *attempt, step, replaced);
+        ++open->attempts;
         if (!replaces)
         {
             watch_progress(open);
