Show that a copied refusal makes a request run twice

A server that refuses a request, and writes the refusal once more when the request comes again on the same connection, makes the instance send it a third time although it runs.

--- a/tests/wire/scripted_fleet.hpp
+++ b/tests/wire/scripted_fleet.hpp
@@ -24,6 +24,12 @@
     void add(std::string const& name, std::string const& service, std::vector<fault_server::script> scripts)
     {
         servers_.push_back(std::make_unique<fault_server>(std::move(scripts)));
+        add_name(name, service);
+    }
+
+    /// Writes one more entry with the address of the server that was added last.
+    void add_name(std::string const& name, std::string const& service)
+    {
         nlohmann::json entry{{"service", service}, {"address", servers_.back()->address()},
                              {"zone", "here"},     {"version", "v1"},
                              {"slots", 8},         {"state", "ready"},
