Send no id twice over one connection to a server

What callers saw: calls that must run once ran twice, or were refused as not run and had run. Cause: a server that refuses a request may write the refusal once more, and the copy names the request also when it is under way again on the same connection. Whether a connection had carried the request was remembered by one exchange, for one name of the server; connections are kept by address for all exchanges. So a server with two names (a restart whose old record is still there), or a request that arrives again, met its own old refusal, which counted as proof that it had not run.

Then an answer that names a request can only be the answer to its only sending on that connection. The rule needs no knowledge of exchanges, names, peers or the order of attempts.

--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -153,18 +153,24 @@
     explicit implementation(boost::asio::io_context& loop_in) : loop(loop_in) {}
 
     // `closed_with_bytes` counts the connections that are closed because of such bytes.
-    std::optional<idle_connection> take_idle(std::string const& address, unsigned& closed_with_bytes)
+    std::optional<idle_connection> take_idle(outbound_request const& request, unsigned& closed_with_bytes)
     {
-        auto& list = idle[address];
+        auto& list = idle[request.address];
         steady_time const now = boot_now();
-        while (!list.empty())
+        for (std::size_t left = list.size(); left > 0; --left)
         {
-            idle_connection candidate = std::move(list.back());
-            list.pop_back();
-            idle_input const input = pending_input(candidate.socket);
-            if (now < candidate.usable_until && input == idle_input::none)
+            auto const candidate = list.begin() + static_cast<std::ptrdiff_t>(left - 1);
+            idle_input const input = pending_input(candidate->socket);
+            bool const usable = now < candidate->usable_until && input == idle_input::none;
+            if (usable && candidate->history.has_carried(request.id))
+            {
+                continue;
+            }
+            idle_connection taken = std::move(*candidate);
+            list.erase(candidate);
+            if (usable)
             {
-                return candidate;
+                return taken;
             }
             closed_with_bytes += input == idle_input::bytes ? 1 : 0;
         }
@@ -260,11 +266,11 @@
 
     bool sent() const override { return sent_; }
 
-    bool fresh() const override { return history_.earlier_requests() == 0; }
+    bool fresh() const override { return history_.requests() == 0; }
 
     connection_use use() const override
     {
-        return {history_.number(), history_.earlier_requests(), closed_with_bytes_};
+        return {history_.number(), history_.requests(), closed_with_bytes_};
     }
 
     void set_kept_bytes(std::size_t bytes) override { kept_by_user_ = bytes; }
@@ -439,14 +445,15 @@
             return;
         }
         // Bytes after a complete answer belong to no request.
-        bool const reusable = end == exchange_end::complete && keep_alive_ && written_ && in_.empty();
+        bool const whole = end == exchange_end::complete && written_ && in_.empty();
+        connection_history history = history_;
+        history.add(request_.id);
+        bool const reusable = whole && keep_alive_ && !history.full();
         tcp::socket socket = std::move(socket_);
         auto const handlers = std::exchange(handlers_, nullptr);
         stop();
         if (reusable)
         {
-            connection_history history = history_;
-            history.on_request_ended();
             return_to_pool_(std::move(socket), history, reuse_time_);
         }
         else
@@ -507,7 +514,8 @@
 std::shared_ptr<outbound_exchange> outbound_pool::start(outbound_request request, exchange_handlers handlers)
 {
     std::string const address = request.address;
-    bool const fresh = request.fresh_connection;
+    unsigned closed_with_bytes = 0;
+    auto kept = request.fresh_connection ? std::nullopt : impl_->take_idle(request, closed_with_bytes);
     auto const return_to_pool =
         [weak = std::weak_ptr<implementation>(impl_),
          address](tcp::socket socket, connection_history const& history, duration usable_for)
@@ -519,8 +527,6 @@
     };
     auto exchange = std::make_shared<running_exchange>(impl_->loop, std::move(request), std::move(handlers),
                                                        impl_->kept, return_to_pool);
-    unsigned closed_with_bytes = 0;
-    auto kept = fresh ? std::nullopt : impl_->take_idle(address, closed_with_bytes);
     exchange->set_closed_with_bytes(closed_with_bytes);
     if (kept)
     {
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -55,6 +55,8 @@
     duration connect_limit = milliseconds{700}; ///< Allows for 8 ms between regions and a lost first packet.
     duration time_limit{0};                     ///< From start() to the end of the answer.
     bool fresh_connection = false;              ///< Do not use a connection that has carried other requests.
+    /// Id by which answers name the request; empty if they name none.
+    std::string id;
 };
 
 /// How an exchange got its connection.
@@ -93,7 +95,8 @@
 /// Makes HTTP/1.1 requests from the event loop over connections that are kept open for each address.
 ///
 /// A kept connection is used again only if its last answer was complete, nothing has arrived on it since,
-/// and less than half of the server's keep-alive time has passed.
+/// and less than half of the server's keep-alive time has passed. No connection carries two requests with one
+/// id: a copy of the answer to the first one could not be told from the answer to the second one.
 ///
 /// The bytes that the users of all exchanges keep are limited, for each answer and together, because a faulty
 /// server may send a body that never ends.
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -819,6 +819,7 @@
         headers.resume_after = open.last_event;
         outbound_request request;
         request.address = attempt.target.address;
+        request.id = open.request.request_id;
         if (attempt.via_peer)
         {
             fill_forwarded(open, attempt, headers, request);
@@ -831,7 +832,7 @@
         return request;
     }
 
-    // A faulty server may repeat its first answer on the connection, and that names the same request.
+    // Other kept connections to a server that has failed the request may be broken as well.
     static bool was_tried(open_exchange const& open, backend_name const& backend)
     {
         return std::find(open.failed_servers.begin(), open.failed_servers.end(), backend) !=
--- a/tests/adapters/outbound_pool_test.cpp
+++ b/tests/adapters/outbound_pool_test.cpp
@@ -270,3 +270,39 @@
     cr_assert_eq(result->body, std::string("order"));
     cr_assert_eq(pool.opened(), 2);
 }
+
+// Guards against a copy of an answer that is taken for the answer to a later request with the same id.
+Test(outbound_pool, connection_carries_an_id_once)
+{
+    auto const script = [](fault_connection& connection)
+    {
+        while (connection.receive())
+        {
+            connection.answer(200, "body");
+        }
+    };
+    fault_server const server(std::vector<fault_server::script>(4, script));
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    auto const connection_of = [&](std::string const& id)
+    {
+        outbound_request request;
+        request.address = server.address();
+        request.method = "GET";
+        request.bytes = "GET / HTTP/1.1\r\n\r\n";
+        request.time_limit = call_limit;
+        request.id = id;
+        exchange_handlers handlers;
+        handlers.on_end = [](exchange_end end) { cr_expect_eq(end, exchange_end::complete); };
+        auto const exchange = pool.start(std::move(request), std::move(handlers));
+        loop.restart();
+        loop.run();
+        return exchange->use();
+    };
+    cr_expect_eq(connection_of("a"), (connection_use{1, 0, 0}));
+    cr_expect_eq(connection_of("b"), (connection_use{1, 1, 0}));
+    cr_expect_eq(connection_of("a"), (connection_use{2, 0, 0}));
+    cr_expect_eq(connection_of("b"), (connection_use{2, 1, 0}));
+    cr_expect_eq(connection_of("a"), (connection_use{3, 0, 0}));
+    cr_expect_eq(connection_of(""), (connection_use{3, 1, 0}));
+}
