Read a request's own answer behind a repeated earlier one

What callers saw: a call that must run once ended with 502, may have run, when its server first repeated an answer to an earlier request of the connection; its own answer came right behind. Cause: an answer that names another request ended the attempt as faulty. Change: an answer that names a request which the same connection has carried before is skipped, four times and 64 KiB at most, and logged (extra_answer). The connection is not kept afterwards. An answer that names an unknown request, or none, ends the attempt as before.

--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -31,6 +31,10 @@
 constexpr std::size_t answer_head_limit = 65536;
 // Interim answers before the final one. Servers send one or two (100 Continue, 103 Early Hints).
 constexpr unsigned interim_answer_limit = 8;
+// Answers to earlier requests of the connection that are skipped before the exchange's own answer, and the
+// bytes of their bodies together. Servers repeat short answers, mostly refusals.
+constexpr unsigned skipped_answer_limit = 4;
+constexpr std::size_t skipped_bytes_limit = 65536;
 // Bytes of one answer that may be kept in memory. Answers of some MB must pass, such as those to a watch of
 // the store, which hold several objects of up to 1 MiB.
 constexpr std::size_t kept_answer_limit = 8U << 20U;
@@ -343,6 +347,19 @@
 
     // True when more bytes are needed.
     bool process()
+    {
+        do
+        {
+            if (!receive_head())
+            {
+                return !ended_;
+            }
+        } while (skipping_ && skip_body());
+        return !ended_ && (skipping_ || receive_body());
+    }
+
+    // False when more bytes are needed, or the exchange is over.
+    bool receive_head()
     {
         while (!head_received_)
         {
@@ -351,11 +368,12 @@
             if (end == std::string::npos)
             {
                 searched_ = in_.size();
-                if (in_.size() <= answer_head_limit)
+                if (in_.size() > answer_head_limit)
                 {
-                    return keeps_within_limits();
+                    finish(exchange_end::too_large);
+                    return false;
                 }
-                finish(exchange_end::too_large);
+                (void)keeps_within_limits();
                 return false;
             }
             if (!parse_head(end + 4))
@@ -363,6 +381,34 @@
                 return false;
             }
         }
+        return true;
+    }
+
+    // True when the whole body has been skipped, so that the next head follows.
+    bool skip_body()
+    {
+        std::size_t used = 0;
+        std::string content;
+        decode_status const status = decoder_->decode(in_, used, content);
+        in_.erase(0, used);
+        skipped_bytes_ += used;
+        if (status == decode_status::malformed || skipped_bytes_ > skipped_bytes_limit)
+        {
+            finish(status == decode_status::malformed ? exchange_end::malformed : exchange_end::too_large);
+            return false;
+        }
+        if (status == decode_status::more)
+        {
+            return false;
+        }
+        skipping_ = false;
+        head_received_.reset();
+        return true;
+    }
+
+    // True when more bytes are needed.
+    bool receive_body()
+    {
         std::size_t used = 0;
         std::string content;
         decode_status const status = decoder_->decode(in_, used, content);
@@ -426,6 +472,17 @@
         }
         head_received_.emplace();
         decoder_.emplace(*framing);
+        skipping_ = framing->kind != body_kind::until_close && skipped_answers_ < skipped_answer_limit &&
+                    answers_earlier_request(*head);
+        if (skipping_)
+        {
+            ++skipped_answers_;
+            if (auto const handlers = handlers_; handlers->on_skipped)
+            {
+                handlers->on_skipped(*head);
+            }
+            return !ended_;
+        }
         keep_alive_ = framing->kind != body_kind::until_close && head->version == http_version::http_1_1 &&
                       keeps_connection(head->version, head->fields);
         reuse_time_ = reuse_time(head->fields);
@@ -438,6 +495,16 @@
         return !ended_;
     }
 
+    bool answers_earlier_request(response_head const& head) const
+    {
+        if (!handlers_->named_id)
+        {
+            return false;
+        }
+        std::string const named = handlers_->named_id(head);
+        return named != request_.id && history_.has_carried(named);
+    }
+
     void finish(exchange_end end)
     {
         if (ended_)
@@ -448,7 +515,7 @@
         bool const whole = end == exchange_end::complete && written_ && in_.empty();
         connection_history history = history_;
         history.add(request_.id);
-        bool const reusable = whole && keep_alive_ && !history.full();
+        bool const reusable = whole && keep_alive_ && skipped_answers_ == 0 && !history.full();
         tcp::socket socket = std::move(socket_);
         auto const handlers = std::exchange(handlers_, nullptr);
         stop();
@@ -493,10 +560,14 @@
     boost::asio::steady_timer connect_timer_;
     std::array<char, 16384> chunk_{};
     std::string in_;
-    std::size_t searched_ = 0;          ///< Bytes of in_ that contain no end of a head.
-    std::optional<char> head_received_; ///< Set once the final head has been parsed.
+    std::size_t searched_ = 0; ///< Bytes of in_ that contain no end of a head.
+    std::optional<char>
+        head_received_; ///< Set once the head of an answer has been parsed that is not interim.
     std::optional<body_decoder> decoder_;
     unsigned interim_answers_ = 0;
+    bool skipping_ = false; ///< The answer whose head was received last belongs to an earlier request.
+    unsigned skipped_answers_ = 0;
+    std::size_t skipped_bytes_ = 0;
     std::size_t kept_by_user_ = 0; ///< Bytes of the body that the user of the exchange keeps.
     duration reuse_time_{0};
     bool keep_alive_ = false;
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -39,6 +39,11 @@
     /// Called immediately before the first byte is written; false ends the exchange as not_sent. May be
     /// empty.
     std::function<bool()> may_send;
+    /// Id of the request that an answer names; empty if it names none. With this handler, answers to earlier
+    /// requests of the connection are skipped: a server may repeat them. May be empty.
+    std::function<std::string(response_head const&)> named_id;
+    /// An answer is skipped. May be empty.
+    std::function<void(response_head const&)> on_skipped;
     /// The head of the answer. Returning false ends the exchange at once, without a call of on_end.
     std::function<bool(response_head const&)> on_head;
     /// Decoded bytes of the body, as they arrive.
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -174,6 +174,19 @@
                  {"next", next}}});
 }
 
+void request_log::extra_answer(open_exchange const& open, server_attempt const& attempt, int status,
+                               std::string const& named)
+{
+    metrics_.add("siskin_extra_answers_total", "skipped", 1);
+    log_.write({"extra_answer",
+                {{"request", open.request.request_id},
+                 {"backend", attempt.target.backend},
+                 {"connection", std::to_string(attempt.exchange->use().connection)},
+                 {"answer_status", std::to_string(status)},
+                 {"answers", named.substr(0, max_logged_text_length)},
+                 {"after_ms", ms_text(boot_now() - attempt.begun_at)}}});
+}
+
 void request_log::server_limit(open_exchange const& open, server_attempt const& attempt)
 {
     platform::answer_info const& facts = *attempt.facts;
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -49,6 +49,10 @@
     /// `next` names what follows, for example "send_again" or "end".
     void attempt_ended(open_exchange const& open, server_attempt const& attempt, std::string const& why,
                        attempt_ender ender, std::string const& next);
+    /// Before its answer to this attempt, the server repeated one to an earlier request of the connection,
+    /// `named`.
+    void extra_answer(open_exchange const& open, server_attempt const& attempt, int status,
+                      std::string const& named);
     /// The server of an attempt has named another limit, none any more, or an unreadable one.
     void server_limit(open_exchange const& open, server_attempt const& attempt);
     /// A server says in an answer that it leaves.
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -778,6 +778,12 @@
         {
             handlers.may_send = [self, open] { return self->may_send_replacement(open); };
         }
+        if (!via_peer)
+        {
+            handlers.named_id = platform::answered_id;
+            handlers.on_skipped = [self, open, attempt](response_head const& head)
+            { self->log.extra_answer(*open, *attempt, head.status, platform::answered_id(head)); };
+        }
         handlers.on_head = [self, open, attempt](response_head const& head)
         { return self->on_head(open, attempt, head); };
         handlers.on_body = [self, open, attempt](std::string const& part)
--- a/tests/platform/faulty_answer_test.cpp
+++ b/tests/platform/faulty_answer_test.cpp
@@ -113,6 +113,60 @@
     expect_plain_answer(fleet.edge(), "r1", answer);
 }
 
+// Guards against a call whose own answer is lost because its server repeats an answer to an earlier request.
+Test(faulty_answer, repeated_answer_does_not_hide_the_next_one)
+{
+    scripted_fleet fleet;
+    auto const script = [](fault_connection& connection)
+    {
+        std::string earlier;
+        while (connection.receive())
+        {
+            if (!earlier.empty())
+            {
+                send_answer(connection, "200 OK", earlier, "Server-Stamp: s\r\n", "body of " + earlier);
+                refuse(connection, earlier);
+            }
+            answer_well(connection);
+            earlier = connection.header("Attempt-Id");
+        }
+    };
+    fleet.add("p1", "plain", {script, script, script});
+    for (std::string const id : {"r1", "r2", "r3", "r4"})
+    {
+        auto const answer = fleet.edge().call("POST", "/once/1", id);
+        expect_plain_answer(fleet.edge(), id, answer);
+    }
+    auto const is_logged = [&fleet]
+    { return log_of(fleet.edge(), "r2").find("event=extra_answer") != std::string::npos; };
+    cr_expect(eventually(is_logged), "%s", log_of(fleet.edge(), "r2").c_str());
+}
+
+// Guards against a call that waits until its deadline while its server repeats earlier answers without an
+// end.
+Test(faulty_answer, endless_repeated_answers_end_the_attempt)
+{
+    scripted_fleet fleet;
+    auto const script = [](fault_connection& connection)
+    {
+        (void)connection.receive();
+        std::string const earlier = connection.header("Attempt-Id");
+        answer_well(connection);
+        (void)connection.receive();
+        for (unsigned i = 0; i < 1000; ++i)
+        {
+            refuse(connection, earlier);
+        }
+        connection.wait_for_close();
+    };
+    fleet.add("p1", "plain", {script, script, script});
+    auto const first = fleet.edge().call("POST", "/once/1", "r1");
+    cr_assert(first && first->status == 200);
+    auto const second = fleet.edge().call("POST", "/once/2", "r2");
+    cr_expect(second && second->status == 502, "status %d\n%s", second ? second->status : 0,
+              log_of(fleet.edge(), "r2").c_str());
+}
+
 // Guards against an error's text in the middle of a stream, and against a stream that seems complete after
 // it.
 Test(faulty_answer, error_after_a_broken_stream_does_not_reach_the_caller)
