Log bytes that a server writes behind a complete answer

Cause: the connection was closed without a line, so that a server which writes answers too many could not be seen. Change: extra_answer with place=behind, the server and the number of bytes, and a counter. No decision changes. Result: faulty_answer/bytes_behind_an_answer_are_logged passes.

--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -277,6 +277,8 @@
         return {history_.number(), history_.requests(), closed_with_bytes_};
     }
 
+    std::size_t bytes_behind() const override { return bytes_behind_; }
+
     void set_kept_bytes(std::size_t bytes) override { kept_by_user_ = bytes; }
 
 private:
@@ -512,7 +514,8 @@
             return;
         }
         // Bytes after a complete answer belong to no request.
-        bool const whole = end == exchange_end::complete && written_ && in_.empty();
+        bytes_behind_ = end == exchange_end::complete ? in_.size() : 0;
+        bool const whole = end == exchange_end::complete && written_ && bytes_behind_ == 0;
         connection_history history = history_;
         history.add(request_.id);
         bool const reusable = whole && keep_alive_ && skipped_answers_ == 0 && !history.full();
@@ -568,6 +571,7 @@
     bool skipping_ = false; ///< The answer whose head was received last belongs to an earlier request.
     unsigned skipped_answers_ = 0;
     std::size_t skipped_bytes_ = 0;
+    std::size_t bytes_behind_ = 0;
     std::size_t kept_by_user_ = 0; ///< Bytes of the body that the user of the exchange keeps.
     duration reuse_time_{0};
     bool keep_alive_ = false;
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -92,6 +92,8 @@
     virtual bool fresh() const = 0;
     /// Known from the start of the exchange on.
     virtual connection_use use() const = 0;
+    /// Bytes that had arrived behind the complete answer when the exchange ended; they belong to no request.
+    virtual std::size_t bytes_behind() const = 0;
     /// Bytes of the answer that the user still keeps. Without this call all bytes that on_body has received
     /// count as kept, and an answer that keeps too many ends as too_large.
     virtual void set_kept_bytes(std::size_t bytes) = 0;
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -182,11 +182,29 @@
                 {{"request", open.request.request_id},
                  {"backend", attempt.target.backend},
                  {"connection", std::to_string(attempt.exchange->use().connection)},
+                 {"place", "before"},
                  {"answer_status", std::to_string(status)},
                  {"answers", named.substr(0, max_logged_text_length)},
                  {"after_ms", ms_text(boot_now() - attempt.begun_at)}}});
 }
 
+void request_log::bytes_behind(open_exchange const& open, server_attempt const& attempt)
+{
+    std::size_t const bytes = attempt.exchange ? attempt.exchange->bytes_behind() : 0;
+    if (bytes == 0)
+    {
+        return;
+    }
+    metrics_.add("siskin_extra_answers_total", "behind", 1);
+    log_.write({"extra_answer",
+                {{"request", open.request.request_id},
+                 {"backend", attempt.target.backend},
+                 {"connection", std::to_string(attempt.exchange->use().connection)},
+                 {"place", "behind"},
+                 {"bytes", std::to_string(bytes)},
+                 {"after_ms", ms_text(boot_now() - attempt.begun_at)}}});
+}
+
 void request_log::server_limit(open_exchange const& open, server_attempt const& attempt)
 {
     platform::answer_info const& facts = *attempt.facts;
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -53,6 +53,8 @@
     /// `named`.
     void extra_answer(open_exchange const& open, server_attempt const& attempt, int status,
                       std::string const& named);
+    /// Writes a line when bytes have arrived behind the attempt's complete answer; its connection is closed.
+    void bytes_behind(open_exchange const& open, server_attempt const& attempt);
     /// The server of an attempt has named another limit, none any more, or an unreadable one.
     void server_limit(open_exchange const& open, server_attempt const& attempt);
     /// A server says in an answer that it leaves.
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -906,7 +906,7 @@
         server_attempt const& attempt = *open->replacement;
         if (end == exchange_end::complete)
         {
-            take_over(open);
+            take_over(open); // on_end() tells of bytes behind the answer.
             on_end(open, end);
             return;
         }
@@ -1278,6 +1278,7 @@
 
     void on_end(open_pointer const& open, exchange_end end)
     {
+        log.bytes_behind(*open, *open->current);
         if (end != exchange_end::complete)
         {
             std::string().swap(open->current->body); // A part of an answer is of no use, and it may be large.
--- a/tests/platform/faulty_answer_test.cpp
+++ b/tests/platform/faulty_answer_test.cpp
@@ -142,6 +142,26 @@
     cr_expect(eventually(is_logged), "%s", log_of(fleet.edge(), "r2").c_str());
 }
 
+// Guards against a server that repeats its answers unnoticed.
+Test(faulty_answer, bytes_behind_an_answer_are_logged)
+{
+    scripted_fleet fleet;
+    auto const script = [](fault_connection& connection)
+    {
+        (void)connection.receive();
+        std::string const id = connection.header("Attempt-Id");
+        std::string const answer = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id +
+                                   "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        connection.send(answer + answer);
+        connection.wait_for_close();
+    };
+    fleet.add("p1", "plain", std::vector<fault_server::script>(20, script));
+    (void)fleet.edge().call("POST", "/once/1", "r1", {{"Deadline-Ms", "600"}});
+    auto const is_logged = [&fleet]
+    { return log_of(fleet.edge(), "r1").find("place=behind") != std::string::npos; };
+    cr_expect(eventually(is_logged), "%s", log_of(fleet.edge(), "r1").c_str());
+}
+
 // Guards against a call that waits until its deadline while its server repeats earlier answers without an
 // end.
 Test(faulty_answer, endless_repeated_answers_end_the_attempt)
