Keep a replacement running when the attempt that it replaces is rejected

Cause: the head of a rejection ended every search for another server, with the attempt that had found one. Change: an attempt that is sent already takes over at once.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -1025,6 +1025,19 @@
         {
             return on_replacement_head(open, attempt);
         }
+        if (facts.not_run && open->replacement && open->replacement->exchange->sent())
+        {
+            // The replacement takes over at once; the rejected attempt's connection is not worth waiting for.
+            boost::asio::post(loop,
+                              [self = shared_from_this(), open, attempt]
+                              {
+                                  if (attempt == open->current && open->is_running())
+                                  {
+                                      self->end_rejected_attempt(open);
+                                  }
+                              });
+            return false;
+        }
         if (facts.not_run)
         {
             stop_looking(*open, "server_rejects");
--- a/tests/platform/faulty_answer_test.cpp
+++ b/tests/platform/faulty_answer_test.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -241,3 +242,31 @@
                   answer ? answer->status : 0);
     }
 }
+
+// Guards against ending an attempt that runs because the silent one that it replaces is rejected late.
+Test(faulty_answer, late_rejection_leaves_the_replacement_running)
+{
+    scripted_fleet fleet;
+    std::atomic<unsigned> arrivals{0};
+    auto const script = [&arrivals](fault_connection& connection)
+    {
+        while (connection.receive())
+        {
+            bool const first = ++arrivals == 1;
+            // The replacement is sent after 500 ms of silence.
+            std::this_thread::sleep_for(milliseconds{first ? 800 : 700});
+            if (first)
+            {
+                refuse(connection, connection.header("Attempt-Id"));
+                continue;
+            }
+            answer_well(connection);
+        }
+    };
+    std::vector<fault_server::script> const scripts(4, script);
+    fleet.add("p1", "plain", scripts);
+    fleet.add("p2", "plain", scripts);
+    auto const answer = fleet.edge().call("GET", "/again/1", "r1");
+    expect_plain_answer(fleet.edge(), "r1", answer);
+    cr_expect_eq(arrivals, 2, "%u sendings\n%s", arrivals.load(), log_of(fleet.edge(), "r1").c_str());
+}
