--- a/tests/adapters/backend_client_test.cpp
+++ b/tests/adapters/backend_client_test.cpp
@@ -116,6 +116,70 @@
     return found;
 }
 
+// When a server writes the copy of an answer.
+enum class copy_moment
+{
+    with_the_answer,
+    while_idle,
+    before_the_next_answer,
+};
+
+// Answers each request with `status`, and writes a copy of the first answer of each connection.
+class copying_server
+{
+public:
+    copying_server(int status, std::string headers, copy_moment moment)
+        : status_(status), headers_(std::move(headers)), moment_(moment)
+    {
+    }
+
+    std::vector<fault_server::script> scripts(std::size_t connections)
+    {
+        return std::vector<fault_server::script>(connections,
+                                                 [this](fault_connection& connection) { serve(connection); });
+    }
+
+    /// Requests that came on a connection behind the copy of an earlier answer.
+    unsigned behind_copies() const { return behind_copies_; }
+
+private:
+    std::string answer_to(std::string const& id) const
+    {
+        std::string const body = "body of " + id;
+        return "HTTP/1.1 " + std::to_string(status_) + " X\r\nX-Request-Id: " + id + "\r\n" + headers_ +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    void serve(fault_connection& connection)
+    {
+        if (!connection.receive())
+        {
+            return;
+        }
+        std::string const first = answer_to(connection.header("X-Request-Id"));
+        connection.send(moment_ == copy_moment::with_the_answer ? first + first : first);
+        if (moment_ == copy_moment::while_idle)
+        {
+            std::this_thread::sleep_for(milliseconds{50});
+            connection.send(first);
+        }
+        while (connection.receive())
+        {
+            ++behind_copies_;
+            connection.send(first + answer_to(connection.header("X-Request-Id")));
+        }
+    }
+
+    int const status_;
+    std::string const headers_;
+    copy_moment const moment_;
+    std::atomic<unsigned> behind_copies_{0};
+};
+
+// A copy that is written while the connection is idle has arrived after this time.
+constexpr milliseconds arrival_of_copy{150};
+constexpr char const* not_run_header = "X-Execution: not_run\r\n";
+
 } // namespace
 
 // Guards against passing on an answer that belongs to another request (I4).
@@ -444,3 +508,69 @@
         }
     }
 }
+
+// Guards against a copy of an earlier answer, on a kept connection, that is taken for the answer to an
+// attempt: of a refusal for a proof that the attempt has not run, of a success for the answer.
+Test(backend_client, copied_answer_is_not_the_answer_to_a_later_attempt)
+{
+    for (copy_moment const moment :
+         {copy_moment::with_the_answer, copy_moment::while_idle, copy_moment::before_the_next_answer})
+    {
+        for (bool const refuses : {true, false})
+        {
+            copying_server script(refuses ? 503 : 200, refuses ? not_run_header : "", moment);
+            fault_server const server(script.scripts(4));
+            backend_client client("key", {});
+            backend_call call = plain_call(true);
+            auto const proper = refuses ? attempt_result::refused_not_run : attempt_result::answered;
+            recording_sink first;
+            cr_expect_eq(client.run(to(server.address(), 1), call, first).result, proper);
+            std::this_thread::sleep_for(arrival_of_copy);
+            recording_sink second;
+            auto const result = client.run(to(server.address(), 2), call, second).result;
+            bool const late = moment == copy_moment::before_the_next_answer;
+            cr_expect_eq(result, late ? attempt_result::bad_answer : proper, "moment %d, refuses %d",
+                         static_cast<int>(moment), refuses);
+            cr_expect_eq(script.behind_copies(), late ? 1 : 0);
+            cr_expect(second.text == (late || refuses ? "" : "body of i-1-2.2"), "%s", second.text.c_str());
+            std::this_thread::sleep_for(arrival_of_copy);
+            recording_sink third; // The connection with the copy is not used again.
+            cr_expect_eq(client.run(to(server.address(), 3), call, third).result, late ? proper : result);
+            cr_expect(third.text == (refuses ? "" : "body of i-1-2.3"), "%s", third.text.c_str());
+        }
+    }
+}
+
+// Guards against a second run of a call that may run once, with and without an idempotency key, after a copy
+// of its refusal: no attempt may use a connection that has carried another one.
+Test(backend_client, call_that_may_run_once_never_meets_a_copy)
+{
+    constexpr unsigned attempts = 4;
+    for (std::string const key : {"", "key-1"})
+    {
+        for (bool const at_instance : {false, true})
+        {
+            copying_server script(503, not_run_header, copy_moment::before_the_next_answer);
+            fault_server const server(script.scripts(attempts + 1));
+            backend_client client("key", {});
+            backend_call other = plain_call(true);
+            other.request_id = "i-1-9";
+            recording_sink ignored;
+            (void)client.run(to(server.address()), other, ignored); // Leaves a kept connection.
+            backend_call call = plain_call(false);
+            call.idempotency_key = key;
+            for (unsigned attempt = 1; attempt <= attempts; ++attempt)
+            {
+                recording_sink sink;
+                auto const result =
+                    at_instance
+                        ? client.run(forward{1, attempt, "i2", server.address(), seconds{20}}, call, sink)
+                        : client.run(to(server.address(), attempt), call, sink);
+                cr_expect_eq(result.result, attempt_result::refused_not_run);
+                cr_expect_eq(sink.status, 0);
+            }
+            cr_expect_eq(server.accepted(), attempts + 1);
+            cr_expect_eq(script.behind_copies(), 0);
+        }
+    }
+}
