--- a/tests/wire/scripted_fleet.hpp
+++ b/tests/wire/scripted_fleet.hpp
@@ -30,10 +30,14 @@
     /// Writes one more entry with the address of the server that was added last.
     void add_name(std::string const& name, std::string const& service)
     {
-        nlohmann::json entry{{"service", service}, {"address", servers_.back()->address()},
-                             {"zone", "here"},     {"version", "v1"},
-                             {"slots", 8},         {"state", "ready"},
-                             {"born", 1}};
+        add_entry(name, service, servers_.back()->address());
+    }
+
+    /// Writes an entry with any address.
+    void add_entry(std::string const& name, std::string const& service, std::string const& address)
+    {
+        nlohmann::json entry{{"service", service}, {"address", address}, {"zone", "here"}, {"version", "v1"},
+                             {"slots", 8},         {"state", "ready"},   {"born", 1}};
         if (service == "llm")
         {
             entry["models"] = {{{"name", "m0"}, {"version", 1}, {"adapters", nlohmann::json::array()}}};
@@ -41,6 +45,8 @@
         store_.write("servers", name, entry);
     }
 
+    store_standin& store() { return store_; }
+
     edge_child& edge()
     {
         if (!edge_)
