Keep SIGHUP pending while siskin-edge starts

The handlers were installed after the settings had been read, the log's thread started and the servers opened. A SIGHUP before that ended the process (its default action), and nothing starts it again.

main() now blocks SIGHUP first. The log's thread inherits the mask, so the signal waits for the main thread, which unblocks it once the handler stands. A signal that came meanwhile reads the settings again: they may have changed after they were read. A starter that has blocked SIGHUP itself loses none, also before main(); until now the process never handled it then.

The handlers also stand before the process listens, so that SIGTERM cannot end it without order after a caller has connected. Before that it ends the process at once, which is allowed: nothing was accepted.

--- a/apps/edge_main.cpp
+++ b/apps/edge_main.cpp
@@ -74,6 +74,7 @@
 
 int main(int argc, char** argv)
 {
+    siskinusher::hold_reload_signal();
     gflags::AllowCommandLineReparsing();
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
     if (FLAGS_help)
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -75,6 +75,15 @@
     return text.data();
 }
 
+// `how` is SIG_BLOCK or SIG_UNBLOCK.
+void mask_reload_signal(int how)
+{
+    sigset_t reload_signals;
+    sigemptyset(&reload_signals);
+    sigaddset(&reload_signals, SIGHUP);
+    (void)::pthread_sigmask(how, &reload_signals, nullptr);
+}
+
 retry_limits limits_of(edge_settings const& settings, unsigned instances)
 {
     retry_limits limits;
@@ -121,6 +130,11 @@
 
 } // namespace
 
+void hold_reload_signal()
+{
+    mask_reload_signal(SIG_BLOCK);
+}
+
 class edge_process::implementation
 {
 public:
@@ -211,6 +225,12 @@
         service.on_unknown_stream([this](std::string const& stream_service, std::string const& id,
                                          std::function<void(take_up_choice)> done)
                                   { stream_records.ask(stream_service, id, std::move(done)); });
+        // Until here SIGTERM and SIGINT end the process at once: it has accepted nothing and holds no lease.
+        signals.add(SIGTERM);
+        signals.add(SIGINT);
+        signals.add(SIGHUP);
+        mask_reload_signal(SIG_UNBLOCK);
+        wait_for_signal();
         for (caller_server* const server : {&callers, &readiness, &peers})
         {
             std::string error = server->start();
@@ -219,10 +239,6 @@
                 return error;
             }
         }
-        signals.add(SIGTERM);
-        signals.add(SIGINT);
-        signals.add(SIGHUP);
-        wait_for_signal();
         store.set_relay_provider([this] { return placement.relay(); });
         metrics.set_gauge("siskin_config_version", [this] { return config ? config->version : 0; });
         metrics.set_gauge("siskin_holds_lease", [this] { return placement.holds_lease() ? 1U : 0U; });
--- a/apps/edge_process.hpp
+++ b/apps/edge_process.hpp
@@ -12,6 +12,11 @@
 struct log_port;
 class metrics_registry;
 
+/// Keeps SIGHUP, which ends a process by default, pending until the process object handles it. Call it first
+/// in main(): threads inherit the mask, and a SIGHUP that comes after the settings were read must not be
+/// lost.
+void hold_reload_signal();
+
 /// One siskin-edge process: the event loop and the servers, watches and services that run on it.
 class edge_process
 {
@@ -26,7 +31,8 @@
     edge_process& operator=(edge_process const&) = delete;
 
     /// Serves until SIGTERM or SIGINT and until the accepted requests are answered. Returns an empty string,
-    /// or the reason why the process cannot start.
+    /// or the reason why the process cannot start. A SIGHUP that hold_reload_signal() has kept is handled
+    /// then.
     std::string run();
 
 private:
--- a/tests/standins/child_process.cpp
+++ b/tests/standins/child_process.cpp
@@ -28,7 +28,7 @@
     posix_spawn_file_actions_t actions;
     posix_spawnattr_t attributes;
 
-    explicit spawn_options(std::string const& log)
+    spawn_options(std::string const& log, std::set<int> const& blocked_signals)
     {
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
@@ -38,9 +38,13 @@
         // so that the other end sees silence.
         posix_spawn_file_actions_addclosefrom_np(&actions, 3);
         posix_spawnattr_init(&attributes);
-        sigset_t none; // The driver blocks the stop signals; its children must not.
-        sigemptyset(&none);
-        posix_spawnattr_setsigmask(&attributes, &none);
+        sigset_t mask; // The driver blocks the stop signals; its children must not inherit that.
+        sigemptyset(&mask);
+        for (int const signal : blocked_signals)
+        {
+            sigaddset(&mask, signal);
+        }
+        posix_spawnattr_setsigmask(&attributes, &mask);
         // In its own process group a child does not receive Ctrl-C from the terminal; only the driver does,
         // and it ends its children in order.
         posix_spawnattr_setpgroup(&attributes, 0);
@@ -56,7 +60,8 @@
 
 } // namespace
 
-child_process::child_process(std::string name, std::vector<std::string> const& command, std::string log)
+child_process::child_process(std::string name, std::vector<std::string> const& command, std::string log,
+                             std::set<int> const& blocked_signals)
     : name_(std::move(name)), log_(std::move(log))
 {
     std::vector<std::string> all{program_folder() + "/standin-launch"};
@@ -68,7 +73,7 @@
         arguments.push_back(argument.data());
     }
     arguments.push_back(nullptr);
-    spawn_options const options(log_);
+    spawn_options const options(log_, blocked_signals);
     std::lock_guard<std::mutex> const lock(children_mutex);
     int const error =
         ::posix_spawn(&pid_, arguments[0], &options.actions, &options.attributes, arguments.data(), environ);
--- a/tests/standins/child_process.hpp
+++ b/tests/standins/child_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,9 +15,10 @@
 {
 public:
     /// Starts `command` (program and arguments) through standin-launch, with its output in the file `log`.
-    /// Call from the main thread only: a child ends with the thread that started it. Throws
-    /// std::runtime_error.
-    child_process(std::string name, std::vector<std::string> const& command, std::string log);
+    /// The program starts with `blocked_signals` blocked. Call from the main thread only: a child ends with
+    /// the thread that started it. Throws std::runtime_error.
+    child_process(std::string name, std::vector<std::string> const& command, std::string log,
+                  std::set<int> const& blocked_signals = {});
     ~child_process();
 
     child_process(child_process const&) = delete;
--- a/tests/wire/edge_child.cpp
+++ b/tests/wire/edge_child.cpp
@@ -41,7 +41,7 @@
 {
     caller_address_ = ports_[0].address().toString();
     readiness_address_ = ports_[1].address().toString();
-    std::ofstream settings(directory_ + "/settings.yaml");
+    std::ofstream settings(settings_file());
     settings << "instance: { name: " << name_ << ", data_centre: here, region: r1 }\n"
              << "data_centres:\n  - { name: here, region: r1 }\n"
              << "listen: { callers: \"" << caller_address_ << "\", readiness: \"" << readiness_address_
@@ -64,13 +64,11 @@
     (void)std::remove(directory_.c_str());
 }
 
-void edge_child::start()
+void edge_child::start(std::set<int> const& blocked_signals)
 {
-    process_ =
-        std::make_unique<child_process>(name_,
-                                        std::vector<std::string>{program_folder() + "/../siskin-edge",
-                                                                 "--settings", directory_ + "/settings.yaml"},
-                                        directory_ + "/log");
+    std::vector<std::string> const command{program_folder() + "/../siskin-edge", "--settings",
+                                           settings_file()};
+    process_ = std::make_unique<child_process>(name_, command, directory_ + "/log", blocked_signals);
 }
 
 bool edge_child::ready() const
--- a/tests/wire/edge_child.hpp
+++ b/tests/wire/edge_child.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace siskinusher::standins
@@ -27,13 +28,15 @@
     edge_child(edge_child const&) = delete;
     edge_child& operator=(edge_child const&) = delete;
 
-    void start();
+    /// `blocked_signals` are blocked when the program begins.
+    void start(std::set<int> const& blocked_signals = {});
     /// Waits until the process is ready. Returns false when it is not ready within the time.
     bool wait_ready(std::chrono::milliseconds time = std::chrono::seconds{20}) const;
     bool ready() const;
     child_process& process() { return *process_; }
     std::string const& caller_address() const { return caller_address_; }
     std::string log_text() const;
+    std::string settings_file() const { return directory_ + "/settings.yaml"; }
 
     /// Sends a request to the callers' address. A POST without a body gets a short one.
     std::optional<http_answer> call(std::string const& method, std::string const& path, std::string const& id,
