Tell peers that a call refused for its key has not run

An instance that has not read the lease record knows no key of its peers, and answered their calls 401. For a request that was passed on by an instance that is cut off from its servers, this was a complete answer: it went to the caller, which never sends a request again after a 401. It happens when the peer was started again within 1.5 s after its last report, or while the store does not answer it.

Without a record the answer is now 503, and with another key 401 as before, both with the statement that nothing has run, which the instance that passed the request on takes as proof and sends it to another peer.

For the other calls of peers: a store call through such a peer ended as "unclear" and counted as an answer of the store; it is "rejected" now, which is true. Demand reports, questions to standbys and for streams were and are treated alike with both statuses.

--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -14,6 +14,7 @@
 #include "platform/lease_record_codec.hpp"
 #include "platform/metadata_store.hpp"
 #include "platform/order_codec.hpp"
+#include "platform/request_codec.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -652,7 +653,8 @@
         std::string const given = call->head().fields.value("Authorization");
         if (record == nullptr || !same_secret(given, key_scheme + record->peer_key))
         {
-            call->answer(401, "", "");
+            // Without the record nothing is known about the key. A request that was passed on has not run.
+            call->answer(record == nullptr ? 503 : 401, platform::encode_not_run(0), "");
             return;
         }
         if (call->head().target.rfind(platform::relay_path, 0) == 0)
--- a/tests/wire/edge_child.hpp
+++ b/tests/wire/edge_child.hpp
@@ -35,6 +35,7 @@
     bool ready() const;
     child_process& process() { return *process_; }
     std::string const& caller_address() const { return caller_address_; }
+    std::string peer_address() const { return ports_[2].address().toString(); }
     std::string log_text() const;
     std::string settings_file() const { return directory_ + "/settings.yaml"; }
 
