Don't pass on a peer's refusal of the key as the answer

A peer of a build that does not state what has run answers 401 while it has not read the lease record. The instance that had passed a request on gave this to the caller as the answer of a server, and callers never send a request again after a 401. Such an answer, without the request's id and a server's signature, now ends the attempt like another faulty answer: what may run again goes to another peer, and a call that may run once is answered 502, because nothing states that it has not run.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -1011,6 +1011,10 @@
             // It may have been left on the connection by an earlier request.
             fault = "answer_of_unknown_request";
         }
+        else if (is_refusal_of_key(*attempt))
+        {
+            fault = "peer_refused_key";
+        }
         else if (is_success(facts.status) && (!facts.has_server_stamp || facts.encoded))
         {
             fault = "unsigned_answer";
@@ -1038,6 +1042,16 @@
         return true;
     }
 
+    // True for a 401 of the peer itself, which is no server's answer to the caller's request. Builds that do
+    // not state that the request has not run answer so before they have read the lease record.
+    static bool is_refusal_of_key(server_attempt const& attempt)
+    {
+        constexpr int unauthorized = 401;
+        platform::answer_info const& facts = *attempt.facts;
+        return attempt.via_peer && facts.status == unauthorized && !facts.not_run && !facts.names_request &&
+               !facts.has_server_stamp;
+    }
+
     // What the server itself says in the head of its answer.
     void learn_from_head(open_exchange const& open, server_attempt const& attempt)
     {
--- a/tests/platform/unread_record_test.cpp
+++ b/tests/platform/unread_record_test.cpp
@@ -31,7 +31,8 @@
     other_key,           ///< It knows another key.
 };
 
-constexpr peer_form refusals[] = {peer_form::unread_record, peer_form::other_key};
+constexpr peer_form refusals[] = {peer_form::unread_record, peer_form::unread_record_older,
+                                  peer_form::other_key};
 
 // An instance that other instances pass requests on to.
 class scripted_peer
