Hold signals while siskin-edge ends

After its event loop a process destroys its handlers, which gives SIGHUP, SIGTERM and SIGINT their default action back, and then closes what is open and writes the last lines of its log. A further signal in that time ended it with the signal instead of code 0.

The signals are blocked again after the loop. While the settings are read, they still end the process at once.

The new test sends SIGHUP, then SIGTERM, every 0.1 ms to a process that stops.

--- a/apps/edge_main.cpp
+++ b/apps/edge_main.cpp
@@ -55,6 +55,7 @@
 int serve(edge_settings const& settings, std::string const& file)
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
+    hold_stop_signals();
     event_log log(std::make_shared<spdlog::sinks::stdout_sink_mt>(), settings.log_level, {});
     metrics_registry metrics;
     edge_process process(
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -24,6 +24,7 @@
 #include <array>
 #include <csignal>
 #include <cstdio>
+#include <initializer_list>
 #include <random>
 #include <utility>
 
@@ -76,12 +77,15 @@
 }
 
 // `how` is SIG_BLOCK or SIG_UNBLOCK.
-void mask_reload_signal(int how)
+void mask_signals(int how, std::initializer_list<int> signals)
 {
-    sigset_t reload_signals;
-    sigemptyset(&reload_signals);
-    sigaddset(&reload_signals, SIGHUP);
-    (void)::pthread_sigmask(how, &reload_signals, nullptr);
+    sigset_t mask;
+    sigemptyset(&mask);
+    for (int const signal : signals)
+    {
+        sigaddset(&mask, signal);
+    }
+    (void)::pthread_sigmask(how, &mask, nullptr);
 }
 
 retry_limits limits_of(edge_settings const& settings, unsigned instances)
@@ -132,7 +136,12 @@
 
 void hold_reload_signal()
 {
-    mask_reload_signal(SIG_BLOCK);
+    mask_signals(SIG_BLOCK, {SIGHUP});
+}
+
+void hold_stop_signals()
+{
+    mask_signals(SIG_BLOCK, {SIGTERM, SIGINT});
 }
 
 class edge_process::implementation
@@ -225,11 +234,10 @@
         service.on_unknown_stream([this](std::string const& stream_service, std::string const& id,
                                          std::function<void(take_up_choice)> done)
                                   { stream_records.ask(stream_service, id, std::move(done)); });
-        // Until here SIGTERM and SIGINT end the process at once: it has accepted nothing and holds no lease.
         signals.add(SIGTERM);
         signals.add(SIGINT);
         signals.add(SIGHUP);
-        mask_reload_signal(SIG_UNBLOCK);
+        mask_signals(SIG_UNBLOCK, {SIGTERM, SIGINT, SIGHUP});
         wait_for_signal();
         for (caller_server* const server : {&callers, &readiness, &peers})
         {
@@ -256,6 +264,10 @@
                     {"callers", settings.caller_address},
                     {"store", settings.store_address}}});
         loop.run();
+        // The handlers end before the process does; a signal would then end it without its exit code and its
+        // last lines of the log.
+        hold_reload_signal();
+        hold_stop_signals();
         log.write({"stop", {{"open_requests", std::to_string(service.open_requests())}}});
         return {};
     }
--- a/apps/edge_process.hpp
+++ b/apps/edge_process.hpp
@@ -16,6 +16,10 @@
 /// in main(): threads inherit the mask, and a SIGHUP that comes after the settings were read must not be
 /// lost.
 void hold_reload_signal();
+/// The same for SIGTERM and SIGINT. Call it before threads are created, so that these signals reach the main
+/// thread only, which blocks them again at its end. Until then they end the process at once, which has
+/// accepted nothing.
+void hold_stop_signals();
 
 /// One siskin-edge process: the event loop and the servers, watches and services that run on it.
 class edge_process
@@ -31,8 +35,8 @@
     edge_process& operator=(edge_process const&) = delete;
 
     /// Serves until SIGTERM or SIGINT and until the accepted requests are answered. Returns an empty string,
-    /// or the reason why the process cannot start. A SIGHUP that hold_reload_signal() has kept is handled
-    /// then.
+    /// or the reason why the process cannot start. Signals that have been held are handled first, and those
+    /// that come after the end are held.
     std::string run();
 
 private:
--- a/tests/platform/start_signals_test.cpp
+++ b/tests/platform/start_signals_test.cpp
@@ -30,6 +30,10 @@
 // From the settings of edge_child, with a second for a busy machine.
 constexpr milliseconds longest_stop{9000};
 
+// Shorter than the end of a process.
+constexpr std::chrono::microseconds signal_interval{100};
+constexpr int signals_between_checks = 20;
+
 std::string read_file(std::string const& name)
 {
     std::ifstream in(name);
@@ -174,6 +178,34 @@
     cr_assert(edge.wait_ready());
 }
 
+// Guards against a stopping process that a further signal ends without order after its event loop, when the
+// handlers are gone: its exit code and its last lines of the log would be lost.
+Test(start_signals, further_signals_do_not_end_a_stopping_process)
+{
+    store_standin store;
+    store.write("config", "main", example_config(1));
+    for (int const signal : {SIGHUP, SIGTERM})
+    {
+        edge_child edge("edge-1", store.address());
+        cr_assert(edge.wait_ready());
+        edge.process().send(SIGTERM);
+        auto const until = std::chrono::steady_clock::now() + longest_stop;
+        bool ended = false;
+        while (!ended && std::chrono::steady_clock::now() < until)
+        {
+            for (int i = 0; i < signals_between_checks; ++i)
+            {
+                edge.process().send(signal);
+                std::this_thread::sleep_for(signal_interval);
+            }
+            ended = edge.process().wait(milliseconds{0});
+        }
+        cr_assert(ended);
+        cr_expect_eq(edge.process().exit_code(), 0, "signal %d ended the process", signal);
+        cr_expect_neq(edge.log_text().find("event=stop "), std::string::npos, "signal %d", signal);
+    }
+}
+
 // Guards against a starting process that loses SIGTERM or ends by it without order. Before it listens for
 // callers it has accepted nothing, and the signal may end it at once.
 Test(start_signals, sigterm_during_the_start_ends_the_process_in_order)
@@ -196,7 +228,7 @@
         edges.back()->process().send(SIGTERM);
         if (while_reading)
         {
-            starts.back()->go_on();
+            cr_assert(edges.back()->process().wait(longest_stop), "waits for its settings");
         }
     }
     for (std::size_t i = 0; i < edges.size(); ++i)
