--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -24,6 +24,7 @@
 #include <array>
 #include <csignal>
 #include <cstdio>
+#include <initializer_list>
 #include <random>
 #include <utility>
 
@@ -75,6 +76,18 @@
     return text.data();
 }
 
+// `how` is SIG_BLOCK or SIG_UNBLOCK.
+void mask_signals(int how, std::initializer_list<int> signals)
+{
+    sigset_t mask;
+    sigemptyset(&mask);
+    for (int const signal : signals)
+    {
+        sigaddset(&mask, signal);
+    }
+    (void)::pthread_sigmask(how, &mask, nullptr);
+}
+
 retry_limits limits_of(edge_settings const& settings, unsigned instances)
 {
     retry_limits limits;
@@ -121,6 +134,16 @@
 
 } // namespace
 
+void hold_reload_signal()
+{
+    mask_signals(SIG_BLOCK, {SIGHUP});
+}
+
+void hold_stop_signals()
+{
+    mask_signals(SIG_BLOCK, {SIGTERM, SIGINT});
+}
+
 class edge_process::implementation
 {
 public:
@@ -211,6 +234,11 @@
         service.on_unknown_stream([this](std::string const& stream_service, std::string const& id,
                                          std::function<void(take_up_choice)> done)
                                   { stream_records.ask(stream_service, id, std::move(done)); });
+        signals.add(SIGTERM);
+        signals.add(SIGINT);
+        signals.add(SIGHUP);
+        mask_signals(SIG_UNBLOCK, {SIGTERM, SIGINT, SIGHUP});
+        wait_for_signal();
         for (caller_server* const server : {&callers, &readiness, &peers})
         {
             std::string error = server->start();
@@ -219,10 +247,6 @@
                 return error;
             }
         }
-        signals.add(SIGTERM);
-        signals.add(SIGINT);
-        signals.add(SIGHUP);
-        wait_for_signal();
         store.set_relay_provider([this] { return placement.relay(); });
         metrics.set_gauge("siskin_config_version", [this] { return config ? config->version : 0; });
         metrics.set_gauge("siskin_holds_lease", [this] { return placement.holds_lease() ? 1U : 0U; });
@@ -240,6 +264,10 @@
                     {"callers", settings.caller_address},
                     {"store", settings.store_address}}});
         loop.run();
+        // The handlers end before the process does; a signal would then end it without its exit code and its
+        // last lines of the log.
+        hold_reload_signal();
+        hold_stop_signals();
         log.write({"stop", {{"open_requests", std::to_string(service.open_requests())}}});
         return {};
     }
