Read the memory of the process from the settings

limits.memory_mb is optional, so that settings files of older builds stay valid; 160 MB, that of the smallest known machine, is used without it.

--- a/adapters/edge_settings.cpp
+++ b/adapters/edge_settings.cpp
@@ -3,6 +3,7 @@
 #include "adapters/yaml_tree.hpp"
 
 #include <cmath>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -28,9 +29,10 @@
 }
 
 // A number of things that are allowed: what is left over after the whole ones allows none.
-std::uint64_t allowed_count(yaml_map& map, char const* name, double low, double high)
+std::uint64_t allowed_count(yaml_map& map, char const* name, double low, double high,
+                            std::optional<double> by_default = {})
 {
-    return static_cast<std::uint64_t>(std::floor(map.number(name, low, high)));
+    return static_cast<std::uint64_t>(std::floor(map.number(name, low, high, by_default)));
 }
 
 yaml_map section(yaml_map& parent, std::string const& name, std::string const& accepted)
@@ -86,10 +88,12 @@
     settings.load_window_s = orders.number("load_window_s", 0.1, 3600.0);
     orders.finish();
 
-    yaml_map limits = section(root, "limits", "a map of stop_s, descriptors and cpu_share");
+    yaml_map limits = section(root, "limits", "a map of stop_s, descriptors, cpu_share and memory_mb");
     settings.stop_time = time_limit(limits, "stop_s", 1.0, 3600.0, microseconds_per_s);
     settings.descriptors = allowed_count(limits, "descriptors", 64.0, 10000000.0);
     settings.cpu_share = limits.number("cpu_share", 0.001, 1024.0, 1.0);
+    settings.memory_mb =
+        allowed_count(limits, "memory_mb", 32.0, 10000000.0, static_cast<double>(settings.memory_mb));
     limits.finish();
 
     yaml_map log(root.find("log"), "log", errors);
@@ -109,7 +113,7 @@
         return std::tie(s.name, s.data_centre, s.region, s.region_of, s.caller_address, s.readiness_address,
                         s.peer_address, s.store_address, s.leaving_time, s.change_time, s.retry_ratio,
                         s.retry_window, s.spare_retries, s.holder_gap, s.load_window_s, s.stop_time,
-                        s.descriptors, s.cpu_share, s.log_level);
+                        s.descriptors, s.cpu_share, s.memory_mb, s.log_level);
     };
     return fields(a) == fields(b);
 }
--- a/adapters/edge_settings.hpp
+++ b/adapters/edge_settings.hpp
@@ -4,6 +4,7 @@
 #include "core/steady_time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -30,7 +31,8 @@
     double load_window_s = 5.0;      ///< Window, in seconds, for the limit on loads from the weight store.
     duration stop_time = seconds{8}; ///< Time limit from SIGTERM to the end of the process.
     std::size_t descriptors = 4100;
-    double cpu_share = 1.0; ///< Processor cores that the process may use; 1.0 is one whole core.
+    double cpu_share = 1.0;        ///< Processor cores that the process may use; 1.0 is one whole core.
+    std::uint64_t memory_mb = 160; ///< Memory above which the process is ended, in MB. The least known one.
     std::string log_level = "info";
 };
 
--- a/tests/adapters/edge_settings_test.cpp
+++ b/tests/adapters/edge_settings_test.cpp
@@ -63,6 +63,18 @@
     cr_assert(settings.descriptors == 4100);
 }
 
+// Guards against settings of an older build that are refused, and against a process that takes the memory of
+// a larger machine for its own.
+Test(edge_settings, memory_is_that_of_the_smallest_machine_when_it_is_not_named)
+{
+    cr_assert_eq(read(whole).memory_mb, 160U);
+    cr_assert_eq(read(replaced("cpu_share: 0.25", "cpu_share: 0.25, memory_mb: 260.9")).memory_mb, 260U);
+    cr_assert(reports(replaced("cpu_share: 0.25", "memory_mb: 31"),
+                      "s.yaml:8: wrong value '31' for 'limits.memory_mb'; accepted: a number from 32 to "
+                      "10000000"));
+    cr_assert(!(read(whole) == read(replaced("cpu_share: 0.25", "cpu_share: 0.25, memory_mb: 260"))));
+}
+
 // Guards against instances that end at their start because a bound of the platform has a fraction, as on a
 // deployment that is a scaled-down copy of a larger one.
 Test(edge_settings, rounds_allowances_down)
