Refuse requests whose bodies find no memory before they are read

While answers were unsent, the input of a connection grew to max_body_bytes as well.

Change: the connections of callers reserve the head and the whole body in a budget of two fifths of limits.memory_mb, and read the body into a string of its own length. Without room the request is refused with 503 and Retry-After, before 100 Continue, and the connection closes after it; a body of unknown length is refused when what has arrived finds no room. A request that could never find room gets 413. What a refused caller still sends is discarded for up to 10 s, as long as a body may take, because a close with unread bytes would reset the connection. Unread input is counted and limited. The rank of a request is not looked at: the route is known to an upper layer.

The encoded copy of an attempt is not counted yet.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -27,14 +27,23 @@
 // After its last answer, a connection discards what the caller still sends for at most this time. A close
 // with unread bytes would reset the connection, and the caller might see the reset instead of the answer.
 constexpr duration discard_time = seconds{2};
+// The head of a request is in memory this many times: decoded here, at the exchange and for its server, and
+// encoded for an attempt.
+constexpr std::size_t head_copies = 4;
 
 } // namespace
 
 caller_connection::caller_connection(boost::asio::ip::tcp::socket socket,
                                      std::shared_ptr<caller_server_state> server)
     : socket_(std::move(socket)), timer_(socket_.get_executor()), server_(std::move(server)),
-      idle_since_(boot_now())
+      discard_limit_(discard_time), idle_since_(boot_now())
 {
+    count_input();
+}
+
+caller_connection::~caller_connection()
+{
+    server_->memory->let_go(counted_input_);
 }
 
 void caller_connection::start()
@@ -72,6 +81,7 @@
         socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     }
     socket_.close(ignored);
+    drop_body();
     if (was_serving)
     {
         --server_->open_requests;
@@ -85,8 +95,10 @@
 
 void caller_connection::read_more()
 {
+    count_input();
+    // While answers are unsent, the head of the next request waits in front of further bytes.
     if (reading_ || phase_ == phase::closed ||
-        received_.size() >= read_ahead_limit + server_->limits.body_bytes)
+        received_.size() >= std::max(read_ahead_limit, server_->limits.head_bytes))
     {
         return;
     }
@@ -120,12 +132,31 @@
         start_timer(server_->limits.head_timeout);
     }
     process();
-    if (phase_ != phase::serving || received_.size() < read_ahead_limit)
+    count_input();
+    if (phase_ != phase::serving || may_read_ahead())
     {
         read_more();
     }
 }
 
+// While a request is served, reading shows that its caller has gone. What the caller sends beyond it takes
+// memory that others may need.
+bool caller_connection::may_read_ahead() const
+{
+    return received_.empty() || (received_.size() < read_ahead_limit && server_->memory->has_room());
+}
+
+void caller_connection::count_input()
+{
+    if (received_.empty() && received_.capacity() > chunk_.size())
+    {
+        std::string().swap(received_);
+    }
+    server_->memory->let_go(counted_input_);
+    counted_input_ = sizeof(*this) + received_.capacity();
+    server_->memory->hold(counted_input_);
+}
+
 // Handles requests until more bytes are needed or one is not answered at once. A call for an answer that was
 // sent at once does nothing, because the loop in progress goes on with the next request.
 void caller_connection::process()
@@ -180,6 +211,10 @@
         refuse(413);
         return false;
     }
+    if (!admit(end + 4, *framing))
+    {
+        return false;
+    }
     bool const is_http_1_1 = head_->version == http_version::http_1_1;
     // HTTP/1.0 has no interim answers.
     if (is_http_1_1 && equal_ignoring_case(head_->fields.value("Expect"), "100-continue"))
@@ -193,15 +228,69 @@
     keep_alive_ = is_http_1_1 && keeps_connection(head_->version, head_->fields);
     head_only_ = head_->method == "HEAD";
     decoder_.emplace(*framing);
-    body_.clear();
     phase_ = phase::body;
     start_timer(body_time);
     return true;
 }
 
+// Reserves memory for the head and a body of known length. Refuses the request when there is no room.
+bool caller_connection::admit(std::size_t head_bytes, body_framing const& framing)
+{
+    std::size_t const wanted = head_copies * head_bytes + static_cast<std::size_t>(framing.length);
+    if (wanted > server_->memory->largest_request())
+    {
+        refuse(413);
+        return false;
+    }
+    drop_body();
+    share_ = memory_share(server_->memory);
+    if (!share_.try_grow(wanted))
+    {
+        refuse_without_memory(wanted);
+        return false;
+    }
+    body_.reserve(static_cast<std::size_t>(framing.length));
+    return true;
+}
+
+// Reserves memory for what has arrived of a body of unknown length. Refuses the request when there is no
+// room.
+bool caller_connection::make_room_for_chunks()
+{
+    std::size_t const needed = body_.size() + received_.size();
+    if (decoder_->kind() != body_kind::chunked || needed <= body_.capacity())
+    {
+        return true;
+    }
+    std::size_t const most = std::max(needed, server_->limits.body_bytes);
+    std::size_t const capacity = std::min(std::max(needed, 2 * body_.capacity()), most);
+    std::size_t const more = capacity - body_.capacity();
+    if (!share_.try_grow(more))
+    {
+        refuse_without_memory(more);
+        return false;
+    }
+    // A string that grows by itself would take up to twice its size.
+    std::string larger;
+    larger.reserve(capacity);
+    larger.append(body_);
+    body_.swap(larger);
+    return true;
+}
+
+void caller_connection::drop_body()
+{
+    std::string().swap(body_);
+    share_ = memory_share();
+}
+
 // Returns true when the request was handed over and answered at once, so that the next one can be read.
 bool caller_connection::take_body()
 {
+    if (!make_room_for_chunks())
+    {
+        return false;
+    }
     std::size_t used = 0;
     decode_status const status = decoder_->decode(received_, used, body_);
     received_.erase(0, used);
@@ -223,19 +312,29 @@
     timer_.cancel(ignored);
     phase_ = phase::serving;
     ++server_->open_requests;
-    server_->on_request(
-        std::make_shared<caller_exchange>(shared_from_this(), *head_, std::move(body_), boot_now()));
+    server_->on_request(std::make_shared<caller_exchange>(
+        shared_from_this(), *head_, std::exchange(body_, {}), std::move(share_), boot_now()));
     return phase_ == phase::head;
 }
 
-// Refuses a request that is malformed, too large or late. The connection is closed then, because it is
-// unknown where the next request starts.
-void caller_connection::refuse(int status)
+// Refuses a request that is malformed, too large or late, or for which there is no memory. The connection is
+// closed then, because it is unknown where the next request starts.
+void caller_connection::refuse(int status, std::string_view header_lines)
 {
+    drop_body();
     keep_alive_ = false;
     phase_ = phase::serving;
     ++server_->open_requests;
-    send_whole(status, "", "");
+    send_whole(status, header_lines, "");
+}
+
+void caller_connection::refuse_without_memory(std::size_t wanted)
+{
+    // Many callers send at once then, so that the rest of a body takes as long as a body that is read.
+    discard_limit_ = body_time;
+    request_memory& memory = *server_->memory;
+    memory_refusal const facts{wanted, memory.held(), memory.budget(), memory.on_refused(boot_now(), wanted)};
+    refuse(503, server_->on_no_memory ? server_->on_no_memory(*head_, facts) : std::string());
 }
 
 bool caller_connection::announces_close() const
@@ -400,7 +499,7 @@
         close();
         return;
     }
-    start_timer(discard_time);
+    start_timer(discard_limit_);
     read_more();
 }
 
--- a/adapters/caller_connection_impl.hpp
+++ b/adapters/caller_connection_impl.hpp
@@ -23,6 +23,8 @@
     caller_limits limits;
     bool draining = false;
     std::size_t open_requests = 0;
+    std::shared_ptr<request_memory> memory;
+    caller_server::refusal_handler on_no_memory;
     std::function<void(std::shared_ptr<caller_exchange>)> on_request;
     std::function<void(caller_connection*)> on_closed;
 };
@@ -32,6 +34,9 @@
 {
 public:
     caller_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<caller_server_state> server);
+    ~caller_connection();
+    caller_connection(caller_connection const&) = delete;
+    caller_connection& operator=(caller_connection const&) = delete;
 
     void start();
     void close();
@@ -64,7 +69,13 @@
     void process();
     bool take_head();
     bool take_body();
-    void refuse(int status);
+    bool admit(std::size_t head_bytes, body_framing const& framing);
+    bool make_room_for_chunks();
+    void count_input();
+    bool may_read_ahead() const;
+    void refuse(int status, std::string_view header_lines = {});
+    void refuse_without_memory(std::size_t wanted);
+    void drop_body();
     void enqueue(std::string_view bytes);
     void flush();
     void finish_sending();
@@ -95,6 +106,9 @@
     std::optional<request_head> head_;
     std::optional<body_decoder> decoder_;
     std::string body_;
+    memory_share share_; ///< Of the request whose body is read.
+    std::size_t counted_input_ = 0;
+    duration discard_limit_; ///< How long bytes behind the last request are discarded.
     steady_time idle_since_;
     std::function<void()> gone_handler_;
 };
--- a/adapters/caller_server.cpp
+++ b/adapters/caller_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -23,8 +24,9 @@
 } // namespace
 
 caller_exchange::caller_exchange(std::shared_ptr<caller_connection> connection, request_head const& head,
-                                 std::string body, steady_time arrived)
-    : connection_(std::move(connection)), head_(head), body_(std::move(body)), arrived_(arrived)
+                                 std::string body, memory_share share, steady_time arrived)
+    : connection_(std::move(connection)), head_(head), body_(std::move(body)), share_(std::move(share)),
+      arrived_(arrived)
 {
 }
 
@@ -36,7 +38,7 @@
 std::shared_ptr<caller_exchange> caller_exchange::unwrap(request_head const& head, std::string body)
 {
     done_ = true;
-    return std::make_shared<caller_exchange>(connection_, head, std::move(body), arrived_);
+    return std::make_shared<caller_exchange>(connection_, head, std::move(body), std::move(share_), arrived_);
 }
 
 std::string caller_exchange::caller_address() const
@@ -159,6 +161,9 @@
     : impl_(std::make_shared<implementation>(loop, std::move(settings)))
 {
     impl_->state->on_request = std::move(on_request);
+    impl_->state->memory = impl_->settings.memory
+                               ? impl_->settings.memory
+                               : std::make_shared<request_memory>(std::numeric_limits<std::size_t>::max());
     impl_->state->on_closed = [server = impl_.get()](caller_connection* closed)
     { server->connections.erase(closed); };
 }
@@ -209,6 +214,11 @@
     impl_->state->limits = limits;
 }
 
+void caller_server::on_no_memory(refusal_handler handler)
+{
+    impl_->state->on_no_memory = std::move(handler);
+}
+
 void caller_server::drain()
 {
     impl_->state->draining = true;
--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http_head.hpp"
+#include "adapters/memory_share.hpp"
 #include "core/steady_time.hpp"
 #include "domain/serving_config.hpp"
 
@@ -24,8 +25,9 @@
 class caller_exchange
 {
 public:
+    /// `share` has the bytes of the request reserved.
     caller_exchange(std::shared_ptr<caller_connection> connection, request_head const& head, std::string body,
-                    steady_time arrived);
+                    memory_share share, steady_time arrived);
     ~caller_exchange();
     caller_exchange(caller_exchange const&) = delete;
     caller_exchange& operator=(caller_exchange const&) = delete;
@@ -58,6 +60,7 @@
     std::shared_ptr<caller_connection> connection_;
     request_head const head_;
     std::string const body_;
+    memory_share share_;
     steady_time const arrived_;
     bool done_ = false;
 };
@@ -67,14 +70,30 @@
     std::string address; ///< IP number and port to listen on.
     /// The descriptor limit of the process less the descriptors for other uses.
     std::size_t max_connections = 3000;
+    /// Counts the requests of this server and of others that have the same one. Null for no limit.
+    std::shared_ptr<request_memory> memory = nullptr;
+};
+
+/// A request that is refused because there is no memory for it.
+struct memory_refusal
+{
+    std::size_t wanted = 0; ///< Bytes that the request needs, as far as known.
+    std::size_t held = 0;   ///< Bytes that are held for all requests.
+    std::size_t budget = 0;
+    duration retry_after{0};
 };
 
 /// Serves HTTP/1.1 and HTTP/1.0 on one address from the event loop, without a thread for each connection. At
 /// the limit on connections, the one that has been idle longest is closed to admit a new caller.
+///
+/// A request for which there is no memory is refused with 503 before its body is read, and a body of unknown
+/// length as soon as it finds no room.
 class caller_server
 {
 public:
     using handler = std::function<void(std::shared_ptr<caller_exchange>)>;
+    /// Returns further header lines of the refusal, each ended by CRLF.
+    using refusal_handler = std::function<std::string(request_head const&, memory_refusal const&)>;
 
     caller_server(boost::asio::io_context& loop, caller_server_settings settings, handler on_request);
     ~caller_server();
@@ -84,6 +103,8 @@
     /// Starts to listen. Returns an empty text, or the reason why this failed.
     std::string start();
     void set_limits(caller_limits const& limits);
+    /// The handler is called for each request that is refused because there is no memory for it.
+    void on_no_memory(refusal_handler handler);
     /// Makes each connection close after its next answer.
     void drain();
     /// Closes the connections that wait for a request.
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -57,6 +57,11 @@
 constexpr std::size_t reserved_descriptors = 1000;
 // Number of instances among which the retry slack is divided before the lease holder has reported a count.
 constexpr unsigned assumed_instances = 64;
+// Part of the process's memory that the requests of callers may take. The rest is for answers (64 MB while
+// they grow, kept_total_limit of the outbound pool), what the process knows, peers, and what the allocator
+// does not give back.
+constexpr double request_memory_share = 0.4;
+constexpr double bytes_per_mb = 1000000.0;
 // Added to the lease holder's count, for instances that start or that the holder has not heard of yet.
 constexpr unsigned spare_instances = 3;
 
@@ -111,14 +116,22 @@
     return result;
 }
 
-caller_server_settings server_settings(std::string const& address, std::size_t connections)
+caller_server_settings server_settings(std::string const& address, std::size_t connections,
+                                       std::shared_ptr<request_memory> memory = nullptr)
 {
     caller_server_settings result;
     result.address = address;
     result.max_connections = connections;
+    result.memory = std::move(memory);
     return result;
 }
 
+std::size_t request_budget(edge_settings const& settings)
+{
+    return static_cast<std::size_t>(request_memory_share * bytes_per_mb *
+                                    static_cast<double>(settings.memory_mb));
+}
+
 } // namespace
 
 class edge_process::implementation
@@ -161,9 +174,11 @@
           stream_records(loop, pool, store, streams, log, metrics, "b" + std::to_string(random_number()),
                          {[this] { return placement.holds_lease(); }, [this] { return placement.holder(); },
                           [this] { return placement.holder_answers(); }}),
-          callers(loop, server_settings(settings.caller_address, settings.descriptors - reserved_descriptors),
-                  [this](std::shared_ptr<caller_exchange> exchange)
-                  { service.on_request(std::move(exchange)); }),
+          memory(std::make_shared<request_memory>(request_budget(settings))),
+          callers(
+              loop,
+              server_settings(settings.caller_address, settings.descriptors - reserved_descriptors, memory),
+              [this](std::shared_ptr<caller_exchange> exchange) { service.on_request(std::move(exchange)); }),
           readiness(loop, server_settings(settings.readiness_address, 64),
                     [this](std::shared_ptr<caller_exchange> const& exchange) { on_readiness(exchange); }),
           peers(loop, server_settings(settings.peer_address, 512),
@@ -198,6 +213,8 @@
 
     std::string run()
     {
+        callers.on_no_memory([this](request_head const& head, memory_refusal const& facts)
+                             { return refuse_without_memory(head, facts); });
         service.on_missing_model([this] { placement.report_soon(); });
         crash_reports.on_blocked([this] { service.on_blocked(); });
         service.on_authorization([this] { return placement.peer_authorization(); });
@@ -227,6 +244,7 @@
         metrics.set_gauge("siskin_config_version", [this] { return config ? config->version : 0; });
         metrics.set_gauge("siskin_holds_lease", [this] { return placement.holds_lease() ? 1U : 0U; });
         metrics.set_gauge("siskin_open_requests", [this] { return service.open_requests(); });
+        metrics.set_gauge("siskin_request_bytes", [this] { return memory->held(); });
         metrics.set_gauge("siskin_backends", [this] { return requests.backends(); });
         metrics.set_gauge("siskin_blocked_suspects", [this] { return crashes.blocked_suspects(boot_now()); });
         state.start();
@@ -336,6 +354,23 @@
         return !stopping && service.has_config() && state.servers_known() && !depends_on_others;
     }
 
+    // Returns the header lines of the refusal.
+    std::string refuse_without_memory(request_head const& head, memory_refusal const& facts)
+    {
+        metrics.add("siskin_refusals_total", "no_memory", 1);
+        log.write({"refused",
+                   {{"request", platform::decode_request(head).request_id},
+                    {"reason", "no_memory"},
+                    {"status", "503"},
+                    {"execution", "not_run"},
+                    {"bytes_wanted", std::to_string(facts.wanted)},
+                    {"bytes_held", std::to_string(facts.held)},
+                    {"budget", std::to_string(facts.budget)},
+                    {"retry_after_ms",
+                     std::to_string(std::chrono::duration_cast<milliseconds>(facts.retry_after).count())}}});
+        return platform::encode_retry_after(facts.retry_after);
+    }
+
     void on_readiness(std::shared_ptr<caller_exchange> const& exchange)
     {
         std::string const& target = exchange->head().target;
@@ -417,6 +452,7 @@
     state_follower state;
     placement_service placement;
     stream_keeper stream_records;
+    std::shared_ptr<request_memory> const memory;
     caller_server callers;
     caller_server readiness;
     caller_server peers;
--- a/tests/wire/edge_child.cpp
+++ b/tests/wire/edge_child.cpp
@@ -35,7 +35,7 @@
 } // namespace
 
 edge_child::edge_child(std::string name, std::string const& store_address, unsigned holder_gap_ms,
-                       unsigned retry_slack)
+                       unsigned retry_slack, unsigned memory_mb)
     : name_(std::move(name)),
       directory_(make_temporary_directory()), ports_{reserve_port(), reserve_port(), reserve_port()}
 {
@@ -49,7 +49,8 @@
              << "platform: { object_store: \"" << store_address << "\", leaving_ms: 2500, change_ms: 2500 }\n"
              << "retries: { ratio: 0.2, window_s: 10, slack: " << retry_slack << " }\n"
              << "orders: { holder_gap_ms: " << holder_gap_ms << ", load_window_s: 5 }\n"
-             << "limits: { stop_s: 8, descriptors: 2000 }\n";
+             << "limits: { stop_s: 8, descriptors: 2000"
+             << (memory_mb > 0 ? ", memory_mb: " + std::to_string(memory_mb) : "") << " }\n";
     settings.close();
     start();
 }
