Send a request's body from the caller's copy for each attempt

An attempt now has the text of its head, and shares the body with the caller's exchange; both are written at once. The bytes stay reserved until the last user of the body is gone. A request that is passed on to a peer is sent in the same way; its form is that of the builds before.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -313,7 +313,8 @@
     phase_ = phase::serving;
     ++server_->open_requests;
     server_->on_request(std::make_shared<caller_exchange>(
-        shared_from_this(), *head_, std::exchange(body_, {}), std::move(share_), boot_now()));
+        shared_from_this(), *head_, std::exchange(body_, {}),
+        std::make_shared<memory_share const>(std::move(share_)), boot_now()));
     return phase_ == phase::head;
 }
 
--- a/adapters/caller_server.cpp
+++ b/adapters/caller_server.cpp
@@ -24,8 +24,10 @@
 } // namespace
 
 caller_exchange::caller_exchange(std::shared_ptr<caller_connection> connection, request_head const& head,
-                                 std::string body, memory_share share, steady_time arrived)
-    : connection_(std::move(connection)), head_(head), body_(std::move(body)), share_(std::move(share)),
+                                 std::string body, std::shared_ptr<memory_share const> share,
+                                 steady_time arrived)
+    : connection_(std::move(connection)), head_(head),
+      body_(std::make_shared<reserved_body const>(reserved_body{std::move(body), std::move(share)})),
       arrived_(arrived)
 {
 }
@@ -38,7 +40,12 @@
 std::shared_ptr<caller_exchange> caller_exchange::unwrap(request_head const& head, std::string body)
 {
     done_ = true;
-    return std::make_shared<caller_exchange>(connection_, head, std::move(body), std::move(share_), arrived_);
+    return std::make_shared<caller_exchange>(connection_, head, std::move(body), body_->share, arrived_);
+}
+
+std::shared_ptr<std::string const> caller_exchange::shared_body() const
+{
+    return {body_, &body_->text};
 }
 
 std::string caller_exchange::caller_address() const
--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -27,7 +27,7 @@
 public:
     /// `share` has the bytes of the request reserved.
     caller_exchange(std::shared_ptr<caller_connection> connection, request_head const& head, std::string body,
-                    memory_share share, steady_time arrived);
+                    std::shared_ptr<memory_share const> share, steady_time arrived);
     ~caller_exchange();
     caller_exchange(caller_exchange const&) = delete;
     caller_exchange& operator=(caller_exchange const&) = delete;
@@ -37,7 +37,9 @@
     std::shared_ptr<caller_exchange> unwrap(request_head const& head, std::string body);
 
     request_head const& head() const { return head_; }
-    std::string const& body() const { return body_; }
+    std::string const& body() const { return body_->text; }
+    /// The body for users that may outlive the exchange. Its bytes stay reserved until the last one is gone.
+    std::shared_ptr<std::string const> shared_body() const;
     steady_time arrived() const { return arrived_; }
     /// IP number and port of the caller.
     std::string caller_address() const;
@@ -57,10 +59,15 @@
     void abort();
 
 private:
+    struct reserved_body
+    {
+        std::string const text;
+        std::shared_ptr<memory_share const> const share;
+    };
+
     std::shared_ptr<caller_connection> connection_;
     request_head const head_;
-    std::string const body_;
-    memory_share share_;
+    std::shared_ptr<reserved_body const> const body_;
     steady_time const arrived_;
     bool done_ = false;
 };
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -306,7 +306,10 @@
             return;
         }
         sent_ = true;
-        boost::asio::async_write(socket_, boost::asio::buffer(request_.bytes),
+        std::array<boost::asio::const_buffer, 2> const parts{
+            boost::asio::buffer(request_.bytes),
+            request_.body ? boost::asio::buffer(*request_.body) : boost::asio::const_buffer()};
+        boost::asio::async_write(socket_, parts,
                                  [self = shared_from_this()](boost::system::error_code error, std::size_t)
                                  {
                                      // The server may have answered although writing failed: read() decides.
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -56,7 +56,9 @@
 {
     std::string address;
     std::string method;
-    std::string bytes;                          ///< Head and body.
+    std::string bytes; ///< Head, and body unless `body` is set.
+    /// Written after `bytes`; null for none. All attempts at a request share it with the caller's exchange.
+    std::shared_ptr<std::string const> body;
     duration connect_limit = milliseconds{700}; ///< Allows for 8 ms between regions and a lost first packet.
     duration time_limit{0};                     ///< From start() to the end of the answer.
     bool fresh_connection = false;              ///< Do not use a connection that has carried other requests.
--- a/apps/forwarded_call.cpp
+++ b/apps/forwarded_call.cpp
@@ -17,15 +17,15 @@
 
 } // namespace
 
-std::string encode_forwarded_call(platform::caller_request const& request, std::string const& body,
+std::string encode_forwarded_head(platform::caller_request const& request, std::size_t body_size,
                                   platform::attempt_headers const& headers, unsigned servers_left,
                                   std::string const& peer_address, std::string const& authorization)
 {
-    std::string const inner = platform::encode_attempt(request, body, headers);
+    std::string const inner = platform::encode_attempt_head(request, body_size, headers);
     std::string text = std::string("POST ") + forward_path + " HTTP/1.1\r\nHost: " + peer_address +
                        "\r\nAuthorization: " + authorization + "\r\n" + servers_left_header + ": " +
-                       std::to_string(servers_left) + "\r\nContent-Length: " + std::to_string(inner.size()) +
-                       "\r\n\r\n";
+                       std::to_string(servers_left) +
+                       "\r\nContent-Length: " + std::to_string(inner.size() + body_size) + "\r\n\r\n";
     return text.append(inner);
 }
 
--- a/apps/forwarded_call.hpp
+++ b/apps/forwarded_call.hpp
@@ -19,9 +19,10 @@
     unsigned servers_left = 0; ///< How many servers may still run it.
 };
 
-/// The bytes of the call that passes a request on to a peer. `authorization` is the value of the header by
-/// which peers know each other; the caller's own header of that name is within the call's body.
-std::string encode_forwarded_call(platform::caller_request const& request, std::string const& body,
+/// What is sent before the request's body in the call that passes the request on to a peer. `authorization`
+/// is the value of the header by which peers know each other; the caller's own header of that name is within
+/// the call's body.
+std::string encode_forwarded_head(platform::caller_request const& request, std::size_t body_size,
                                   platform::attempt_headers const& headers, unsigned servers_left,
                                   std::string const& peer_address, std::string const& authorization);
 /// Returns no value when the bytes are no such call.
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -824,6 +824,7 @@
         headers.is_engine = entry != nullptr && entry->is_engine;
         headers.resume_after = open.last_event;
         outbound_request request;
+        request.body = open.caller->shared_body();
         request.address = attempt.target.address;
         request.id = open.request.request_id;
         if (attempt.via_peer)
@@ -832,7 +833,7 @@
             return request;
         }
         request.method = open.request.method;
-        request.bytes = platform::encode_attempt(open.request, open.caller->body(), headers);
+        request.bytes = platform::encode_attempt_head(open.request, request.body->size(), headers);
         request.time_limit = std::max<duration>(headers.time_left, milliseconds{1});
         request.connect_limit = std::min(request.connect_limit, request.time_limit / 2);
         return request;
@@ -855,7 +856,7 @@
             open.began_at_peer && open.request.taken_up_id.empty() ? open.request.request_id : std::string();
         request.method = "POST";
         request.bytes =
-            encode_forwarded_call(open.request, open.caller->body(), headers, attempt.servers_lent,
+            encode_forwarded_head(open.request, request.body->size(), headers, attempt.servers_lent,
                                   attempt.target.address, authorization ? authorization() : "");
         request.time_limit = std::max<duration>(open.deadline - attempt.begun_at, milliseconds{1});
         request.connect_limit = std::min<duration>(peer_connect_time, request.time_limit / 2);
--- a/tests/adapters/caller_memory_test.cpp
+++ b/tests/adapters/caller_memory_test.cpp
@@ -98,6 +98,16 @@
     {
         on_loop([&] { server_->set_limits(limits); });
     }
+    std::shared_ptr<std::string const> share_first_body()
+    {
+        std::shared_ptr<std::string const> body;
+        on_loop([&] { body = held_.front()->shared_body(); });
+        return body;
+    }
+    void drop(std::shared_ptr<std::string const>& body)
+    {
+        on_loop([&] { body.reset(); });
+    }
     // Answers the requests that are held.
     void release()
     {
@@ -394,6 +404,21 @@
     cr_expect(eventually([&] { return server.bytes_held() < megabyte / 10; }), "%zu", server.bytes_held());
 }
 
+// Guards against memory that is given to others while an attempt still sends the body that is in it.
+Test(caller_memory, body_stays_reserved_until_its_last_user_is_gone)
+{
+    bounded_server server;
+    auto head = call(server.address(), request("/held/shared", 3 * megabyte));
+    cr_assert(eventually([&] { return server.waiting() == 1; }));
+    auto body = server.share_first_body();
+    server.release();
+    cr_expect(has_status(head.get(), "200"));
+    cr_expect_eq(body->size(), 3 * megabyte);
+    cr_expect_gt(server.bytes_held(), 3 * megabyte, "%zu", server.bytes_held());
+    server.drop(body);
+    cr_expect(eventually([&] { return server.bytes_held() < megabyte; }), "%zu", server.bytes_held());
+}
+
 // Guards against bodies that take up to twice their size because their string has grown by doubling.
 Test(caller_memory, body_has_no_spare_memory)
 {
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -172,7 +172,7 @@
     attempt_headers headers;
     headers.time_left = milliseconds{1500};
     headers.backend = "i-1";
-    std::string const text = encode_attempt(request, "xyz", headers);
+    std::string const text = encode_attempt_head(request, 3, headers);
     cr_assert_not(contains(text, "from-caller"));
     cr_assert_not(contains(text, "X-Hop: 1"));
     cr_assert_not(contains(text, "X-Hop-2: 1"));
@@ -181,7 +181,8 @@
     cr_assert(contains(text, "Attempt-Id: r1\r\n"));
     cr_assert(contains(text, "Deadline-Ms: 1500\r\n"));
     cr_assert(contains(text, "Expect-Instance: i-1\r\n"));
-    cr_assert(contains(text, "Content-Length: 3\r\n\r\nxyz"));
+    std::string const end = "Content-Length: 3\r\n\r\n";
+    cr_assert_eq(text.find(end), text.size() - end.size(), "the body follows");
 }
 
 // Guards against text in a record that cannot be written or read, and against other names for ids of UTF-8,
