Judge each answer of the soak by the times of the runs

The soak's callers took a new id each time, and the judge counted runs without times, so that it could not tell a run after a second sending from one that a refusal had denied.

The stand-ins keep the time of each run. A 503, and now a 408, 421 and 429 too, is false when the request has run by then or runs before its caller sends that id again; a 200 is false without a run.

--- a/tests/edge_soak/answer_judge.cpp
+++ b/tests/edge_soak/answer_judge.cpp
@@ -30,6 +30,12 @@
 
 } // namespace
 
+bool is_promise(int status)
+{
+    static std::set<int> const promises{408, 421, 429, 503};
+    return promises.count(status) > 0;
+}
+
 answer_judge::answer_judge(fault_spans const& faults, operator_standin const& configs,
                            std::vector<std::unique_ptr<faulty_backend>> const& backends)
     : faults_(faults), configs_(configs)
@@ -38,10 +44,11 @@
     {
         backend_standin& server = backend->server();
         service_of_[server.name()] = server.service();
-        for (auto const& [id, count] : server.runs())
+        for (auto const& [id, times] : server.run_times())
         {
-            std::vector<std::string> const runs(count, server.name());
+            std::vector<std::string> const runs(times.size(), server.name());
             ran_on_[id].insert(runs.begin(), runs.end());
+            run_times_[id].insert(run_times_[id].end(), times.begin(), times.end());
         }
     }
 }
@@ -51,6 +58,10 @@
     std::sort(records.begin(), records.end(),
               [](auto const& a, auto const& b) { return a.open.end < b.open.end; });
     for (request_record const& record : records)
+    {
+        send_times_[record.id].push_back(record.open.begin);
+    }
+    for (request_record const& record : records)
     {
         judge_runs(record);
         judge_answer(record);
@@ -74,7 +85,8 @@
     broken_.push_back({record, text});
 }
 
-// No request runs more often than allowed, and none that was refused as "not run" has run.
+// No request runs more often than allowed, and none that was refused as "not run" has run by then or runs
+// later, unless its caller sends it again under the same id; a run after that belongs to the later sending.
 void answer_judge::judge_runs(request_record const& record)
 {
     std::size_t const count = ran_on_[record.id].size();
@@ -82,21 +94,37 @@
     {
         report(record, "ran " + std::to_string(count) + " times");
     }
-    if (record.answer.status == 503 && count > 0)
+    if (record.answer.status == 200 && count == 0)
+    {
+        report(record, "served although it has not run");
+    }
+    auto const& sent = send_times_.at(record.id);
+    auto const next = std::upper_bound(sent.begin(), sent.end(), record.open.begin);
+    if (is_promise(record.answer.status) &&
+        ran_before(record.id, next == sent.end() ? fault_clock::time_point::max() : *next))
     {
         report(record, "refused although it has run");
     }
 }
 
+bool answer_judge::ran_before(std::string const& id, fault_clock::time_point limit) const
+{
+    auto const found = run_times_.find(id);
+    return found != run_times_.end() &&
+           std::any_of(found->second.begin(), found->second.end(), [limit](auto at) { return at < limit; });
+}
+
 // What must be done once is done once, also when its caller has sent it again after an answer or a close that
 // said that it had not run.
 void answer_judge::judge_repetitions(std::vector<request_record> const& records)
 {
     std::map<std::string, std::size_t> runs;
+    std::set<std::string> counted;
     for (request_record const& record : records)
     {
-        if (record.at_most_once && (runs[record.first_id] += ran_on_[record.id].size()) > 1 &&
-            !ran_on_[record.id].empty() && record.id != record.first_id)
+        if (record.at_most_once && counted.insert(record.id).second &&
+            (runs[record.first_id] += ran_on_[record.id].size()) > 1 && !ran_on_[record.id].empty() &&
+            record.id != record.first_id)
         {
             report(record, "repeats " + record.first_id + ", which has run");
         }
--- a/tests/edge_soak/answer_judge.hpp
+++ b/tests/edge_soak/answer_judge.hpp
@@ -17,7 +17,7 @@
 /// One request and its answer, as the caller sees them.
 struct request_record
 {
-    std::string id;
+    std::string id; ///< Requests of one caller may have the same id, one after the other.
     /// Id of the first attempt at what the caller wants done; equal to `id` for that attempt.
     std::string first_id;
     std::size_t instance = 0;
@@ -29,6 +29,9 @@
     caller_answer answer;
 };
 
+/// True for a status which promises that the request has not run and never will.
+bool is_promise(int status);
+
 struct broken_guarantee
 {
     request_record request;
@@ -78,12 +81,16 @@
     bool time_is_over(request_record const& record) const;
     std::size_t oldest_version(request_record const& record) const;
     bool fits(request_record const& record, std::size_t version) const;
+    /// True when the request has begun to run before `limit`.
+    bool ran_before(std::string const& id, fault_clock::time_point limit) const;
     void report(request_record const& record, std::string const& what);
 
     fault_spans const& faults_;
     operator_standin const& configs_;
     std::map<std::string, std::string> service_of_;            ///< Of each server.
     std::map<std::string, std::multiset<std::string>> ran_on_; ///< The servers that ran each request.
+    std::map<std::string, std::vector<fault_clock::time_point>> run_times_;  ///< Of each request.
+    std::map<std::string, std::vector<fault_clock::time_point>> send_times_; ///< The same, in order.
     std::vector<seen_version> seen_;
     std::vector<broken_guarantee> broken_;
 };
--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -32,8 +32,8 @@
 DEFINE_uint32(callers, 12, "number of callers that send one request after the other");
 DEFINE_bool(restorations, false, "lets the store go back to older copies too");
 DEFINE_bool(repetitions, false,
-            "lets callers repeat what must run once after an answer or a reset that says it has not run, and "
-            "servers answer 503 to what they have run");
+            "lets callers repeat what must run once after an answer or a reset that says it has not run, "
+            "sometimes under the same id, and servers answer 503 to what they have run");
 DEFINE_string(logs, "", "folder for the logs of all processes of a seed that fails; empty to drop them");
 
 namespace siskinusher::standins
@@ -55,8 +55,7 @@
 // True when the caller may send a request again that must run once.
 bool looks_unread(caller_answer const& answer)
 {
-    static std::set<int> const promises{408, 421, 429, 503};
-    return promises.count(answer.status) > 0 || answer.reset;
+    return is_promise(answer.status) || answer.reset;
 }
 
 /// One run of a seed: sends requests, injects faults and checks the guarantees.
@@ -65,7 +64,7 @@
 public:
     explicit soak_run(std::uint64_t seed)
         : seed_(seed), random_(seed), restoration_random_(seed), repetition_random_(seed),
-          configs_(store_, seed)
+          same_id_random_(seed), configs_(store_, seed)
     {
         for (auto const& [name, service] : {std::pair{"p1", "plain"}, {"p2", "plain"}, {"p3", "other"}})
         {
@@ -365,24 +364,35 @@
     int send(wire_caller& caller, std::size_t instance, std::string const& prefix, std::uint64_t model,
              milliseconds time_allowed)
     {
-        request_record last = send_once(caller, instance, prefix, model, time_allowed, {});
+        request_record last = send_once(caller, instance, prefix, model, time_allowed, {}, {});
         std::string const first_id = last.id;
         for (unsigned attempt = 1; FLAGS_repetitions && attempt < attempts_of_caller && last.at_most_once &&
                                    looks_unread(last.answer);
              ++attempt)
         {
             wire_caller other(false);
-            std::size_t const next = (instance + attempt) % instances_.size();
-            last = send_once(other, next, prefix, model, time_allowed, first_id);
+            bool const same_id = is_promise(last.answer.status) && same_id_below(2) == 0;
+            std::size_t const distance = same_id ? same_id_below(2) * attempt : attempt;
+            std::size_t const next = (instance + distance) % instances_.size();
+            last = send_once(other, next, prefix, model, time_allowed, same_id ? last.id : std::string(),
+                             first_id);
         }
         return last.answer.status;
     }
 
+    std::uint64_t same_id_below(std::uint64_t bound)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        return same_id_random_.below(bound);
+    }
+
+    // A new id is taken for an empty `id`, and for an empty `first_id` that of the request.
     request_record send_once(wire_caller& caller, std::size_t instance, std::string const& prefix,
-                             std::uint64_t model, milliseconds time_allowed, std::string const& first_id)
+                             std::uint64_t model, milliseconds time_allowed, std::string const& id,
+                             std::string const& first_id)
     {
         request_record record;
-        record.id = "s" + std::to_string(seed_) + "-" + std::to_string(++next_id_);
+        record.id = id.empty() ? "s" + std::to_string(seed_) + "-" + std::to_string(++next_id_) : id;
         record.first_id = first_id.empty() ? record.id : first_id;
         record.instance = instance;
         record.prefix = prefix;
@@ -470,6 +480,7 @@
     random_source random_;
     random_source restoration_random_; ///< Of its own, so that the other faults of a seed stay the same.
     random_source repetition_random_;  ///< The same.
+    random_source same_id_random_;     ///< The same; guarded by mutex_.
     bool has_copy_ = false;
     fault_spans faults_;
     store_standin store_;
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -143,9 +143,19 @@
 }
 
 std::map<std::string, unsigned> backend_standin::runs()
+{
+    std::map<std::string, unsigned> counts;
+    for (auto const& [id, times] : run_times())
+    {
+        counts[id] = static_cast<unsigned>(times.size());
+    }
+    return counts;
+}
+
+std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> backend_standin::run_times()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    return runs_;
+    return run_times_;
 }
 
 unsigned backend_standin::total_runs()
@@ -242,7 +252,7 @@
         exchange.reply(absent || misdirected ? 421 : 503, "");
         return;
     }
-    ++runs_[id];
+    run_times_[id].push_back(std::chrono::steady_clock::now());
     lock.unlock();
     if (crashes_on(exchange))
     {
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -101,6 +101,8 @@
 
     /// How often each request id has run here.
     std::map<std::string, unsigned> runs();
+    /// When each request id has begun to run here, in the order of time.
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> run_times();
     unsigned total_runs();
     unsigned cancelled() const { return cancelled_; }
     std::set<std::string> models();
@@ -132,7 +134,7 @@
     std::string version_{"v1"};
     std::string published_address_; ///< Empty when the entry has the server's own address.
     std::set<std::string> models_;
-    std::map<std::string, unsigned> runs_;
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> run_times_;
     std::vector<received_order> orders_;
     std::map<std::string, std::string> last_headers_;
     std::string limit_;
