Let servers of the soak start again under a second name

No server of the soak had a second name.

The record of the old name stays until it is removed some faults later. Requests and orders that expect the old name are answered 421; an order with an unknown name was answered 409, which means another order. Two names excuse no wrong answer.

--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -33,7 +33,8 @@
 DEFINE_bool(restorations, false, "lets the store go back to older copies too");
 DEFINE_bool(repetitions, false,
             "lets callers repeat what must run once after an answer or a reset that says it has not run, "
-            "sometimes under the same id, and servers answer 503 to what they have run");
+            "sometimes under the same id, and servers answer 503 to what they have run, and start "
+            "again under another name at the same address");
 DEFINE_string(logs, "", "folder for the logs of all processes of a seed that fails; empty to drop them");
 
 namespace siskinusher::standins
@@ -63,7 +64,7 @@
 {
 public:
     explicit soak_run(std::uint64_t seed)
-        : seed_(seed), random_(seed), restoration_random_(seed), repetition_random_(seed),
+        : seed_(seed), random_(seed), restoration_random_(seed), repetition_random_(seed), name_random_(seed),
           same_id_random_(seed), configs_(store_, seed)
     {
         for (auto const& [name, service] : {std::pair{"p1", "plain"}, {"p2", "plain"}, {"p3", "other"}})
@@ -104,6 +105,7 @@
             if (FLAGS_repetitions)
             {
                 inject_false_refusal();
+                change_name();
             }
             end_process_faults(); // Before the wait, in which a new process installs its signal handlers.
             std::this_thread::sleep_for(milliseconds{100 + random_.below(900)});
@@ -133,6 +135,17 @@
         }
     }
 
+    // Lets a server start again under another name at its address, or removes the entry of its old name.
+    void change_name()
+    {
+        if (name_random_.below(2) == 0)
+        {
+            faulty_backend& backend = *backends_[name_random_.below(backends_.size())];
+            record_fault("name " + backend.server().name());
+            backend.change_name();
+        }
+    }
+
     // Keeps a copy now and then, and goes back to it. The operators and the servers then write again.
     void restore_store()
     {
@@ -480,6 +493,7 @@
     random_source random_;
     random_source restoration_random_; ///< Of its own, so that the other faults of a seed stay the same.
     random_source repetition_random_;  ///< The same.
+    random_source name_random_;        ///< The same.
     random_source same_id_random_;     ///< The same; guarded by mutex_.
     bool has_copy_ = false;
     fault_spans faults_;
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -36,7 +36,7 @@
 backend_standin::backend_standin(store_standin& store, std::string name, std::string service,
                                  std::set<std::string> models)
     : store_(store), name_(std::move(name)), service_(std::move(service)), engine_(!models.empty()),
-      models_(std::move(models)),
+      entry_name_(name_), models_(std::move(models)),
       server_(
           "127.0.0.1", 0, [this](http_exchange& exchange) { serve(exchange); }, [](json const&) {})
 {
@@ -66,8 +66,9 @@
         entry["models"] = model_list();
         entry["at_hand"] = {{"in_memory", json::array()}, {"on_disk", json::array({"m0", "m1", "m2"})}};
     }
+    std::string const name = entry_name_;
     lock.unlock();
-    store_.write("servers", name_, entry);
+    store_.write("servers", name, entry);
 }
 
 void backend_standin::set_version(std::string version)
@@ -136,6 +137,27 @@
     write_entry();
 }
 
+void backend_standin::start_again_as(std::string new_name)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    earlier_entries_.push_back(std::exchange(entry_name_, std::move(new_name)));
+    sequence_ = 0;
+    lock.unlock();
+    start_again();
+}
+
+bool backend_standin::remove_earlier_entries()
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    std::vector<std::string> const names = std::exchange(earlier_entries_, {});
+    lock.unlock();
+    for (std::string const& name : names)
+    {
+        store_.remove("servers", name);
+    }
+    return !names.empty();
+}
+
 void backend_standin::set_pause(unsigned after_event, std::chrono::milliseconds value)
 {
     pause_ms_ = value.count();
@@ -214,7 +236,8 @@
         last_headers_[header] = exchange.header(header);
     }
     bool const absent = !model.empty() && models_.count(model) == 0;
-    bool const misdirected = exchange.header("Expect-Instance") != name_;
+    bool const misdirected = exchange.header("Expect-Instance") != entry_name_;
+    std::string const entry_name = entry_name_;
     unsigned const reject_every = reject_every_;
     if (!brittle_.empty())
     {
@@ -247,7 +270,7 @@
     {
         lock.unlock();
         std::this_thread::sleep_for(late ? late_rejection_delay : std::chrono::milliseconds{0});
-        exchange.set_header("Instance-Id", name_);
+        exchange.set_header("Instance-Id", entry_name);
         exchange.set_header("Not-Executed", "1");
         exchange.reply(absent || misdirected ? 421 : 503, "");
         return;
@@ -377,10 +400,11 @@
     std::unique_lock<std::mutex> lock(mutex_);
     orders_.push_back({std::chrono::steady_clock::now(), order["holder"].get<std::string>(),
                        order["fence"].get<std::uint64_t>()});
-    if (exchange.header("Expect-Instance") != name_ || order.value("expect", sequence_) != sequence_)
+    bool const misdirected = exchange.header("Expect-Instance") != entry_name_;
+    if (misdirected || order.value("expect", sequence_) != sequence_)
     {
         lock.unlock();
-        exchange.reply(409, "{}");
+        exchange.reply(misdirected ? 421 : 409, "{}");
         return;
     }
     ++sequence_;
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -63,6 +63,7 @@
     /// Writes another address, for example that of a relay, into the entry.
     void publish_address(std::string address);
     std::string address() const { return server_.address(); }
+    /// The name of the first start, which it states in its answers.
     std::string const& name() const { return name_; }
     std::string const& service() const { return service_; }
     void set_fault(backend_fault value) { fault_ = value; }
@@ -96,6 +97,11 @@
     std::vector<std::chrono::steady_clock::time_point> arrivals();
     /// Writes the entry of a new start under the same name.
     void start_again();
+    /// Writes the entry of a new start under another name, with the models of before. The entry of the name
+    /// before stays, and requests and orders that expect it are answered 421.
+    void start_again_as(std::string new_name);
+    /// Removes the entries that start_again_as() has left. Returns false when there was none.
+    bool remove_earlier_entries();
     /// Bytes that follow the usual body of a plain answer.
     void set_padding(std::size_t bytes) { padding_ = bytes; }
 
@@ -130,6 +136,8 @@
     std::string crash_part_; ///< Empty for none.
     std::function<void()> on_crash_;
     std::mutex mutex_;
+    std::string entry_name_; ///< The name of the latest start.
+    std::vector<std::string> earlier_entries_;
     std::int64_t started_at_ = 1;
     std::string version_{"v1"};
     std::string published_address_; ///< Empty when the entry has the server's own address.
--- a/tests/wire/faulty_backend.cpp
+++ b/tests/wire/faulty_backend.cpp
@@ -57,6 +57,14 @@
     }
 }
 
+void faulty_backend::change_name()
+{
+    if (!server_.remove_earlier_entries())
+    {
+        server_.start_again_as(server_.name() + "-" + std::to_string(++names_));
+    }
+}
+
 void faulty_backend::end_load()
 {
     server_.set_pause(0, milliseconds{0});
@@ -69,6 +77,7 @@
     link_.heal();
     set_fault(backend_fault::none);
     end_load();
+    (void)server_.remove_earlier_entries();
     server_.write_entry("ready");
 }
 
--- a/tests/wire/faulty_backend.hpp
+++ b/tests/wire/faulty_backend.hpp
@@ -25,6 +25,8 @@
     /// Makes the sound server slow (a stream pauses for 0.3 to 2 s after one event, a plain call takes 0.3 to
     /// 1.5 s), has it reject some requests as full, or neither.
     void set_load(random_source& random);
+    /// Starts the server under a new name while the entry of the old one stays, or removes that entry.
+    void change_name();
     /// Ends all faults of the server and the link.
     void heal();
 
@@ -35,6 +37,7 @@
     fault_spans& spans_;
     backend_standin server_;
     faulty_link link_;
+    unsigned names_ = 1; ///< That the server has had.
 };
 
 } // namespace siskinusher::standins
