Let servers of the soak write answers too many

The soak imitates the users' callers, but its servers answered each request once, so it did not find that fault.

It writes copies of refusals and of successes: right behind the answer, up to 300 ms later, when a part of the next request has been read, and just before a request whose id its connection has carried. Copies excuse nothing. A run without a copy fails, because it would show nothing.

--- a/tests/edge_soak/answer_judge.hpp
+++ b/tests/edge_soak/answer_judge.hpp
@@ -54,8 +54,8 @@
 /// servers only. Nothing is excused by faults of the store and of the links to it ("store", "store link N");
 /// they only put off the time by which an instance must know a configuration. "started N" is the start of a
 /// process, which reads the configuration from the store. Pauses, slow answers, rejections, delayed links,
-/// draining servers, SIGHUP, changes of the configuration and servers with two names excuse
-/// nothing.
+/// draining servers, SIGHUP, changes of the configuration, copies of answers and servers with two names
+/// excuse nothing.
 class answer_judge
 {
 public:
--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -18,6 +18,7 @@
 #include <fstream>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <string>
@@ -33,8 +34,8 @@
 DEFINE_bool(restorations, false, "lets the store go back to older copies too");
 DEFINE_bool(repetitions, false,
             "lets callers repeat what must run once after an answer or a reset that says it has not run, "
-            "sometimes under the same id, and servers answer 503 to what they have run, and start "
-            "again under another name at the same address");
+            "sometimes under the same id, and servers answer 503 to what they have run, write copies of "
+            "earlier answers, and start again under another name at the same address");
 DEFINE_string(logs, "", "folder for the logs of all processes of a seed that fails; empty to drop them");
 
 namespace siskinusher::standins
@@ -67,14 +68,12 @@
         : seed_(seed), random_(seed), restoration_random_(seed), repetition_random_(seed), name_random_(seed),
           same_id_random_(seed), configs_(store_, seed)
     {
-        for (auto const& [name, service] : {std::pair{"p1", "plain"}, {"p2", "plain"}, {"p3", "other"}})
-        {
-            backends_.push_back(std::make_unique<faulty_backend>(store_, faults_, name, service));
-        }
+        add_backend("p1", "plain", {});
+        add_backend("p2", "plain", {});
+        add_backend("p3", "other", {});
         for (std::string const number : {"0", "1", "2"})
         {
-            backends_.push_back(std::make_unique<faulty_backend>(store_, faults_, "e" + number, "llm",
-                                                                 std::set<std::string>{"m" + number}));
+            add_backend("e" + number, "llm", {"m" + number});
         }
         for (unsigned i = 0; i < FLAGS_instances; ++i)
         {
@@ -119,6 +118,10 @@
         {
             caller.join();
         }
+        if (FLAGS_repetitions)
+        {
+            check_repetitions();
+        }
         check_guarantees();
         std::printf("seed %lu: %s, %zu requests, %u served\n", seed_, ok_ ? "ok" : "FAILED", records_.size(),
                     served_.load());
@@ -135,6 +138,31 @@
         }
     }
 
+    void add_backend(std::string const& name, std::string const& service, std::set<std::string> models)
+    {
+        // A seed of its own for each server, so that other faults of a run stay the same.
+        std::optional<std::uint64_t> const copy_seed =
+            FLAGS_repetitions ? std::optional(seed_ * 1000 + backends_.size()) : std::nullopt;
+        backends_.push_back(
+            std::make_unique<faulty_backend>(store_, faults_, name, service, std::move(models), copy_seed));
+    }
+
+    // Counts the faults of --repetitions, without which a run would show nothing about them.
+    void check_repetitions()
+    {
+        unsigned copies = 0;
+        unsigned for_same_id = 0;
+        for (auto const& each : backends_)
+        {
+            copies += each->copier()->copies();
+            for_same_id += each->copier()->copies_for_same_id();
+        }
+        check(copies > 0, "no server has written an answer too many");
+        std::printf("seed %lu: %u sent again under the same id, %u answers too many, %u of them before a "
+                    "request with the same id\n",
+                    seed_, sent_with_same_id_.load(), copies, for_same_id);
+    }
+
     // Lets a server start again under another name at its address, or removes the entry of its old name.
     void change_name()
     {
@@ -389,6 +417,7 @@
             std::size_t const next = (instance + distance) % instances_.size();
             last = send_once(other, next, prefix, model, time_allowed, same_id ? last.id : std::string(),
                              first_id);
+            sent_with_same_id_ += same_id ? 1 : 0;
         }
         return last.answer.status;
     }
@@ -505,6 +534,7 @@
     std::vector<request_record> records_;
     std::atomic<std::uint64_t> next_id_{0};
     std::atomic<unsigned> served_{0};
+    std::atomic<unsigned> sent_with_same_id_{0};
     std::atomic<bool> healing_{false};
     std::atomic<bool> stopping_{false};
     std::atomic<bool> ok_{true};
--- a/tests/wire/faulty_backend.cpp
+++ b/tests/wire/faulty_backend.cpp
@@ -15,10 +15,12 @@
 } // namespace
 
 faulty_backend::faulty_backend(store_standin& store, fault_spans& spans, std::string name,
-                               std::string service, std::set<std::string> models)
+                               std::string service, std::set<std::string> models,
+                               std::optional<std::uint64_t> copy_seed)
     : engine_(!models.empty()), spans_(spans),
       server_(store, std::move(name), std::move(service), std::move(models)),
-      link_("link " + server_.name(), server_.address(), spans)
+      copier_(copy_seed ? std::make_unique<answer_copier>(server_.address(), *copy_seed) : nullptr),
+      link_("link " + server_.name(), copier_ ? copier_->address() : server_.address(), spans)
 {
     server_.publish_address(link_.address());
 }
