--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -18,6 +18,7 @@
 #include <fstream>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <string>
@@ -32,8 +33,9 @@
 DEFINE_uint32(callers, 12, "number of callers that send one request after the other");
 DEFINE_bool(restorations, false, "lets the store go back to older copies too");
 DEFINE_bool(repetitions, false,
-            "lets callers repeat what must run once after an answer or a reset that says it has not run, and "
-            "servers answer 503 to what they have run");
+            "lets callers repeat what must run once after an answer or a reset that says it has not run, "
+            "sometimes under the same id, and servers answer 503 to what they have run, write copies of "
+            "earlier answers, and start again under another name at the same address");
 DEFINE_string(logs, "", "folder for the logs of all processes of a seed that fails; empty to drop them");
 
 namespace siskinusher::standins
@@ -55,8 +57,7 @@
 // True when the caller may send a request again that must run once.
 bool looks_unread(caller_answer const& answer)
 {
-    static std::set<int> const promises{408, 421, 429, 503};
-    return promises.count(answer.status) > 0 || answer.reset;
+    return is_promise(answer.status) || answer.reset;
 }
 
 /// One run of a seed: sends requests, injects faults and checks the guarantees.
@@ -64,17 +65,15 @@
 {
 public:
     explicit soak_run(std::uint64_t seed)
-        : seed_(seed), random_(seed), restoration_random_(seed), repetition_random_(seed),
-          configs_(store_, seed)
+        : seed_(seed), random_(seed), restoration_random_(seed), repetition_random_(seed), name_random_(seed),
+          same_id_random_(seed), configs_(store_, seed)
     {
-        for (auto const& [name, service] : {std::pair{"p1", "plain"}, {"p2", "plain"}, {"p3", "other"}})
-        {
-            backends_.push_back(std::make_unique<faulty_backend>(store_, faults_, name, service));
-        }
+        add_backend("p1", "plain", {});
+        add_backend("p2", "plain", {});
+        add_backend("p3", "other", {});
         for (std::string const number : {"0", "1", "2"})
         {
-            backends_.push_back(std::make_unique<faulty_backend>(store_, faults_, "e" + number, "llm",
-                                                                 std::set<std::string>{"m" + number}));
+            add_backend("e" + number, "llm", {"m" + number});
         }
         for (unsigned i = 0; i < FLAGS_instances; ++i)
         {
@@ -105,6 +104,7 @@
             if (FLAGS_repetitions)
             {
                 inject_false_refusal();
+                change_name();
             }
             end_process_faults(); // Before the wait, in which a new process installs its signal handlers.
             std::this_thread::sleep_for(milliseconds{100 + random_.below(900)});
@@ -118,6 +118,10 @@
         {
             caller.join();
         }
+        if (FLAGS_repetitions)
+        {
+            check_repetitions();
+        }
         check_guarantees();
         std::printf("seed %lu: %s, %zu requests, %u served\n", seed_, ok_ ? "ok" : "FAILED", records_.size(),
                     served_.load());
@@ -134,6 +138,42 @@
         }
     }
 
+    void add_backend(std::string const& name, std::string const& service, std::set<std::string> models)
+    {
+        // A seed of its own for each server, so that other faults of a run stay the same.
+        std::optional<std::uint64_t> const copy_seed =
+            FLAGS_repetitions ? std::optional(seed_ * 1000 + backends_.size()) : std::nullopt;
+        backends_.push_back(
+            std::make_unique<faulty_backend>(store_, faults_, name, service, std::move(models), copy_seed));
+    }
+
+    // Counts the faults of --repetitions, without which a run would show nothing about them.
+    void check_repetitions()
+    {
+        unsigned copies = 0;
+        unsigned for_same_id = 0;
+        for (auto const& each : backends_)
+        {
+            copies += each->copier()->copies();
+            for_same_id += each->copier()->copies_for_same_id();
+        }
+        check(copies > 0, "no server has written an answer too many");
+        std::printf("seed %lu: %u sent again under the same id, %u answers too many, %u of them before a "
+                    "request with the same id\n",
+                    seed_, sent_with_same_id_.load(), copies, for_same_id);
+    }
+
+    // Lets a server start again under another name at its address, or removes the entry of its old name.
+    void change_name()
+    {
+        if (name_random_.below(2) == 0)
+        {
+            faulty_backend& backend = *backends_[name_random_.below(backends_.size())];
+            record_fault("name " + backend.server().name());
+            backend.change_name();
+        }
+    }
+
     // Keeps a copy now and then, and goes back to it. The operators and the servers then write again.
     void restore_store()
     {
@@ -365,24 +405,36 @@
     int send(wire_caller& caller, std::size_t instance, std::string const& prefix, std::uint64_t model,
              milliseconds time_allowed)
     {
-        request_record last = send_once(caller, instance, prefix, model, time_allowed, {});
+        request_record last = send_once(caller, instance, prefix, model, time_allowed, {}, {});
         std::string const first_id = last.id;
         for (unsigned attempt = 1; FLAGS_repetitions && attempt < attempts_of_caller && last.at_most_once &&
                                    looks_unread(last.answer);
              ++attempt)
         {
             wire_caller other(false);
-            std::size_t const next = (instance + attempt) % instances_.size();
-            last = send_once(other, next, prefix, model, time_allowed, first_id);
+            bool const same_id = is_promise(last.answer.status) && same_id_below(2) == 0;
+            std::size_t const distance = same_id ? same_id_below(2) * attempt : attempt;
+            std::size_t const next = (instance + distance) % instances_.size();
+            last = send_once(other, next, prefix, model, time_allowed, same_id ? last.id : std::string(),
+                             first_id);
+            sent_with_same_id_ += same_id ? 1 : 0;
         }
         return last.answer.status;
     }
 
+    std::uint64_t same_id_below(std::uint64_t bound)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        return same_id_random_.below(bound);
+    }
+
+    // A new id is taken for an empty `id`, and for an empty `first_id` that of the request.
     request_record send_once(wire_caller& caller, std::size_t instance, std::string const& prefix,
-                             std::uint64_t model, milliseconds time_allowed, std::string const& first_id)
+                             std::uint64_t model, milliseconds time_allowed, std::string const& id,
+                             std::string const& first_id)
     {
         request_record record;
-        record.id = "s" + std::to_string(seed_) + "-" + std::to_string(++next_id_);
+        record.id = id.empty() ? "s" + std::to_string(seed_) + "-" + std::to_string(++next_id_) : id;
         record.first_id = first_id.empty() ? record.id : first_id;
         record.instance = instance;
         record.prefix = prefix;
@@ -470,6 +522,8 @@
     random_source random_;
     random_source restoration_random_; ///< Of its own, so that the other faults of a seed stay the same.
     random_source repetition_random_;  ///< The same.
+    random_source name_random_;        ///< The same.
+    random_source same_id_random_;     ///< The same; guarded by mutex_.
     bool has_copy_ = false;
     fault_spans faults_;
     store_standin store_;
@@ -480,6 +534,7 @@
     std::vector<request_record> records_;
     std::atomic<std::uint64_t> next_id_{0};
     std::atomic<unsigned> served_{0};
+    std::atomic<unsigned> sent_with_same_id_{0};
     std::atomic<bool> healing_{false};
     std::atomic<bool> stopping_{false};
     std::atomic<bool> ok_{true};
