Ask the kernel for one connection when a test cuts an instance off

The relay of the partition tests accepts a connection and then looks up which instance opened it, to decide whether to reset it. It read the kernel's table of all connections, each line through a stream, up to ten times. Beside other tests the table had 25,069 lines, nearly all of closed connections: in one run of the 17 tests with the fixture, four at once, 2,815 lookups took 18 s on average and 88 s at most. Until the lookup ended, the connection of an instance that was cut off was neither reset nor passed on; it counted as accepted, ended the suspicion of a cut, and held its request until the deadline. 13 of 17 tests passed. The lookup also compared the port of one end only, so that a socket of another program with the same port hid the opener, and an opener that was not found was never cut off.

The lookup now asks the kernel (sock_diag) for the socket with the ports of both ends, and goes on while a process has it. An opener that has left is cut off while any instance is. This is stricter: nothing of an instance that is cut off passes, and the reset comes sooner. No check or bound is changed.

--- a/tests/wire/partition_fleet.cpp
+++ b/tests/wire/partition_fleet.cpp
@@ -33,7 +33,9 @@
         servers_.back()->set_work_time(std::chrono::milliseconds{10});
         links_.push_back(
             std::make_unique<tcp_relay>(Poco::Net::SocketAddress(servers_.back()->address()).port()));
-        links_.back()->set_partition([this](std::uint16_t port) { return owner_of(port); },
+        std::uint16_t const port = Poco::Net::SocketAddress(links_.back()->address()).port();
+        links_.back()->set_partition([this, port](std::uint16_t opener_port)
+                                     { return owner_of(opener_port, port); },
                                      [this](int process) { return partition_of(process); });
         servers_.back()->publish_address(links_.back()->address());
     }
@@ -77,21 +79,22 @@
     return edges_.size();
 }
 
-pid_t partition_fleet::owner_of(std::uint16_t opener_port)
+pid_t partition_fleet::owner_of(std::uint16_t opener_port, std::uint16_t link_port)
 {
-    std::vector<pid_t> candidates;
+    connection_owner const kernel;
+    while (kernel.is_open(opener_port, link_port))
     {
-        std::lock_guard<std::mutex> const lock(mutex_);
-        candidates = processes_;
-    }
-    // The kernel's table is not read in one piece, so that a socket may be missed.
-    for (int tries = 0; tries < 10; ++tries)
-    {
-        pid_t const owner = owner_of_port(opener_port, candidates);
+        std::vector<pid_t> candidates;
+        {
+            std::lock_guard<std::mutex> const lock(mutex_);
+            candidates = processes_;
+        }
+        pid_t const owner = kernel.find(opener_port, link_port, candidates);
         if (owner > 0)
         {
             return owner;
         }
+        // An instance may open connections before its process is listed.
         std::this_thread::sleep_for(std::chrono::milliseconds{1});
     }
     return -1;
@@ -100,6 +103,11 @@
 partition partition_fleet::partition_of(pid_t process)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
+    if (process < 0)
+    {
+        // The opener has left; nothing passes that a cut might have kept back.
+        return cuts_.empty() ? partition::none : partition::reset;
+    }
     auto const cut = cuts_.find(process);
     return cut == cuts_.end() ? partition::none : cut->second;
 }
--- a/tests/wire/partition_fleet.hpp
+++ b/tests/wire/partition_fleet.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -58,7 +59,7 @@
     std::string log_of_request(std::string const& id) const;
 
 private:
-    pid_t owner_of(std::uint16_t opener_port);
+    pid_t owner_of(std::uint16_t opener_port, std::uint16_t link_port);
     partition partition_of(pid_t process);
     bool send_one(std::size_t index, unsigned kind, std::string const& id);
 
