Wait in tests for the cut that they make, not for an earlier one

The tests of requests that are passed on wait until the instance that is cut off has said that it lost its servers. The line now counts only if it came after the cut began and the instance has not regained its servers since. No bound is changed.

--- a/tests/platform/forwarded_request_test.cpp
+++ b/tests/platform/forwarded_request_test.cpp
@@ -33,7 +33,7 @@
     cr_assert(eventually(
         [&]
         {
-            bool const noticed = fleet.edge(cut).log_text().find("event=servers_lost") != std::string::npos;
+            bool const noticed = fleet.has_noticed_cut(cut);
             return fleet.send_for(cut, milliseconds{200}).served > 0 && noticed;
         }));
     return cut;
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -107,7 +107,7 @@
     cr_assert(eventually(
         [&]
         {
-            bool const noticed = fleet.edge(cut).log_text().find("event=servers_lost") != std::string::npos;
+            bool const noticed = fleet.has_noticed_cut(cut);
             return fleet.send_for(cut, milliseconds{200}).served > 0 && noticed;
         }));
     for (std::size_t i = 0; i < 3; ++i)
--- a/tests/wire/partition_fleet.cpp
+++ b/tests/wire/partition_fleet.cpp
@@ -114,6 +114,7 @@
 
 void partition_fleet::cut_off(std::size_t index, partition shape)
 {
+    log_before_cut_[index] = edges_[index]->log_text().size();
     std::lock_guard<std::mutex> const lock(mutex_);
     cuts_.erase(edges_[index]->process().process_id());
     if (shape != partition::none)
@@ -122,6 +123,18 @@
     }
 }
 
+bool partition_fleet::has_noticed_cut(std::size_t index) const
+{
+    auto const begin = log_before_cut_.find(index);
+    if (begin == log_before_cut_.end())
+    {
+        return false;
+    }
+    std::string const log = edges_[index]->log_text().substr(begin->second);
+    std::size_t const lost = log.rfind("event=servers_lost");
+    return lost != std::string::npos && log.find("event=servers_regained", lost) == std::string::npos;
+}
+
 void partition_fleet::end_plain_servers()
 {
     for (std::size_t i = 0; i < links_.size(); ++i)
--- a/tests/wire/partition_fleet.hpp
+++ b/tests/wire/partition_fleet.hpp
@@ -45,6 +45,9 @@
     std::size_t holder() const;
     /// Cuts the instance off from all servers, or ends that.
     void cut_off(std::size_t index, partition shape);
+    /// True when the instance has said since the latest call of cut_off() for it that it lost all servers,
+    /// and has not said since that it regained them.
+    bool has_noticed_cut(std::size_t index) const;
 
     /// Makes the addresses of all plain servers refuse connections, as if they had ended.
     void end_plain_servers();
@@ -66,7 +69,8 @@
     // The links ask for these until they end.
     std::mutex mutex_;
     std::map<pid_t, partition> cuts_;
-    std::vector<pid_t> processes_; ///< Of the instances.
+    std::map<std::size_t, std::size_t> log_before_cut_; ///< Length of the log by instance.
+    std::vector<pid_t> processes_;                      ///< Of the instances.
     store_standin store_;
     std::vector<std::unique_ptr<backend_standin>> servers_;
     std::vector<std::unique_ptr<tcp_relay>> links_;
