--- a/tests/wire/partition_fleet.hpp
+++ b/tests/wire/partition_fleet.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -44,6 +45,9 @@
     std::size_t holder() const;
     /// Cuts the instance off from all servers, or ends that.
     void cut_off(std::size_t index, partition shape);
+    /// True when the instance has said since the latest call of cut_off() for it that it lost all servers,
+    /// and has not said since that it regained them.
+    bool has_noticed_cut(std::size_t index) const;
 
     /// Makes the addresses of all plain servers refuse connections, as if they had ended.
     void end_plain_servers();
@@ -58,14 +62,15 @@
     std::string log_of_request(std::string const& id) const;
 
 private:
-    pid_t owner_of(std::uint16_t opener_port);
+    pid_t owner_of(std::uint16_t opener_port, std::uint16_t link_port);
     partition partition_of(pid_t process);
     bool send_one(std::size_t index, unsigned kind, std::string const& id);
 
     // The links ask for these until they end.
     std::mutex mutex_;
     std::map<pid_t, partition> cuts_;
-    std::vector<pid_t> processes_; ///< Of the instances.
+    std::map<std::size_t, std::size_t> log_before_cut_; ///< Length of the log by instance.
+    std::vector<pid_t> processes_;                      ///< Of the instances.
     store_standin store_;
     std::vector<std::unique_ptr<backend_standin>> servers_;
     std::vector<std::unique_ptr<tcp_relay>> links_;
