Take no proof from an answer behind a skipped one

Found by a review. What callers could see: a second run of a HEAD request whose server repeated an answer with a body that reads like a refusal of it; 504 at the deadline, instead of 502 at once, behind a truncated copy or a copied answer to HEAD. Cause: a skipped answer was framed by the method of the request in progress, its body had no time limit, and what followed it counted as a proof. Change: a refusal behind a skipped answer proves nothing, nothing is skipped for HEAD, no connection is kept after HEAD, the body of a copy is awaited for 200 ms, and a connection that ends after a copy is no sign of a crash.

--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -35,6 +35,9 @@
 // bytes of their bodies together. Servers repeat short answers, mostly refusals.
 constexpr unsigned skipped_answer_limit = 4;
 constexpr std::size_t skipped_bytes_limit = 65536;
+// The body of a skipped answer must arrive within this time: a truncated copy would hold the request until
+// its deadline.
+constexpr duration skipped_body_time = milliseconds{200};
 // Bytes of one answer that may be kept in memory. Answers of some MB must pass, such as those to a watch of
 // the store, which hold several objects of up to 1 MiB.
 constexpr std::size_t kept_answer_limit = 8U << 20U;
@@ -215,7 +218,8 @@
                      std::shared_ptr<kept_bytes> kept, connection_return return_to_pool)
         : request_(std::move(request)),
           handlers_(std::make_shared<exchange_handlers const>(std::move(handlers))), kept_(std::move(kept)),
-          return_to_pool_(std::move(return_to_pool)), socket_(loop), timer_(loop), connect_timer_(loop)
+          return_to_pool_(std::move(return_to_pool)), socket_(loop), timer_(loop), connect_timer_(loop),
+          skip_timer_(loop)
     {
     }
 
@@ -277,6 +281,8 @@
         return {history_.number(), history_.requests(), closed_with_bytes_};
     }
 
+    unsigned skipped_answers() const override { return skipped_answers_; }
+
     std::size_t bytes_behind() const override { return bytes_behind_; }
 
     void set_kept_bytes(std::size_t bytes) override { kept_by_user_ = bytes; }
@@ -406,6 +412,8 @@
         {
             return false;
         }
+        boost::system::error_code ignored;
+        skip_timer_.cancel(ignored);
         skipping_ = false;
         head_received_.reset();
         return true;
@@ -482,6 +490,7 @@
         if (skipping_)
         {
             ++skipped_answers_;
+            start_timer(skip_timer_, skipped_body_time);
             if (auto const handlers = handlers_; handlers->on_skipped)
             {
                 handlers->on_skipped(*head);
@@ -502,7 +511,9 @@
 
     bool answers_earlier_request(response_head const& head) const
     {
-        if (!handlers_->named_id)
+        // The answer to HEAD has no body whatever its head says, so that it and other answers do not end
+        // alike.
+        if (!handlers_->named_id || request_.method == "HEAD")
         {
             return false;
         }
@@ -521,7 +532,8 @@
         bool const whole = end == exchange_end::complete && written_ && bytes_behind_ == 0;
         connection_history history = history_;
         history.add(request_.id);
-        bool const reusable = whole && keep_alive_ && skipped_answers_ == 0 && !history.full();
+        bool const reusable =
+            whole && keep_alive_ && skipped_answers_ == 0 && request_.method != "HEAD" && !history.full();
         tcp::socket socket = std::move(socket_);
         auto const handlers = std::exchange(handlers_, nullptr);
         stop();
@@ -547,6 +559,7 @@
         boost::system::error_code ignored;
         timer_.cancel(ignored);
         connect_timer_.cancel(ignored);
+        skip_timer_.cancel(ignored);
         if (socket_.is_open())
         {
             socket_.close(ignored);
@@ -564,6 +577,7 @@
     unsigned closed_with_bytes_ = 0;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer connect_timer_;
+    boost::asio::steady_timer skip_timer_; ///< Runs while the body of an answer is skipped.
     std::array<char, 16384> chunk_{};
     std::string in_;
     std::size_t searched_ = 0; ///< Bytes of in_ that contain no end of a head.
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -997,6 +997,10 @@
                  response_head const& head)
     {
         attempt->facts = platform::decode_answer(head, open->request.request_id, attempt->target.backend);
+        if (attempt->exchange->skipped_answers() > 0)
+        {
+            attempt->facts->not_run = false; // The body of a skipped answer may have been taken for this head.
+        }
         platform::answer_info const& facts = *attempt->facts;
         if (!attempt->via_peer)
         {
@@ -1307,6 +1311,12 @@
     void on_end(open_pointer const& open, exchange_end end)
     {
         log.bytes_behind(*open, *open->current);
+        if (end == exchange_end::lost && open->current->exchange->skipped_answers() > 0)
+        {
+            // A server that repeats answers and closes has not crashed on the request.
+            end_attempt(open, attempt_result::bad_answer, to_string(end));
+            return;
+        }
         if (end != exchange_end::complete)
         {
             std::string().swap(open->current->body); // A part of an answer is of no use, and it may be large.
