End a rejected replacement that has become the current attempt

What callers saw: two servers that answered in one turn of the loop, the replacement with a rejection, left the request with an attempt that had ended: 504 at the deadline where all servers had refused it (503 is true), or 500 ms lost. Cause: the end of a rejected replacement was posted, and did nothing when the attempt before it had ended meanwhile and it had taken its place. Change: the posted end applies to the attempt in whichever place it is then, as for faulty answers.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -999,7 +999,8 @@
         attempt->facts = platform::decode_answer(head, open->request.request_id, attempt->target.backend);
         if (attempt->exchange->skipped_answers() > 0)
         {
-            attempt->facts->not_run = false; // The body of a skipped answer may have been taken for this head.
+            attempt->facts->not_run =
+                false; // The body of a skipped answer may have been taken for this head.
         }
         platform::answer_info const& facts = *attempt->facts;
         if (!attempt->via_peer)
@@ -1026,8 +1027,10 @@
         }
         if (fault != nullptr)
         {
-            boost::asio::post(loop, [self = shared_from_this(), open, attempt, fault]
-                              { self->on_faulty_answer(open, attempt, fault); });
+            boost::asio::post(loop,
+                              [self = shared_from_this(), open, attempt, fault] {
+                                  self->end_closed_attempt(open, attempt, attempt_result::bad_answer, fault);
+                              });
             return false;
         }
         if (attempt == open->replacement)
@@ -1135,18 +1138,10 @@
             return true;
         }
         char const* const why = facts.not_run ? reason_not_run(facts) : failure_reason(facts);
-        boost::asio::post(loop,
-                          [self = shared_from_this(), open, attempt, why]
-                          {
-                              if (attempt == open->replacement)
-                              {
-                                  self->drop_replacement(open,
-                                                         attempt->facts->not_run
-                                                             ? attempt_result::refused_not_run
-                                                             : attempt_result::bad_answer,
-                                                         why);
-                              }
-                          });
+        attempt_result const result =
+            facts.not_run ? attempt_result::refused_not_run : attempt_result::bad_answer;
+        boost::asio::post(loop, [self = shared_from_this(), open, attempt, result, why]
+                          { self->end_closed_attempt(open, attempt, result, why); });
         return false;
     }
 
@@ -1156,16 +1151,18 @@
         end_attempt(open, attempt_result::refused_not_run, reason_not_run(*open->current->facts));
     }
 
-    void on_faulty_answer(open_pointer const& open, std::shared_ptr<server_attempt> const& attempt,
-                          char const* fault)
+    // Ends an attempt whose exchange on_head() has ended. A replacement may have become the current attempt
+    // since then, when the one before it ended in the same turn of the loop.
+    void end_closed_attempt(open_pointer const& open, std::shared_ptr<server_attempt> const& attempt,
+                            attempt_result result, char const* why)
     {
         if (attempt == open->replacement)
         {
-            drop_replacement(open, attempt_result::bad_answer, fault);
+            drop_replacement(open, result, why);
         }
         else if (attempt == open->current && open->is_running())
         {
-            end_attempt(open, attempt_result::bad_answer, fault);
+            end_attempt(open, result, why);
         }
     }
 
