--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -33,9 +33,10 @@
     std::string version;          ///< Of the server's software.
     steady_time first_event_at;   ///< Zero until an event has arrived.
     bool counted_as_answered = false;
-    bool via_peer = false;     ///< Sent to another instance, which passes it on to a server.
-    unsigned servers_lent = 0; ///< How many servers the peer may let run it; 0 for a server.
-    std::string withdrawn;     ///< Why it was not sent, for a reason that says nothing about the server.
+    bool via_peer = false;        ///< Sent to another instance, which passes it on to a server.
+    unsigned servers_lent = 0;    ///< How many servers the peer may let run it; 0 for a server.
+    std::uint64_t connection = 0; ///< Its number in this process.
+    std::string withdrawn;        ///< Why it was not sent, for a reason that says nothing about the server.
 };
 
 /// State of one request in the request service, from its arrival to its final answer.
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -806,6 +806,7 @@
             relays.on_begin(step.target.address);
         }
         attempt->exchange = pool.start(std::move(request), std::move(handlers));
+        attempt->connection = attempt->exchange->use().connection;
         log.attempt_started(*open, *attempt, step, replaced);
         ++open->attempts;
         if (!replaces)
--- a/tests/platform/copied_refusal_test.cpp
+++ b/tests/platform/copied_refusal_test.cpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace siskinusher;
@@ -19,9 +20,9 @@
 constexpr unsigned repeated_count = 4;
 constexpr std::size_t script_count = 60;
 
-std::string refusal(std::string const& id)
+std::string refusal(std::string const& status, std::string const& id)
 {
-    return "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id +
+    return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id +
            "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
@@ -38,6 +39,8 @@
 class copying_server
 {
 public:
+    explicit copying_server(std::string status = "503 Service Unavailable") : status_(std::move(status)) {}
+
     void set_full(bool value)
     {
         std::lock_guard<std::mutex> const lock(mutex_);
@@ -74,17 +77,18 @@
             {
                 lock.unlock();
                 refused_here.insert(id);
-                connection.send(refusal(id));
+                connection.send(refusal(status_, id));
                 continue;
             }
             bool const copy = refused_here.count(id) > 0;
             copies_ += copy ? 1 : 0;
             ++runs_[id];
             lock.unlock();
-            connection.send((copy ? refusal(id) : "") + success(id));
+            connection.send((copy ? refusal(status_, id) : "") + success(id));
         }
     }
 
+    std::string const status_;
     std::mutex mutex_;
     std::set<std::string> refused_;
     std::map<std::string, unsigned> runs_;
@@ -97,20 +101,24 @@
 // Guards against a second run, or a false promise, after a copied refusal of a server with two names.
 Test(copied_refusal, proves_nothing_about_a_sending_to_another_name_of_the_server)
 {
-    copying_server server;
-    scripted_fleet fleet;
-    fleet.add("p1", "plain", server.scripts());
-    fleet.add_name("p2", "plain");
-    for (unsigned i = 0; i < request_count; ++i)
+    for (std::string const status : {"503 Service Unavailable", "421 Misdirected Request"})
     {
-        std::string const id = "r" + std::to_string(i);
-        auto const answer = fleet.edge().call("POST", "/once/1", id);
-        cr_assert(answer.has_value());
-        cr_expect_eq(answer->status, 200, "status %d\n%s", answer->status, log_of(fleet.edge(), id).c_str());
-        cr_expect_eq(server.runs(id), 1, "%s ran %u times\n%s", id.c_str(), server.runs(id),
-                     log_of(fleet.edge(), id).c_str());
+        copying_server server(status);
+        scripted_fleet fleet;
+        fleet.add("p1", "plain", server.scripts());
+        fleet.add_name("p2", "plain");
+        for (unsigned i = 0; i < request_count; ++i)
+        {
+            std::string const id = "r" + std::to_string(i);
+            auto const answer = fleet.edge().call("POST", "/once/1", id);
+            cr_assert(answer.has_value());
+            cr_expect_eq(answer->status, 200, "status %d\n%s", answer->status,
+                         log_of(fleet.edge(), id).c_str());
+            cr_expect_eq(server.runs(id), 1, "%s ran %u times\n%s", id.c_str(), server.runs(id),
+                         log_of(fleet.edge(), id).c_str());
+        }
+        cr_expect_eq(server.copies(), 0, "%u requests came again on one connection", server.copies());
     }
-    cr_expect_eq(server.copies(), 0, "%u requests came again on one connection", server.copies());
 }
 
 // Guards against a second run, or a false promise, when a caller sends a refused request again.
