--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -94,8 +94,7 @@
     virtual bool fresh() const = 0;
     /// Known from the start of the exchange on.
     virtual connection_use use() const = 0;
-    /// Answers to earlier requests that were skipped so far. Where a copy ends is known from the copy alone,
-    /// so that an answer behind one proves less than one without.
+    /// Answers to earlier requests that were skipped so far.
     virtual unsigned skipped_answers() const = 0;
     /// Bytes that had arrived behind the complete answer when the exchange ended; they belong to no request.
     virtual std::size_t bytes_behind() const = 0;
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -998,11 +998,6 @@
                  response_head const& head)
     {
         attempt->facts = platform::decode_answer(head, open->request.request_id, attempt->target.backend);
-        if (attempt->exchange->skipped_answers() > 0)
-        {
-            attempt->facts->not_run =
-                false; // The body of a skipped answer may have been taken for this head.
-        }
         platform::answer_info const& facts = *attempt->facts;
         if (!attempt->via_peer)
         {
