--- a/tests/platform/request_memory_test.cpp
+++ b/tests/platform/request_memory_test.cpp
@@ -127,7 +127,7 @@
         }
     }
     double const peak = peak_memory_mb(fleet.edge);
-    cr_log_warn(
+    cr_log_info(
         "%u callers, %.0f MB: peak %.1f MB, served %u, refused %u (the last after %lld ms), without an "
         "answer %u; small requests served %u of %u",
         callers, memory_mb, peak, statuses[200], statuses[503], static_cast<long long>(last_refusal.count()),
