--- a/adapters/edge_settings.cpp
+++ b/adapters/edge_settings.cpp
@@ -53,6 +53,26 @@
     }
 }
 
+// The section may be absent: only deployments with organisations have these bounds.
+void read_organisations(yaml_map& root, edge_settings& settings, read_error_list& errors)
+{
+    yaml_map map(root.find("organisations"), "organisations", errors);
+    std::string const closed = map.one_of("revoke_fail_closed", {"true", "false"}, "false");
+    if (closed == "true")
+    {
+        settings.revocation_time = time_limit(map, "revoke_ms", 100.0, 3600000.0, microseconds_per_ms);
+    }
+    else
+    {
+        (void)map.number("revoke_ms", 100.0, 3600000.0, 100.0);
+    }
+    settings.quotas.window = duration{static_cast<std::int64_t>(
+        std::floor(map.number("quota_window_s", 0.1, 3600.0, 1.0) * microseconds_per_s))};
+    settings.quotas.excess = map.number("quota_excess", 0.0, 10.0, 0.0);
+    settings.quotas.slack = map.number("quota_slack", 0.0, 1e12, 0.0);
+    map.finish();
+}
+
 edge_settings read_all(yaml_node const& node, read_error_list& errors)
 {
     edge_settings settings;
@@ -96,6 +116,8 @@
         allowed_count(limits, "memory_mb", 32.0, 10000000.0, static_cast<double>(settings.memory_mb));
     limits.finish();
 
+    read_organisations(root, settings, errors);
+
     yaml_map log(root.find("log"), "log", errors);
     settings.log_level = log.one_of("level", {"debug", "info", "warning", "error"}, "info");
     log.finish();
@@ -113,7 +135,7 @@
         return std::tie(s.name, s.data_centre, s.region, s.region_of, s.caller_address, s.readiness_address,
                         s.peer_address, s.store_address, s.leaving_time, s.change_time, s.retry_ratio,
                         s.retry_window, s.spare_retries, s.holder_gap, s.load_window_s, s.stop_time,
-                        s.descriptors, s.cpu_share, s.memory_mb, s.log_level);
+                        s.descriptors, s.cpu_share, s.memory_mb, s.log_level, s.revocation_time, s.quotas);
     };
     return fields(a) == fields(b);
 }
--- a/adapters/edge_settings.hpp
+++ b/adapters/edge_settings.hpp
@@ -2,10 +2,12 @@
 
 #include "adapters/read_result.hpp"
 #include "core/steady_time.hpp"
+#include "domain/quota_exchange.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace siskinusher
@@ -34,6 +36,10 @@
     double cpu_share = 1.0;        ///< Processor cores that the process may use; 1.0 is one whole core.
     std::uint64_t memory_mb = 160; ///< Memory above which the process is ended, in MB. The least known one.
     std::string log_level = "info";
+    /// A request that is sent later than this after its key was taken away must not run; none when keys that
+    /// were taken away may work while an instance cannot know.
+    std::optional<duration> revocation_time;
+    quota_bounds quotas;
 };
 
 bool operator==(edge_settings const& a, edge_settings const& b);
--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -17,6 +17,7 @@
 char const* const demand_path = "/siskin/demand";
 char const* const state_path = "/siskin/state";
 char const* const standbys_header = "Store-Standbys";
+char const* const config_age_header = "Config-Age";
 char const* const stream_path = "/siskin/stream";
 char const* const stream_service_header = "Stream-Service";
 
@@ -400,6 +401,25 @@
     return text.empty() ? std::string() : std::string(standbys_header) + ": " + text + "\r\n";
 }
 
+std::string encode_config_age(duration age)
+{
+    // Rounded up: a configuration must not be taken for newer than it is.
+    auto const whole = std::chrono::duration_cast<milliseconds>(age).count() + 1;
+    return std::string(config_age_header) + ": " + std::to_string(whole) + "\r\n";
+}
+
+std::optional<duration>
+decode_config_age(std::vector<std::pair<std::string, std::string>> const& headers)
+{
+    constexpr std::uint64_t max_ms = 1000000000000U; // Keeps the conversion in range.
+    auto const found =
+        std::find_if(headers.begin(), headers.end(),
+                     [](auto const& each) { return equal_ignoring_case(each.first, config_age_header); });
+    auto const age = found == headers.end() ? std::nullopt : parse_number(found->second);
+    return age ? std::optional<duration>(milliseconds{static_cast<std::int64_t>(std::min(*age, max_ms))})
+               : std::nullopt;
+}
+
 std::vector<std::string> decode_standbys(std::vector<std::pair<std::string, std::string>> const& headers)
 {
     std::vector<std::string> addresses;
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -36,6 +36,14 @@
 /// The addresses in the headers of a reply; none when there is no such header, as in replies of older builds.
 std::vector<std::string> decode_standbys(std::vector<std::pair<std::string, std::string>> const& headers);
 
+/// Header of a reply that tells how long ago, in milliseconds, the configuration is known to have been the
+/// newest one. It is sent only where organisations are configured.
+extern char const* const config_age_header;
+std::string encode_config_age(duration age);
+/// No value when there is no such header, as in replies of older builds.
+std::optional<duration>
+decode_config_age(std::vector<std::pair<std::string, std::string>> const& headers);
+
 /// Path of the call that asks a standby for the state that it reads from the store. The body is a demand
 /// report without demand, the answer a reply without placements. Older builds answer 404.
 extern char const* const state_path;
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -5,6 +5,7 @@
 #include "adapters/outbound_pool.hpp"
 #include "adapters/placement_codec.hpp"
 #include "adapters/ports.hpp"
+#include "adapters/quota_codec.hpp"
 #include "apps/forwarded_call.hpp"
 #include "apps/state_follower.hpp"
 #include "core/hash.hpp"
@@ -116,7 +117,7 @@
           on_placement_update(std::move(on_placement_update_in)), on_streams(std::move(on_streams_in)),
           timer(loop),
           lease(settings.name, settings.peer_address, settings.proposed_peer_key, settings.lease),
-          planner(settings.rotation)
+          planner(settings.rotation), quotas(settings.quotas)
     {
     }
 
@@ -253,6 +254,7 @@
             if (holds)
             {
                 planner.begin_lease();
+                quotas.begin_lease(now);
             }
             state.on_lease(holds);
             log.write({holds ? "lease_gained" : "lease_lost", {{"epoch", std::to_string(lease.epoch())}}});
@@ -331,7 +333,7 @@
                 streams.on_recorded(boot_now(), each, true);
             }
             streams.on_confirmed(asked_at);
-            state.on_reply(*reply);
+            state.on_reply(*reply, config_current_at(outcome, *reply, asked_at));
             if (!state.wants_standby())
             {
                 lease.on_holder_reply(boot_now());
@@ -406,11 +408,19 @@
         asking_standby = true;
         metrics.add("siskin_standby_questions_total", "", 1);
         pool.call(address, call, report_time_limit,
-                  [self = shared_from_this(), address](http_outcome const& outcome)
-                  { self->on_standby_answer(address, outcome); });
+                  [self = shared_from_this(), address, asked_at = boot_now()](http_outcome const& outcome)
+                  { self->on_standby_answer(address, outcome, asked_at); });
     }
 
-    void on_standby_answer(std::string const& address, http_outcome const& outcome)
+    // The time at which the configuration was the newest one, by a reply to a question that was sent at
+    // `asked_at`. The reply may have waited, at an instance that stood still, for any time since then.
+    static steady_time config_current_at(http_outcome const& outcome, holder_reply const& reply,
+                                         steady_time asked_at)
+    {
+        return asked_at - decode_config_age(outcome.headers).value_or(reply.store_state_age);
+    }
+
+    void on_standby_answer(std::string const& address, http_outcome const& outcome, steady_time asked_at)
     {
         asking_standby = false;
         auto const reply = outcome.status == 200 ? decode_reply(outcome.body) : std::nullopt;
@@ -426,7 +436,7 @@
         }
         standby_config = reply->config;
         standby_config.text.clear();
-        state.on_standby_reply(*reply);
+        state.on_standby_reply(*reply, config_current_at(outcome, *reply, asked_at));
     }
 
     // Answers a question for the state. Its age tells whether it is of use.
@@ -438,12 +448,18 @@
             return;
         }
         auto const crashes = state.crashes_since(report.crash_marks_digest);
-        call.answer(200, "Content-Type: application/cbor\r\n",
+        call.answer(200, "Content-Type: application/cbor\r\n" + encoded_config_age(),
                     encode_reply(encode_placement_update({}), encoded_update(boot_now(), report),
                                  crashes ? encode_crash_marks(*crashes) : std::string(), {},
                                  state.config_for(report.config), {}, {}, state.age()));
     }
 
+    // Only organisations need it.
+    std::string encoded_config_age() const
+    {
+        return has_organisations ? encode_config_age(boot_now() - state.config_current_at()) : std::string();
+    }
+
     std::string encoded_standbys(steady_time now, demand_report const& report)
     {
         if (now - standbys_chosen_at >= standby_choice_interval)
@@ -647,6 +663,36 @@
                   });
     }
 
+    std::optional<quota_reply> answer_quotas(quota_question const& question)
+    {
+        steady_time const now = boot_now();
+        if (!lease.may_send_orders(now))
+        {
+            return std::nullopt;
+        }
+        auto const reporting = std::count_if(peers.begin(), peers.end(),
+                                             [now](auto const& each)
+                                             { return now - each.second.reported_at < relay_lifetime; });
+        return quotas.answer(now, static_cast<unsigned>(reporting) + 1, question);
+    }
+
+    void answer_quota_question(caller_exchange& call)
+    {
+        auto const question = decode_quota_question(call.body());
+        if (!question)
+        {
+            call.answer(400, "", "");
+            return;
+        }
+        auto const reply = answer_quotas(*question);
+        if (!reply)
+        {
+            call.answer(409, "", ""); // Another instance may hold the lease.
+            return;
+        }
+        call.answer(200, "Content-Type: application/cbor\r\n", encode_quota_reply(*reply));
+    }
+
     void on_peer_call(std::shared_ptr<caller_exchange> const& call)
     {
         order_lease_record const* const record = lease.record();
@@ -667,6 +713,11 @@
             answer_stream_question(*call);
             return;
         }
+        if (call->head().target == quota_path)
+        {
+            answer_quota_question(*call);
+            return;
+        }
         if (call->head().target == forward_path && on_forwarded)
         {
             on_forwarded(call);
@@ -709,7 +760,7 @@
         {
             plan(now);
         }
-        call->answer(200, "Content-Type: application/cbor\r\n" + encoded_standbys(now, *report),
+        call->answer(200, "Content-Type: application/cbor\r\n" + encoded_standbys(now, *report) + encoded_config_age(),
                      encoded_reply(now, *report));
     }
 
@@ -774,6 +825,8 @@
     load_planner planner;
     fleet_load load;
     fleet_limits limits;
+    quota_issuer quotas;
+    bool has_organisations = false;
     steady_time next_report;
     steady_time next_full_report;
     steady_time streams_reported_at;
@@ -822,6 +875,8 @@
 
 void placement_service::on_config(std::shared_ptr<serving_config const> config)
 {
+    impl_->has_organisations = config->organisations.has_value();
+    impl_->quotas.on_config(boot_now(), config);
     impl_->planner.on_config(std::move(config));
 }
 
@@ -835,6 +890,11 @@
     impl_->planner.on_backend_gone(name);
 }
 
+std::optional<quota_reply> placement_service::answer_quotas(quota_question const& question)
+{
+    return impl_->answer_quotas(question);
+}
+
 void placement_service::report_soon()
 {
     impl_->next_report = {};
--- a/apps/placement_service.hpp
+++ b/apps/placement_service.hpp
@@ -6,6 +6,7 @@
 #include "decision/fleet_load.hpp"
 #include "decision/load_planner.hpp"
 #include "decision/order_lease.hpp"
+#include "decision/quota_issuer.hpp"
 #include "domain/backend_entry.hpp"
 #include "domain/placement_exchange.hpp"
 #include "domain/serving_config.hpp"
@@ -42,6 +43,7 @@
     std::string proposed_peer_key; ///< Proposed as the key that peers share if the lease record has none yet.
     order_lease_times lease;
     load_planner_settings rotation;
+    quota_bounds quotas;
 };
 
 /// Claims and renews the order lease, sends the rotation planner's orders while this instance holds the
@@ -70,6 +72,8 @@
     void on_config(std::shared_ptr<serving_config const> config);
     void on_backend(backend_entry const& entry);
     void on_backend_gone(backend_name const& name);
+    /// Answers a question for credit of organisations; no value when this instance does not hold the lease.
+    std::optional<quota_reply> answer_quotas(quota_question const& question);
     /// A request waits for a model that no engine holds: sends a demand report at the next opportunity.
     void report_soon();
     /// Sets the handlers of the instances that reach servers, told while this one is cut off, and of the
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -52,6 +52,9 @@
 // A single change of the configuration is read at once; changes that follow it are gathered for this share of
 // the time within which they must be in force.
 constexpr double config_batch_delay_share = 0.3;
+// A watch that has to prove the configuration waits this share of the bound on the age of the proof at most, so
+// that one lost call does not use up the bound.
+constexpr double proof_wait_share = 0.2;
 // Interval between choices of the state source; short compared with the lifetime of a reply.
 constexpr duration choice_interval = milliseconds{100};
 
@@ -124,7 +127,7 @@
         if (!holds && !is_standby)
         {
             backend_watch.set_pace(lazy_servers, platform::object_watch_settings().wait);
-            config_watch.set_pace(lazy_config, platform::object_watch_settings().wait);
+            config_watch.set_pace(lazy_config, proof_wait(platform::object_watch_settings().wait));
             return;
         }
         // The renewals of the lease confirm the holder's state.
@@ -134,6 +137,13 @@
         config_watch.set_pace(std::min(lazy_config, standby_batch_delay), wait);
     }
 
+    // The wait of a watch of the configuration while no renewals of the lease confirm it.
+    duration proof_wait(duration wait) const
+    {
+        bool const needed = settings.proof_limit && config && config->organisations;
+        return needed ? std::min(wait, share_of(*settings.proof_limit, proof_wait_share)) : wait;
+    }
+
     // Extends the confirmation of a watch up to a renewal of the lease if each change before it is known.
     bool confirm(watch_confirmation& known, platform::object_watch const& watch,
                  store_revision const& revision, steady_time sent_at) const
@@ -287,6 +297,7 @@
                    {{"version", std::to_string(config->version)},
                     {"routes", std::to_string(config->routes.size())},
                     {"revision", to_string(revision)}}});
+        set_pace(); // Organisations may need a proof more often.
         handlers.on_config(config);
     }
 
@@ -333,13 +344,29 @@
         handlers.on_backend_gone(name);
     }
 
-    void on_reply(holder_reply const& reply)
+    void on_reply(holder_reply const& reply, steady_time config_current_at)
     {
         choice.on_reply(boot_now(), reply.store_state_age);
-        take_over(reply);
+        take_over(reply, config_current_at);
     }
 
-    void take_over(holder_reply const& reply)
+    // The configuration of this instance was the newest one at the time of the read that a peer's reply rests
+    // on, if it has read as much as the peer.
+    void on_told_current(store_revision const& revision, steady_time at)
+    {
+        told_revision = std::max(told_revision, revision);
+        if (known.revision >= revision)
+        {
+            told_current_at = std::max(told_current_at, at);
+        }
+    }
+
+    steady_time config_current_at() const
+    {
+        return std::max({config_watch.confirmed_at(), config_confirmed.at, told_current_at});
+    }
+
+    void take_over(holder_reply const& reply, steady_time config_current_at)
     {
         // While expired entries may still appear again, a list without them does not prove that they are
         // gone.
@@ -352,6 +379,7 @@
             apply_crashes(*reply.crash_marks);
         }
         on_peer_config(reply.config);
+        on_told_current(reply.config.revision, config_current_at);
         choose_source();
         steady_time const now = boot_now();
         if (source != state_source::store && reply.config.revision > known.revision &&
@@ -501,6 +529,8 @@
     backend_directory directory;
     state_source_selector choice;
     state_source source{state_source::store};
+    store_revision told_revision;    ///< The latest one of the configuration that a peer has named.
+    steady_time told_current_at;     ///< Of the configuration, by what peers told.
     update_position holder_position; ///< Position in the holder's changes.
     std::shared_ptr<serving_config const> config;
     known_config known; ///< With the text of the configuration in force.
@@ -560,15 +590,25 @@
     impl_->on_renewed(revision, sent_at);
 }
 
-void state_follower::on_reply(holder_reply const& reply)
+void state_follower::on_reply(holder_reply const& reply, steady_time config_current_at)
 {
-    impl_->on_reply(reply);
+    impl_->on_reply(reply, config_current_at);
 }
 
-void state_follower::on_standby_reply(holder_reply const& reply)
+void state_follower::on_standby_reply(holder_reply const& reply, steady_time config_current_at)
 {
     impl_->choice.on_standby_reply(boot_now(), reply.store_state_age);
-    impl_->take_over(reply);
+    impl_->take_over(reply, config_current_at);
+}
+
+steady_time state_follower::config_current_at() const
+{
+    return impl_->config_current_at();
+}
+
+bool state_follower::config_behind() const
+{
+    return impl_->told_revision > impl_->known.revision;
 }
 
 void state_follower::on_standbys(bool is_standby, bool knows_others)
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -34,6 +34,8 @@
     std::string source;       ///< Identifies this process to its peers; differs after each start.
     duration leaving_time{0}; ///< Time after which a leaving server must get no new requests.
     duration change_time{0};  ///< Time within which a new configuration must be in force.
+    /// Bound on the age of the proof that the configuration is the newest; none when no proof is needed.
+    std::optional<duration> proof_limit{};
 };
 
 /// Handlers for changes of the fleet's state, called on the event loop's thread.
@@ -63,9 +65,10 @@
     void on_lease(bool holds);
     /// On the lease holder: the lease was written, by a call that was sent at `sent_at`.
     void on_renewed(store_revision const& revision, steady_time sent_at);
-    void on_reply(holder_reply const& reply);
+    /// `config_current_at` is a time at which the configuration was the newest one, by the holder's knowledge.
+    void on_reply(holder_reply const& reply, steady_time config_current_at);
     /// A standby answered a question for the state.
-    void on_standby_reply(holder_reply const& reply);
+    void on_standby_reply(holder_reply const& reply, steady_time config_current_at);
     /// Sets whether this instance is a standby, and whether it knows others to ask.
     void on_standbys(bool is_standby, bool knows_others);
     /// True when this instance should ask a standby.
@@ -73,6 +76,11 @@
     /// Age of the configuration and the servers that this instance knows, whatever their source. More than
     /// any limit when it has not listed them.
     duration age() const;
+    /// The latest time at which the store is known to have had no newer configuration than this instance: the
+    /// time at which a read that shows it was sent. The epoch when there was none.
+    steady_time config_current_at() const;
+    /// True when a peer has named a later revision of the configuration than this instance has read.
+    bool config_behind() const;
     /// Called when the holder answers that it no longer holds the lease, or when nothing listens at its
     /// address.
     void on_holder_lost();
--- a/domain/dispatch_request.hpp
+++ b/domain/dispatch_request.hpp
@@ -24,8 +24,10 @@
 {
     request_number number = 0;
     std::string service;
-    std::string model;   ///< Empty for plain services.
-    std::string adapter; ///< Empty when none is asked for.
+    std::string model;        ///< Empty for plain services.
+    std::string adapter;      ///< Empty when none is asked for.
+    std::string organisation; ///< Of the caller; empty when callers are not told apart.
+    std::uint64_t cost = 0;   ///< What the request counts in the division of scarce room among organisations.
     unsigned priority = 0;
     steady_time arrived;
     steady_time deadline;
--- a/domain/serving_config.cpp
+++ b/domain/serving_config.cpp
@@ -16,7 +16,7 @@
     auto const fields = [](route_rule const& r)
     {
         return std::tie(r.name, r.host, r.path_prefix, r.targets, r.streaming, r.repeat, r.max_backends,
-                        r.time_limit, r.latency_objective, r.priority, r.max_event_gap);
+                        r.time_limit, r.latency_objective, r.priority, r.max_event_gap, r.is_public);
     };
     return fields(a) == fields(b);
 }
@@ -51,8 +51,19 @@
 
 bool operator==(serving_config const& a, serving_config const& b)
 {
-    return std::tie(a.version, a.routes, a.services, a.limits) ==
-           std::tie(b.version, b.routes, b.services, b.limits);
+    return std::tie(a.version, a.routes, a.services, a.limits, a.organisations) ==
+           std::tie(b.version, b.routes, b.services, b.limits, b.organisations);
+}
+
+organisation const* find_organisation(serving_config const& config, std::string const& name)
+{
+    if (!config.organisations)
+    {
+        return nullptr;
+    }
+    auto const found = std::find_if(config.organisations->begin(), config.organisations->end(),
+                                    [&name](organisation const& each) { return each.name == name; });
+    return found == config.organisations->end() ? nullptr : &*found;
 }
 
 service_profile const* find_service(serving_config const& config, std::string const& name)
--- a/domain/serving_config.hpp
+++ b/domain/serving_config.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/steady_time.hpp"
+#include "domain/organisation.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -41,6 +42,7 @@
     duration latency_objective{0};
     unsigned priority = 0;     ///< Zero is the most urgent.
     duration max_event_gap{0}; ///< Longest pause between events that counts as in time; zero for no limit.
+    bool is_public = false;    ///< Needs no key where organisations are configured.
 };
 
 /// A model that the engines of a service can load.
@@ -90,6 +92,8 @@
     std::vector<route_rule> routes;
     std::vector<service_profile> services;
     caller_limits limits;
+    /// Empty when callers are not told apart; otherwise each route that is not public needs a key.
+    std::optional<std::vector<organisation>> organisations{};
 };
 
 bool operator==(route_target const& a, route_target const& b);
@@ -100,6 +104,8 @@
 bool operator==(caller_limits const& a, caller_limits const& b);
 bool operator==(serving_config const& a, serving_config const& b);
 
+/// The organisation with this name; null when the configuration does not name it.
+organisation const* find_organisation(serving_config const& config, std::string const& name);
 /// The service's profile; null when the configuration does not name it.
 service_profile const* find_service(serving_config const& config, std::string const& name);
 /// The model's profile; null when the engine profile does not name it.
