Identify organisations by their keys, prove keys current, and charge quotas

Cause: siskin-edge passed requests with keys on as they came, so that on the deployment with organisations every such request broke a rule. Change: keys are looked up at the instance that receives them; servers and peers get the organisation's name. Requests with a key are refused when the newest proof that the configuration is current is older than the bound on revocations. Requests of organisations with limits need credit that the lease holder issues.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -211,6 +211,15 @@
         refuse(413);
         return false;
     }
+    bool const has_body = framing->kind == body_kind::chunked || framing->length > 0;
+    if (has_body && server_->check_head)
+    {
+        if (auto const refusal = server_->check_head(*head_))
+        {
+            refuse(refusal->status, refusal->header_lines);
+            return false;
+        }
+    }
     if (!admit(end + 4, *framing))
     {
         return false;
--- a/adapters/caller_connection_impl.hpp
+++ b/adapters/caller_connection_impl.hpp
@@ -25,6 +25,7 @@
     std::size_t open_requests = 0;
     std::shared_ptr<request_memory> memory;
     caller_server::refusal_handler on_no_memory;
+    caller_server::head_check check_head; ///< Empty for none.
     std::function<void(std::shared_ptr<caller_exchange>)> on_request;
     std::function<void(caller_connection*)> on_closed;
 };
--- a/adapters/caller_server.cpp
+++ b/adapters/caller_server.cpp
@@ -221,6 +221,11 @@
     impl_->state->limits = limits;
 }
 
+void caller_server::check_heads(head_check check)
+{
+    impl_->state->check_head = std::move(check);
+}
+
 void caller_server::on_no_memory(refusal_handler handler)
 {
     impl_->state->on_no_memory = std::move(handler);
--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -90,6 +91,13 @@
     duration retry_after{0};
 };
 
+/// The answer to a request that is refused by its head alone.
+struct head_refusal
+{
+    int status = 0;
+    std::string header_lines; ///< Each ended by CRLF.
+};
+
 /// Serves HTTP/1.1 and HTTP/1.0 on one address from the event loop, without a thread for each connection. At
 /// the limit on connections, the one that has been idle longest is closed to admit a new caller.
 ///
@@ -100,6 +108,8 @@
 public:
     using handler = std::function<void(std::shared_ptr<caller_exchange>)>;
     /// Returns further header lines of the refusal, each ended by CRLF.
+    /// Returns a refusal for a request that needs no look at its body.
+    using head_check = std::function<std::optional<head_refusal>(request_head const&)>;
     using refusal_handler = std::function<std::string(request_head const&, memory_refusal const&)>;
 
     caller_server(boost::asio::io_context& loop, caller_server_settings settings, handler on_request);
@@ -112,6 +122,9 @@
     void set_limits(caller_limits const& limits);
     /// The handler is called for each request that is refused because there is no memory for it.
     void on_no_memory(refusal_handler handler);
+    /// The check is made for each request that has a body, before the body is read. The connection of a
+    /// request that it refuses is closed.
+    void check_heads(head_check check);
     /// Makes each connection close after its next answer.
     void drain();
     /// Closes the connections that wait for a request.
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -6,8 +6,10 @@
 #include "adapters/metrics_registry.hpp"
 #include "adapters/outbound_pool.hpp"
 #include "adapters/ports.hpp"
+#include "apps/caller_access.hpp"
 #include "apps/crash_reporter.hpp"
 #include "apps/placement_service.hpp"
+#include "apps/quota_keeper.hpp"
 #include "apps/reach_keeper.hpp"
 #include "apps/request_service.hpp"
 #include "apps/state_follower.hpp"
@@ -117,6 +119,7 @@
     auto const spread = stable_hash(settings.peer_address) % static_cast<std::uint64_t>(claim_delay.count());
     result.lease.claim_delay = claim_delay + duration{static_cast<duration::rep>(spread)};
     result.rotation.window_s = settings.load_window_s;
+    result.quotas = settings.quotas;
     return result;
 }
 
@@ -126,6 +129,7 @@
     result.source = settings.name + "-" + std::to_string(random_number());
     result.leaving_time = settings.leaving_time;
     result.change_time = settings.change_time;
+    result.proof_limit = settings.revocation_time;
     return result;
 }
 
@@ -168,8 +172,18 @@
           requests({settings.data_centre, settings.region_of, random_number()}),
           retries(limits_of(settings, assumed_instances)), relays(settings.data_centre),
           crash_reports(loop, pool, store, crashes, log, metrics, [this] { return placement.holds_lease(); }),
-          service(loop, pool, requests, retries, crash_reports, streams, reach, relays, log, metrics, metrics,
-                  random_number()),
+          access(
+              {settings.revocation_time, settings.change_time},
+              [this] {
+                  return config_currency{state.config_current_at(), state.config_behind()};
+              },
+              random_number()),
+          quotas(
+              loop, pool, log, metrics, settings.quotas, settings.name, random_number(),
+              [this](quota_question const& question) { return placement.answer_quotas(question); },
+              [this] { return quota_holder_now(); }),
+          service(loop, pool, requests, retries, crash_reports, streams, reach, relays, access, quotas, log,
+                  metrics, metrics, random_number()),
           server_watch(loop, pool, requests, reach, log, metrics, random_number(),
                        [this] { on_reach_change(); }),
           state(loop, store, log, metrics, crashes, follower_settings(settings), make_state_handlers()),
@@ -209,6 +223,12 @@
     {
     }
 
+    quota_holder quota_holder_now() const
+    {
+        auto const holder = placement.holder();
+        return holder ? quota_holder{holder->address, placement.peer_authorization()} : quota_holder{};
+    }
+
     // An instance that reaches no server knows nothing about any of them.
     std::vector<backend_name> unreachable_servers() const
     {
@@ -238,6 +258,7 @@
     {
         callers.on_no_memory([this](request_head const& head, memory_refusal const& facts)
                              { return refuse_without_memory(head, facts); });
+        callers.check_heads([this](request_head const& head) { return service.refuse_by_head(head); });
         service.on_missing_model([this] { placement.report_soon(); });
         crash_reports.on_blocked([this] { service.on_blocked(); });
         service.on_authorization([this] { return placement.peer_authorization(); });
@@ -270,6 +291,8 @@
         metrics.set_gauge("siskin_open_requests", [this] { return service.open_requests(); });
         metrics.set_gauge("siskin_request_bytes", [this] { return memory->held(); });
         metrics.set_gauge("siskin_backends", [this] { return requests.backends(); });
+        metrics.set_gauge("siskin_quota_waiting", [this] { return quotas.waiting(); });
+        metrics.set_gauge("siskin_config_proof_age_ms", [this] { return proof_age_ms(); });
         metrics.set_gauge("siskin_blocked_suspects", [this] { return crashes.blocked_suspects(boot_now()); });
         state.start();
         crash_reports.start();
@@ -290,6 +313,12 @@
         return {};
     }
 
+    std::uint64_t proof_age_ms() const
+    {
+        return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(access.proof_age(boot_now())).count());
+    }
+
     void wait_for_signal()
     {
         signals.async_wait(
@@ -475,6 +504,8 @@
     server_reach reach;
     relay_directory relays;
     crash_reporter crash_reports;
+    caller_access access;
+    quota_keeper quotas;
     request_service service;
     reach_keeper server_watch;
     state_follower state;
--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -56,9 +56,15 @@
     std::uint64_t config_version = 0; ///< Of the configuration that the route was taken from.
     /// Passed on by another instance, which answers the caller: it is not passed on again.
     bool forwarded = false;
-    std::string passed_on_by;   ///< Address of that instance; empty for none.
-    bool tries_servers = false; ///< Sent to see whether servers are reached again.
-    bool began_at_peer = false; ///< The stream; its software version is not known here.
+    /// Identified and charged by the instance that passed it on.
+    bool caller_checked = false;
+    std::uint64_t quota_cost = 0; ///< In units of the limit of its organisation.
+    std::uint64_t work = 0;       ///< Its tokens, for the division of scarce room among organisations.
+    bool awaits_credit = false;   ///< Of its organisation; it has not been passed on yet.
+    bool charged = false;         ///< Its organisation has paid for it.
+    std::string passed_on_by;     ///< Address of that instance; empty for none.
+    bool tries_servers = false;   ///< Sent to see whether servers are reached again.
+    bool began_at_peer = false;   ///< The stream; its software version is not known here.
     std::string service;
     suspect_names suspects; ///< Of the request, should a server crash on it.
     bool on_trial = false;  ///< Blocked, and sent to see whether it still crashes servers.
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -14,6 +14,8 @@
 // Callers choose the ids, so that their number and length in a line are limited.
 constexpr std::size_t max_logged_parts = 8;
 constexpr std::size_t max_logged_text_length = 40;
+// Further organisations share one counter, so that the metrics stay small.
+constexpr std::size_t max_counted_organisations = 200;
 
 std::string ms_text(duration value)
 {
@@ -75,6 +77,55 @@
                  {"config", std::to_string(config_version)}}});
 }
 
+void request_log::caller_refused(std::string const& request_id, int status, admission_fault fault,
+                                 duration proof_age, std::uint64_t config_version)
+{
+    metrics_.add("siskin_refusals_total", to_string(fault), 1);
+    log_.write({"caller_refused",
+                {{"request", request_id.substr(0, max_logged_text_length)},
+                 {"reason", to_string(fault)},
+                 {"status", std::to_string(status)},
+                 {"execution", "not_run"},
+                 {"proof_age_ms", ms_text(proof_age)},
+                 {"config", std::to_string(config_version)}}});
+}
+
+void request_log::over_limit(open_exchange const& open, duration retry_after, std::uint64_t held)
+{
+    constexpr char const* reason = "quota_exceeded";
+    count_organisation_refusal(open.request.organisation, reason);
+    log_.write({reason,
+                {{"request", open.request.request_id},
+                 {"organisation", open.request.organisation},
+                 {"cost", std::to_string(open.quota_cost)},
+                 {"held", std::to_string(held)},
+                 {"retry_after_ms", ms_text(retry_after)},
+                 {"execution", "not_run"}}});
+}
+
+void request_log::quota_unchecked(open_exchange const& open, duration waited)
+{
+    constexpr char const* reason = "quota_unchecked";
+    count_organisation_refusal(open.request.organisation, reason);
+    log_.write({reason,
+                {{"request", open.request.request_id},
+                 {"organisation", open.request.organisation},
+                 {"cost", std::to_string(open.quota_cost)},
+                 {"waited_ms", ms_text(waited)},
+                 {"execution", "not_run"}}});
+}
+
+void request_log::count_organisation_refusal(std::string const& organisation, char const* reason)
+{
+    bool const counted = counted_organisations_.count(organisation) > 0 ||
+                         counted_organisations_.size() < max_counted_organisations;
+    if (counted)
+    {
+        counted_organisations_.insert(organisation);
+    }
+    metrics_.add("siskin_organisation_refusals_total", (counted ? organisation : "other") + ":" + reason, 1);
+}
+
 void request_log::no_server(open_exchange const& open, reject_request const& step, std::size_t known_servers)
 {
     log_.write({"no_server",
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "apps/open_exchange_impl.hpp"
+#include "decision/caller_admission.hpp"
 #include "decision/crash_ledger.hpp"
 #include "decision/dispatcher.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace siskinusher
@@ -36,6 +38,14 @@
     /// A request that is refused before it has a route. `config_version` is 0 before the first configuration.
     void refused_unrouted(open_exchange const& open, int status, std::string const& reason,
                           std::uint64_t config_version);
+    /// A request whose caller has no key that may be used. `proof_age` is the age of the proof that the
+    /// configuration is the newest one. Neither the key nor the path, which may contain one, is logged.
+    void caller_refused(std::string const& request_id, int status, admission_fault fault, duration proof_age,
+                        std::uint64_t config_version);
+    /// The organisation of a request has used up its limit.
+    void over_limit(open_exchange const& open, duration retry_after, std::uint64_t held);
+    /// No lease holder has told whether the organisation of a request is within its limit.
+    void quota_unchecked(open_exchange const& open, duration waited);
     void no_server(open_exchange const& open, reject_request const& step, std::size_t known_servers);
     /// A blocked request that is sent, to see whether it still crashes servers.
     void crash_trial(open_exchange const& open, crash_block const& block);
@@ -71,6 +81,7 @@
                        std::uint64_t config_version);
 
 private:
+    void count_organisation_refusal(std::string const& organisation, char const* reason);
     void limit_change(char const* event, char const* counter, std::optional<double> per_second,
                       std::string const& unreadable, open_exchange const& open,
                       server_attempt const& attempt);
@@ -78,6 +89,7 @@
     log_port& log_;
     metric_port& metrics_;
     latency_port& latencies_;
+    std::set<std::string> counted_organisations_; ///< With counters of their own.
 };
 
 } // namespace siskinusher
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -51,6 +51,8 @@
 // A peer that ends, stands still or is cut off cannot tell how many servers it has used. It may use one, and
 // the instance that answers the caller decides on each further one.
 constexpr unsigned servers_lent_to_peer = 1;
+constexpr char const* refused_not_run = "refused_not_run";
+constexpr char const* caller_gone = "caller_gone";
 constexpr char const* no_server_reached = "no_server_reached";
 constexpr char const* no_other_peer = "no_other_peer";
 // A cut lasts for seconds, but another instance may serve the caller at once.
@@ -148,19 +150,24 @@
 
     implementation(boost::asio::io_context& loop_in, outbound_pool& pool_in, dispatcher& requests_in,
                    service_retry_budget& retries_in, crash_reporter& crashes_in, stream_register& streams_in,
-                   server_reach& reach_in, relay_directory& relays_in, log_port& log_in,
-                   metric_port& metrics_in, latency_port& latencies_in, std::uint64_t seed)
+                   server_reach& reach_in, relay_directory& relays_in, caller_access& access_in,
+                   quota_keeper& quotas_in, log_port& log_in, metric_port& metrics_in,
+                   latency_port& latencies_in, std::uint64_t seed)
         : loop(loop_in), pool(pool_in), requests(requests_in), retries(retries_in), crashes(crashes_in),
-          streams(streams_in), reach(reach_in), relays(relays_in), log(log_in, metrics_in, latencies_in),
-          metrics(metrics_in), random(seed), dispatch_timer(loop_in), relay_timer(loop_in)
+          streams(streams_in), reach(reach_in), relays(relays_in), access(access_in), quotas(quotas_in),
+          log(log_in, metrics_in, latencies_in), metrics(metrics_in), random(seed), dispatch_timer(loop_in),
+          relay_timer(loop_in)
     {
     }
 
-    // `servers_left` is set for a request that a peer passed on.
-    void accept(std::shared_ptr<caller_exchange> caller, std::optional<unsigned> servers_left = {})
+    // `servers_left` is set for a request that a peer passed on; `caller_checked` tells whether the peer has
+    // identified its caller.
+    void accept(std::shared_ptr<caller_exchange> caller, std::optional<unsigned> servers_left = {},
+                bool caller_checked = false)
     {
         auto const open = std::make_shared<open_exchange>(loop, std::move(caller));
         open->forwarded = servers_left.has_value();
+        open->caller_checked = caller_checked;
         open->passed_on_by = open->forwarded ? open->caller->caller_address() : std::string();
         open->number = ++last_number;
         open->request = platform::decode_request(open->caller->head());
@@ -180,6 +187,11 @@
             refuse_unrouted(*open, 400, "no_request_id");
             return;
         }
+        organisation const* caller_of = nullptr;
+        if (!identify(*open, *route, caller_of))
+        {
+            return;
+        }
         if (servers_left == 0U)
         {
             refuse_unrouted(*open, 503, "no_server_left");
@@ -193,6 +205,10 @@
             return;
         }
         open->route = *route;
+        if (caller_of != nullptr)
+        {
+            open->route.priority = caller_of->priority.value_or(route->priority);
+        }
         if (open->forwarded)
         {
             // A peer of an older build lends all servers that are left and counts them as one.
@@ -214,6 +230,142 @@
             return;
         }
         arm_deadline(open);
+        if (caller_of != nullptr && !open->caller_checked)
+        {
+            await_credit(open);
+            return;
+        }
+        begin(open);
+    }
+
+    // Sets whose request it is. Returns false when it is refused. `caller_of` is set for a known
+    // organisation.
+    bool identify(open_exchange& open, route_rule const& route, organisation const*& caller_of)
+    {
+        if (open.caller_checked)
+        {
+            // A copy: identify() replaces what it reads.
+            platform::identify(open.request, std::string(open.request.stated_organisation));
+            caller_of = access.find(open.request.organisation);
+            return true;
+        }
+        if (!access.is_active())
+        {
+            return true;
+        }
+        admission const decision = access.check(route, open.request.credentials, open.caller->arrived());
+        if (auto const* const refused = std::get_if<caller_refused>(&decision))
+        {
+            refuse_caller(open, *refused);
+            return false;
+        }
+        caller_of = std::get<caller_admitted>(decision).caller;
+        platform::identify(open.request, caller_of == nullptr ? std::string() : caller_of->name);
+        if (caller_of != nullptr)
+        {
+            open.quota_cost = quota_cost(caller_of->quota, open.request.tokens);
+            open.work = work_of(caller_of->quota, open.request.tokens);
+        }
+        return true;
+    }
+
+    void refuse_caller(open_exchange& open, caller_refused const& refused)
+    {
+        int const status = refusal_status(refused);
+        std::string lines = refusal_lines(refused);
+        lines.append(open.forwarded ? platform::encode_not_run(0) : "");
+        open.caller->answer(status, lines, "");
+        log.caller_refused(open.request.request_id, status, refused.fault, access.proof_age(boot_now()),
+                           config_version());
+    }
+
+    std::optional<head_refusal> refuse_by_head(request_head const& head)
+    {
+        if (!routes || !access.is_active())
+        {
+            return std::nullopt;
+        }
+        route_rule const* const route = routes->find(head.fields.value("Host"), head.target);
+        if (route == nullptr)
+        {
+            return std::nullopt;
+        }
+        admission const decision = access.check(*route, platform::decode_credentials(head), boot_now());
+        auto const* const refused = std::get_if<caller_refused>(&decision);
+        if (refused == nullptr)
+        {
+            return std::nullopt;
+        }
+        log.caller_refused(platform::request_id_of(head), refusal_status(*refused), refused->fault,
+                           access.proof_age(boot_now()), config_version());
+        return head_refusal{refusal_status(*refused), refusal_lines(*refused)};
+    }
+
+    static int refusal_status(caller_refused const& refused)
+    {
+        return refused.fault == admission_fault::unknown_key ? 401 : 503;
+    }
+
+    static std::string refusal_lines(caller_refused const& refused)
+    {
+        return refused.retry_after > duration{0} ? platform::encode_retry_after(refused.retry_after)
+                                                 : std::string();
+    }
+
+    // The request waits until its organisation has credit for it.
+    void await_credit(open_pointer const& open)
+    {
+        open->awaits_credit = true;
+        quota_request request;
+        request.number = open->number;
+        request.organisation = open->request.organisation;
+        request.cost = open->quota_cost;
+        request.refuse_at = std::min(boot_now() + max_wait(*open), open->deadline);
+        quotas.submit(std::move(request));
+    }
+
+    void carry_out_quota(admit_request const& step)
+    {
+        if (open_pointer const open = take_awaiting_credit(step.number))
+        {
+            open->charged = true;
+            begin(open);
+        }
+    }
+
+    void carry_out_quota(refuse_over_limit const& step)
+    {
+        if (open_pointer const open = take_awaiting_credit(step.number))
+        {
+            log.over_limit(*open, step.retry_after, step.held);
+            refuse(*open, step.retry_after, "quota_exceeded", 429);
+        }
+    }
+
+    void carry_out_quota(refuse_unchecked const& step)
+    {
+        if (open_pointer const open = take_awaiting_credit(step.number))
+        {
+            log.quota_unchecked(*open, step.waited);
+            refuse(*open, failed_retry_after, "quota_unchecked");
+        }
+    }
+
+    // Null when the request has ended meanwhile.
+    open_pointer take_awaiting_credit(request_number number)
+    {
+        auto const found = exchanges.find(number);
+        if (found == exchanges.end() || !found->second->awaits_credit)
+        {
+            return nullptr;
+        }
+        found->second->awaits_credit = false;
+        return found->second;
+    }
+
+    // Passes on a request that has all that it needs for that.
+    void begin(open_pointer const& open)
+    {
         if (is_take_up(*open) && !find_version(open))
         {
             return;
@@ -616,6 +768,8 @@
         request.service = open->service;
         request.model = open->request.model;
         request.adapter = open->request.adapter;
+        request.organisation = open->request.organisation;
+        request.cost = open->work;
         request.priority = open->route.priority;
         request.arrived = open->caller->arrived();
         request.deadline = open->deadline;
@@ -856,9 +1010,9 @@
         headers.taken_up_id =
             open.began_at_peer && open.request.taken_up_id.empty() ? open.request.request_id : std::string();
         request.method = "POST";
-        request.bytes =
-            encode_forwarded_head(open.request, request.body->size(), headers, attempt.servers_lent,
-                                  attempt.target.address, authorization ? authorization() : "");
+        request.bytes = encode_forwarded_head(
+            open.request, request.body->size(), headers, attempt.servers_lent, attempt.target.address,
+            authorization ? authorization() : "", open.caller_checked || access.is_active());
         request.time_limit = std::max<duration>(open.deadline - attempt.begun_at, milliseconds{1});
         request.connect_limit = std::min<duration>(peer_connect_time, request.time_limit / 2);
     }
@@ -1518,15 +1672,15 @@
         close(open, "server_error", open.failed_facts->status);
     }
 
-    void refuse(open_exchange& open, duration retry_after, std::string const& reason)
+    void refuse(open_exchange& open, duration retry_after, std::string const& reason, int status = 503)
     {
         open.last_failure = reason;
         metrics.add("siskin_refusals_total", reason, 1);
-        open.caller->answer(503,
+        open.caller->answer(status,
                             platform::encode_retry_after(retry_after) +
                                 (open.forwarded ? platform::encode_not_run(open.times_sent) : ""),
                             "");
-        close(open, "refused_not_run", 503);
+        close(open, refused_not_run, status);
     }
 
     void give_up(open_exchange& open, std::string const& reason)
@@ -1620,7 +1774,7 @@
             count_attempt(*open, *open->current,
                           sent ? attempt_result::caller_gone : attempt_result::not_sent);
         }
-        close(*open, "caller_gone", 0);
+        close(*open, caller_gone, 0);
         run_dispatcher();
     }
 
@@ -1631,6 +1785,7 @@
             crashes.end_trial(open.suspects, false);
         }
         stop_looking(open, "answered");
+        settle_quota(open, outcome);
         boost::system::error_code ignored;
         open.deadline_timer.cancel(ignored);
         open.progress_timer.cancel(ignored);
@@ -1638,6 +1793,21 @@
         exchanges.erase(open.number);
     }
 
+    // Work that has not run is not charged.
+    void settle_quota(open_exchange& open, std::string const& outcome)
+    {
+        if (std::exchange(open.awaits_credit, false))
+        {
+            quotas.withdraw(open.number);
+        }
+        bool const never_sent = !open.may_have_run && open.times_sent == 0;
+        bool const not_run = outcome == refused_not_run || (outcome == caller_gone && never_sent);
+        if (std::exchange(open.charged, false) && not_run)
+        {
+            quotas.give_back(open.request.organisation, open.quota_cost);
+        }
+    }
+
     boost::asio::io_context& loop;
     outbound_pool& pool;
     dispatcher& requests;
@@ -1646,6 +1816,8 @@
     stream_register& streams;
     server_reach& reach;
     relay_directory& relays;
+    caller_access& access;
+    quota_keeper& quotas;
     request_log log;
     metric_port& metrics;
     random_source random;
@@ -1668,17 +1840,27 @@
 request_service::request_service(boost::asio::io_context& loop, outbound_pool& pool, dispatcher& requests,
                                  service_retry_budget& retries, crash_reporter& crashes,
                                  stream_register& streams, server_reach& reach, relay_directory& relays,
-                                 log_port& log, metric_port& metrics, latency_port& latencies,
-                                 std::uint64_t seed)
+                                 caller_access& access, quota_keeper& quotas, log_port& log,
+                                 metric_port& metrics, latency_port& latencies, std::uint64_t seed)
     : impl_(std::make_shared<implementation>(loop, pool, requests, retries, crashes, streams, reach, relays,
-                                             log, metrics, latencies, seed))
+                                             access, quotas, log, metrics, latencies, seed))
 {
+    quotas.on_step(
+        [weak = std::weak_ptr<implementation>(impl_)](quota_step const& step)
+        {
+            if (auto const self = weak.lock())
+            {
+                std::visit([&self](auto const& each) { self->carry_out_quota(each); }, step);
+            }
+        });
 }
 
 request_service::~request_service() = default;
 
 void request_service::on_config(std::shared_ptr<serving_config const> config)
 {
+    impl_->access.on_config(config);
+    impl_->quotas.on_config(config);
     impl_->routes.emplace(std::move(config));
 }
 
@@ -1690,7 +1872,8 @@
         call->answer(400, "", "");
         return;
     }
-    impl_->accept(call->unwrap(decoded->head, std::move(decoded->body)), decoded->servers_left);
+    impl_->accept(call->unwrap(decoded->head, std::move(decoded->body)), decoded->servers_left,
+                  decoded->caller_checked);
 }
 
 void request_service::on_reach_change()
@@ -1718,6 +1901,11 @@
     impl_->accept(std::move(exchange));
 }
 
+std::optional<head_refusal> request_service::refuse_by_head(request_head const& head)
+{
+    return impl_->refuse_by_head(head);
+}
+
 void request_service::run_dispatcher()
 {
     impl_->run_dispatcher();
--- a/apps/request_service.hpp
+++ b/apps/request_service.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "adapters/caller_server.hpp"
+#include "apps/caller_access.hpp"
 #include "apps/crash_reporter.hpp"
+#include "apps/quota_keeper.hpp"
 #include "decision/dispatcher.hpp"
 #include "decision/relay_directory.hpp"
 #include "decision/server_reach.hpp"
@@ -37,14 +39,16 @@
     /// All references must outlive the service.
     request_service(boost::asio::io_context& loop, outbound_pool& pool, dispatcher& requests,
                     service_retry_budget& retries, crash_reporter& crashes, stream_register& streams,
-                    server_reach& reach, relay_directory& relays, log_port& log, metric_port& metrics,
-                    latency_port& latencies, std::uint64_t seed);
+                    server_reach& reach, relay_directory& relays, caller_access& access, quota_keeper& quotas,
+                    log_port& log, metric_port& metrics, latency_port& latencies, std::uint64_t seed);
     ~request_service();
     request_service(request_service const&) = delete;
     request_service& operator=(request_service const&) = delete;
 
     void on_config(std::shared_ptr<serving_config const> config);
     void on_request(std::shared_ptr<caller_exchange> exchange);
+    /// The refusal of a request whose caller has no valid key, by its head alone; none when it may go on.
+    std::optional<head_refusal> refuse_by_head(request_head const& head);
     /// Takes a request that a peer, which is cut off from all servers, has accepted.
     void on_forwarded(std::shared_ptr<caller_exchange> const& call);
     /// This instance has lost all servers, or reaches them again. What waits for a server, or has got no
--- a/decision/organisation_directory.cpp
+++ b/decision/organisation_directory.cpp
@@ -100,10 +100,11 @@
 
 std::uint64_t quota_cost(organisation_quota const& quota, std::optional<std::uint64_t> tokens)
 {
-    if (quota.unit == quota_unit::requests)
-    {
-        return 1;
-    }
+    return quota.unit == quota_unit::requests ? 1 : work_of(quota, tokens);
+}
+
+std::uint64_t work_of(organisation_quota const& quota, std::optional<std::uint64_t> tokens)
+{
     constexpr double max_cost = 1e15; // Above any limit; keeps the conversion in range.
     double const cost = tokens ? static_cast<double>(*tokens) : quota.plain_tokens;
     return static_cast<std::uint64_t>(std::ceil(std::min(cost, max_cost)));
--- a/decision/organisation_directory.hpp
+++ b/decision/organisation_directory.hpp
@@ -53,5 +53,7 @@
 /// What a request costs in the unit of the quota, rounded up. `tokens` are those that the request states, if
 /// it does.
 std::uint64_t quota_cost(organisation_quota const& quota, std::optional<std::uint64_t> tokens);
+/// The tokens that a request counts in the division of scarce room, whatever the unit of the quota.
+std::uint64_t work_of(organisation_quota const& quota, std::optional<std::uint64_t> tokens);
 
 } // namespace siskinusher
--- /dev/null
+++ b/decision/quota_issuer.cpp
@@ -0,0 +1,281 @@
+#include "decision/quota_issuer.hpp"
+
+#include "decision/quota_terms.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <unordered_map>
+#include <utility>
+
+namespace siskinusher
+{
+
+namespace
+{
+
+// Credit ahead of need is granted while the level is above this share of the capacity, and takes at most this
+// share of the level, so that what is left serves requests that wait elsewhere.
+constexpr double min_level_for_ahead = 0.25;
+constexpr double max_share_for_ahead = 0.125;
+// Time constant of the measured use of an organisation.
+constexpr double use_time_s = 2.0;
+// Callers that were told to come back are expected for this long at most; their retries end about then.
+constexpr double max_backlog_s = 3.0;
+// An organisation counts as over its limit for this long after a request was refused.
+constexpr duration over_limit_time = seconds{1};
+
+double seconds_between(steady_time from, steady_time to)
+{
+    return std::max(std::chrono::duration<double>(to - from).count(), 0.0);
+}
+
+struct outstanding_credit
+{
+    double held = 0.0;
+    steady_time expires;
+};
+
+struct bucket
+{
+    organisation_quota quota;
+    quota_terms terms;
+    double level = 0.0;
+    steady_time filled_at;
+    double unknown = 0.0; ///< Credit of an earlier holder that no instance has reported yet.
+    std::unordered_map<std::string, outstanding_credit> outstanding; ///< By instance.
+    double backlog = 0.0; ///< Cost of requests that were told to come back.
+    double use = 0.0;     ///< Units a second.
+    steady_time use_at;
+    std::optional<steady_time> refused_at;
+    bool told_over = false; ///< By take_changes().
+};
+
+bool is_limited(bucket const& of)
+{
+    return of.quota.per_second > 0.0;
+}
+
+double outstanding_sum(bucket const& of)
+{
+    double sum = 0.0;
+    for (auto const& [instance, credit] : of.outstanding)
+    {
+        sum += credit.held;
+    }
+    return sum;
+}
+
+void note_use(steady_time now, bucket& of, double cost)
+{
+    of.use = of.use * std::exp(-seconds_between(of.use_at, now) / use_time_s) + cost / use_time_s;
+    of.use_at = now;
+}
+
+} // namespace
+
+class quota_issuer::implementation
+{
+public:
+    explicit implementation(quota_bounds bounds_in) : bounds(bounds_in) {}
+
+    void refill(steady_time now, bucket& of) const
+    {
+        for (auto each = of.outstanding.begin(); each != of.outstanding.end();)
+        {
+            each = now >= each->second.expires ? of.outstanding.erase(each) : std::next(each);
+        }
+        double const passed = seconds_between(of.filled_at, now);
+        of.filled_at = now;
+        of.level += of.quota.per_second * passed;
+        of.backlog = std::max(of.backlog - of.quota.per_second * passed, 0.0);
+        bool const takes_over = lease_begun && now - *lease_begun < credit_lifetime;
+        if (!takes_over)
+        {
+            of.unknown = 0.0;
+        }
+        double const most = of.terms.capacity + (takes_over ? of.terms.for_takeover : 0.0);
+        of.level = std::min(of.level, std::max(most - of.unknown - outstanding_sum(of), 0.0));
+    }
+
+    // False for a question that was overtaken by a later one of the same start.
+    bool is_new(quota_question const& question)
+    {
+        auto& last = questions[question.instance];
+        if (last.first == question.start && last.second >= question.sequence)
+        {
+            return false;
+        }
+        last = {question.start, question.sequence};
+        return true;
+    }
+
+    quota_grant serve(steady_time now, std::string const& instance, quota_need const& need, bucket& of) const
+    {
+        note_use(now, of, static_cast<double>(need.spent));
+        quota_grant grant;
+        grant.organisation = need.organisation;
+        grant.spent_per_s = static_cast<std::uint64_t>(of.use);
+        if (!is_limited(of))
+        {
+            for (std::uint64_t const cost : need.waiting)
+            {
+                grant.granted += cost;
+            }
+            return grant;
+        }
+        take_statement(instance, need, of);
+        refill(now, of);
+        grant_waiting(now, need, of, grant);
+        if (grant.room_after_ms == 0 && of.level > min_level_for_ahead * of.terms.capacity)
+        {
+            double const ahead = std::min(static_cast<double>(need.ahead), max_share_for_ahead * of.level);
+            issue(of, grant, static_cast<std::uint64_t>(ahead));
+        }
+        outstanding_credit& credit = of.outstanding[instance];
+        credit.held += static_cast<double>(grant.granted);
+        credit.expires = now + credit_lifetime;
+        return grant;
+    }
+
+    // What the instance says that it holds and returns.
+    static void take_statement(std::string const& instance, quota_need const& need, bucket& of)
+    {
+        auto const held = static_cast<double>(need.held);
+        auto const [entry, is_first] = of.outstanding.try_emplace(instance);
+        if (is_first)
+        {
+            of.unknown = std::max(of.unknown - held, 0.0);
+        }
+        entry->second.held = held;
+        entry->second.expires = steady_time::max();     // Set once the grant is known.
+        of.level += static_cast<double>(need.returned); // refill() keeps it below the capacity.
+    }
+
+    static void issue(bucket& of, quota_grant& grant, std::uint64_t cost)
+    {
+        grant.granted += cost;
+        of.level -= static_cast<double>(cost);
+    }
+
+    void grant_waiting(steady_time now, quota_need const& need, bucket& of, quota_grant& grant) const
+    {
+        for (std::uint64_t const cost : need.waiting)
+        {
+            auto const needed = static_cast<double>(cost);
+            bool const fits = needed <= of.level;
+            // Nothing more can be saved up for a request that costs more than the capacity.
+            bool const oversized = needed > of.terms.capacity &&
+                                   needed <= of.terms.capacity + of.terms.for_repeats &&
+                                   of.level >= of.terms.capacity;
+            if (grant.room_after_ms == 0 && (fits || oversized))
+            {
+                issue(of, grant, cost);
+                continue;
+            }
+            if (grant.room_after_ms == 0)
+            {
+                grant.room_after_ms = room_after_ms(of, needed);
+            }
+            of.refused_at = now;
+            of.backlog = std::min(of.backlog + needed, of.quota.per_second * max_backlog_s);
+        }
+    }
+
+    static std::uint64_t room_after_ms(bucket const& of, double needed)
+    {
+        constexpr double ms_per_s = 1000.0;
+        double const missing = std::max(needed - of.level, 0.0) + of.backlog;
+        return static_cast<std::uint64_t>(std::ceil(missing / of.quota.per_second * ms_per_s)) + 1;
+    }
+
+    quota_bounds const bounds;
+    std::unordered_map<std::string, bucket> buckets; ///< By organisation, also those without a limit.
+    /// Start and sequence number of the latest question of each instance.
+    std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> questions;
+    std::optional<steady_time> lease_begun;
+};
+
+quota_issuer::quota_issuer(quota_bounds bounds) : impl_(std::make_unique<implementation>(bounds)) {}
+
+quota_issuer::~quota_issuer() = default;
+
+void quota_issuer::on_config(steady_time now, std::shared_ptr<serving_config const> config)
+{
+    std::unordered_map<std::string, bucket> kept;
+    if (config->organisations)
+    {
+        for (organisation const& each : *config->organisations)
+        {
+            auto const known = impl_->buckets.find(each.name);
+            bool const is_known = known != impl_->buckets.end();
+            bucket& of = kept[each.name];
+            of = is_known ? std::move(known->second) : bucket{};
+            bool const was_limited = is_known && is_limited(of);
+            of.quota = each.quota;
+            of.terms = terms_of(each.quota, impl_->bounds);
+            if (!was_limited)
+            {
+                of.level = of.terms.capacity;
+                of.filled_at = now;
+            }
+            if (is_limited(of))
+            {
+                impl_->refill(now, of);
+            }
+        }
+    }
+    impl_->buckets = std::move(kept);
+}
+
+void quota_issuer::begin_lease(steady_time now)
+{
+    impl_->lease_begun = now;
+    impl_->questions.clear();
+    for (auto& [name, of] : impl_->buckets)
+    {
+        of.outstanding.clear();
+        of.level = 0.0;
+        of.filled_at = now;
+        of.unknown = of.terms.capacity;
+        of.backlog = 0.0;
+    }
+}
+
+quota_reply quota_issuer::answer(steady_time now, unsigned instances, quota_question const& question)
+{
+    quota_reply reply;
+    reply.sequence = question.sequence;
+    reply.instances = instances;
+    if (!impl_->is_new(question))
+    {
+        return reply;
+    }
+    for (quota_need const& need : question.needs)
+    {
+        // An organisation that is not known here yet is left out; the instance asks again.
+        auto const found = impl_->buckets.find(need.organisation);
+        if (found != impl_->buckets.end())
+        {
+            reply.grants.push_back(impl_->serve(now, question.instance, need, found->second));
+        }
+    }
+    return reply;
+}
+
+std::vector<quota_issuer::standing> quota_issuer::take_changes(steady_time now)
+{
+    std::vector<standing> changes;
+    for (auto& [name, of] : impl_->buckets)
+    {
+        bool const over = of.refused_at && now - *of.refused_at < over_limit_time;
+        if (over != of.told_over)
+        {
+            of.told_over = over;
+            changes.push_back({name, of.level, outstanding_sum(of), of.terms.capacity, of.use, over});
+        }
+    }
+    return changes;
+}
+
+} // namespace siskinusher
--- /dev/null
+++ b/decision/quota_terms.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/steady_time.hpp"
+#include "domain/organisation.hpp"
+#include "domain/quota_exchange.hpp"
+
+namespace siskinusher
+{
+
+/// Credit can be spent for this long after its question was sent. It bridges a change of the lease holder,
+/// 1.5 to 4.8 s, for the most part, and bounds how long credit of a lost instance is missing.
+constexpr duration credit_lifetime = seconds{4};
+
+/// How the tolerance of an organisation's limit is divided. With D = slack + excess x (rate x window +
+/// burst), the limit holds in each window when all shares together stay below D.
+struct quota_terms
+{
+    double capacity = 0.0;       ///< Burst + D/4: credit that may be used at any moment, issued or not.
+    double for_takeover = 0.0;   ///< D/2: beyond the capacity while a new holder does not know all credit.
+    double without_holder = 0.0; ///< D/8: what all instances together use in a window without a holder.
+    double for_repeats = 0.0;    ///< D/8: requests that run twice, and single ones above the capacity.
+};
+
+quota_terms terms_of(organisation_quota const& quota, quota_bounds const& bounds);
+
+} // namespace siskinusher
--- a/domain/quota_exchange.hpp
+++ b/domain/quota_exchange.hpp
@@ -23,9 +23,10 @@
 struct quota_need
 {
     std::string organisation;
-    std::uint64_t held = 0;    ///< Credit in hand that has not expired.
-    std::uint64_t waiting = 0; ///< Cost of requests that wait for credit.
-    std::uint64_t ahead = 0;   ///< Credit wanted for requests to come.
+    std::uint64_t held = 0; ///< Credit in hand that has not expired.
+    /// What each request that waits lacks, in the order of their arrival; the first ones only.
+    std::vector<std::uint64_t> waiting;
+    std::uint64_t ahead = 0; ///< Credit wanted for requests to come.
     std::uint64_t returned =
         0;                   ///< Credit that expired, or whose request did not run, since the last question.
     std::uint64_t spent = 0; ///< Since the last question, less what was returned of it.
@@ -43,7 +44,7 @@
 {
     std::string organisation;
     std::uint64_t granted = 0;
-    std::uint64_t room_after_ms = 0; ///< When there is room for what waits; zero when all of it was granted.
+    std::uint64_t room_after_ms = 0; ///< When there is room for what waits; zero when it all was granted.
     std::uint64_t spent_per_s = 0;   ///< By all instances, of late.
 };
 
@@ -60,7 +61,8 @@
     request_number number = 0;
     std::string organisation;
     std::uint64_t cost = 0;
-    steady_time refuse_at; ///< It waits for an answer of the holder until then.
+    steady_time refuse_at;      ///< It waits for an answer of the holder until then.
+    steady_time submitted_at{}; ///< Set by the gate.
 };
 
 /// The request has its credit.
