Let requests wait for a new holder's credit, and issue what windows allow

Change: a lease that comes back in the same epoch keeps its books; a new holder lets requests wait; room that comes within 150 ms is waited for; a holder that has seen a whole window issues what the window allows beyond the rate.

--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -146,6 +146,10 @@
         {
             plan(now);
         }
+        if (has_organisations && lease_held)
+        {
+            log_quota_changes(now);
+        }
         timer.expires_after(tick_interval);
         timer.async_wait(
             [weak = weak_from_this()](boost::system::error_code error)
@@ -254,7 +258,12 @@
             if (holds)
             {
                 planner.begin_lease();
-                quotas.begin_lease(now);
+                // A lease that lapsed and was renewed by the same record had no other holder in between.
+                if (quota_epoch != lease.epoch())
+                {
+                    quota_epoch = lease.epoch();
+                    quotas.begin_lease(now);
+                }
             }
             state.on_lease(holds);
             log.write({holds ? "lease_gained" : "lease_lost", {{"epoch", std::to_string(lease.epoch())}}});
@@ -670,12 +679,28 @@
         {
             return std::nullopt;
         }
-        auto const reporting = std::count_if(peers.begin(), peers.end(),
-                                             [now](auto const& each)
-                                             { return now - each.second.reported_at < relay_lifetime; });
+        auto const reporting =
+            std::count_if(peers.begin(), peers.end(),
+                          [now](auto const& each) { return now - each.second.reported_at < relay_lifetime; });
         return quotas.answer(now, static_cast<unsigned>(reporting) + 1, question);
     }
 
+    void log_quota_changes(steady_time now)
+    {
+        auto const whole = [](double value) { return std::to_string(static_cast<std::int64_t>(value)); };
+        for (quota_issuer::standing const& each : quotas.take_changes(now))
+        {
+            log.write({"quota",
+                       {{"organisation", each.organisation},
+                        {"state", each.over_limit ? "over" : "within"},
+                        {"per_second", whole(each.per_second)},
+                        {"spent_per_s", whole(each.spent_per_s)},
+                        {"level", whole(each.level)},
+                        {"outstanding", whole(each.outstanding)},
+                        {"capacity", whole(each.capacity)}}});
+        }
+    }
+
     void answer_quota_question(caller_exchange& call)
     {
         auto const question = decode_quota_question(call.body());
@@ -760,8 +785,9 @@
         {
             plan(now);
         }
-        call->answer(200, "Content-Type: application/cbor\r\n" + encoded_standbys(now, *report) + encoded_config_age(),
-                     encoded_reply(now, *report));
+        call->answer(
+            200, "Content-Type: application/cbor\r\n" + encoded_standbys(now, *report) + encoded_config_age(),
+            encoded_reply(now, *report));
     }
 
     // Makes a store call for a peer that cannot reach the store.
@@ -826,6 +852,7 @@
     fleet_load load;
     fleet_limits limits;
     quota_issuer quotas;
+    std::optional<std::uint64_t> quota_epoch; ///< Of the lease under which credit was issued last.
     bool has_organisations = false;
     steady_time next_report;
     steady_time next_full_report;
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -52,8 +52,8 @@
 // A single change of the configuration is read at once; changes that follow it are gathered for this share of
 // the time within which they must be in force.
 constexpr double config_batch_delay_share = 0.3;
-// A watch that has to prove the configuration waits this share of the bound on the age of the proof at most, so
-// that one lost call does not use up the bound.
+// A watch that has to prove the configuration waits this share of the bound on the age of the proof at most,
+// so that one lost call does not use up the bound.
 constexpr double proof_wait_share = 0.2;
 // Interval between choices of the state source; short compared with the lifetime of a reply.
 constexpr duration choice_interval = milliseconds{100};
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -65,7 +65,8 @@
     void on_lease(bool holds);
     /// On the lease holder: the lease was written, by a call that was sent at `sent_at`.
     void on_renewed(store_revision const& revision, steady_time sent_at);
-    /// `config_current_at` is a time at which the configuration was the newest one, by the holder's knowledge.
+    /// `config_current_at` is a time at which the configuration was the newest one, by the holder's
+    /// knowledge.
     void on_reply(holder_reply const& reply, steady_time config_current_at);
     /// A standby answered a question for the state.
     void on_standby_reply(holder_reply const& reply, steady_time config_current_at);
--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -6,7 +6,6 @@
 #include <cmath>
 #include <deque>
 #include <map>
-#include <set>
 #include <utility>
 
 namespace siskinusher
@@ -33,6 +32,9 @@
 // they have given up.
 constexpr std::uint64_t max_retry_after_ms = 4000;
 constexpr duration max_retry_after = milliseconds{max_retry_after_ms};
+// A request waits for room that comes within this time. An organisation that is hardly over its limit is
+// smoothed so, and the caller is spared a second try.
+constexpr std::uint64_t max_smoothing_ms = 150;
 // Requests whose cost is stated in one question for one organisation; the others wait for the next one.
 constexpr std::size_t max_stated_requests = 64;
 
@@ -420,31 +422,29 @@
     impl_->open.reset();
     impl_->unanswered_since.reset();
     impl_->instances = reply.instances;
-    impl_->next_try = now;
-    std::set<std::string> answered;
     for (quota_grant const& grant : reply.grants)
     {
         account& of = impl_->accounts[grant.organisation];
-        answered.insert(grant.organisation);
         of.fleet_use = static_cast<double>(grant.spent_per_s);
         if (grant.granted > 0)
         {
             of.lots.push_back({grant.granted, asked_at + credit_lifetime});
         }
-        if (grant.room_after_ms > 0)
+        if (grant.room_after_ms > max_smoothing_ms)
         {
             auto const wait = milliseconds{
                 static_cast<std::int64_t>(std::min<std::uint64_t>(grant.room_after_ms, max_retry_after_ms))};
             of.refuse_until = now + wait;
         }
     }
-    for (auto const& [name, of] : impl_->accounts)
-    {
-        if (!of.waiting.empty() && answered.count(name) == 0)
-        {
-            impl_->next_try = now + retry_interval; // The holder does not know the organisation yet.
-        }
-    }
+    // What still waits, without a time for its return, is asked for again.
+    bool const lacks = std::any_of(impl_->accounts.begin(), impl_->accounts.end(),
+                                   [](auto const& each)
+                                   {
+                                       account const& of = each.second;
+                                       return !of.waiting.empty() && of.waiting.front().cost > credit_of(of);
+                                   });
+    impl_->next_try = lacks ? now + retry_interval : now;
 }
 
 void quota_gate::on_no_reply(steady_time now)
--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -4,7 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
+#include <cstddef>
+#include <deque>
 #include <unordered_map>
 #include <utility>
 
@@ -22,6 +23,9 @@
 constexpr double use_time_s = 2.0;
 // Callers that were told to come back are expected for this long at most; their retries end about then.
 constexpr double max_backlog_s = 3.0;
+// A new holder lets requests wait that it can serve within this time: their organisation may be within its
+// limit, and what the holder before it had saved up is lost.
+constexpr std::uint64_t max_takeover_wait_ms = 1000;
 // An organisation counts as over its limit for this long after a request was refused.
 constexpr duration over_limit_time = seconds{1};
 
@@ -30,6 +34,17 @@
     return std::max(std::chrono::duration<double>(to - from).count(), 0.0);
 }
 
+// The use of a window is kept in this many parts.
+constexpr std::size_t window_parts = 32;
+// What a window allows beyond the rate may be saved up for this long.
+constexpr double max_saved_s = 2.0;
+
+struct used_part
+{
+    steady_time begun_at;
+    double used = 0.0;
+};
+
 struct outstanding_credit
 {
     double held = 0.0;
@@ -44,6 +59,9 @@
     steady_time filled_at;
     double unknown = 0.0; ///< Credit of an earlier holder that no instance has reported yet.
     std::unordered_map<std::string, outstanding_credit> outstanding; ///< By instance.
+    /// What was used in the last window, the oldest part first.
+    std::deque<used_part> used;
+    double extra = 0.0;   ///< Saved up of what a window allows beyond the rate.
     double backlog = 0.0; ///< Cost of requests that were told to come back.
     double use = 0.0;     ///< Units a second.
     steady_time use_at;
@@ -81,23 +99,95 @@
 
     void refill(steady_time now, bucket& of) const
     {
-        for (auto each = of.outstanding.begin(); each != of.outstanding.end();)
-        {
-            each = now >= each->second.expires ? of.outstanding.erase(each) : std::next(each);
-        }
+        drop_expired(now, of);
         double const passed = seconds_between(of.filled_at, now);
         of.filled_at = now;
         of.level += of.quota.per_second * passed;
+        double const extra_per_s = extra_rate(of);
+        of.extra = std::min(of.extra + extra_per_s * passed, extra_per_s * max_saved_s);
         of.backlog = std::max(of.backlog - of.quota.per_second * passed, 0.0);
-        bool const takes_over = lease_begun && now - *lease_begun < credit_lifetime;
-        if (!takes_over)
+        if (!takes_over(now))
         {
             of.unknown = 0.0;
         }
-        double const most = of.terms.capacity + (takes_over ? of.terms.for_takeover : 0.0);
+        double const most = of.terms.capacity + (takes_over(now) ? of.terms.for_takeover : 0.0);
         of.level = std::min(of.level, std::max(most - of.unknown - outstanding_sum(of), 0.0));
     }
 
+    // Credit of the holder before may be outstanding.
+    bool takes_over(steady_time now) const { return lease_begun && now - *lease_begun < credit_lifetime; }
+
+    // Credit of an instance that asks no more may have been spent.
+    void drop_expired(steady_time now, bucket& of) const
+    {
+        for (auto each = of.outstanding.begin(); each != of.outstanding.end();)
+        {
+            if (now < each->second.expires)
+            {
+                ++each;
+                continue;
+            }
+            note_used(now, of, each->second.held);
+            each = of.outstanding.erase(each);
+        }
+    }
+
+    void note_used(steady_time now, bucket& of, double cost) const
+    {
+        while (!of.used.empty() && now - of.used.front().begun_at > bounds.window + part_length())
+        {
+            of.used.pop_front();
+        }
+        if (of.used.empty() || now - of.used.back().begun_at >= part_length())
+        {
+            of.used.push_back({now, 0.0});
+        }
+        of.used.back().used += cost;
+    }
+
+    // Work that did not run is taken off the oldest parts, which count no longer than it did.
+    static void take_off(bucket& of, double cost)
+    {
+        for (used_part& each : of.used)
+        {
+            double const part = std::min(each.used, cost);
+            each.used -= part;
+            cost -= part;
+        }
+    }
+
+    static double used_in_window(bucket const& of)
+    {
+        double sum = 0.0;
+        for (used_part const& each : of.used)
+        {
+            sum += each.used;
+        }
+        return sum;
+    }
+
+    duration part_length() const { return bounds.window / window_parts; }
+
+    // What a window allows beyond the rate, evenly.
+    double extra_rate(bucket const& of) const
+    {
+        double const window_s = std::chrono::duration<double>(bounds.window).count();
+        return window_s > 0.0 ? of.terms.capacity / window_s : 0.0;
+    }
+
+    // A limit on windows allows more than its rate and one burst: the burst may come back with each window. A
+    // holder that has seen a whole window issues that as well.
+    bool has_extra(steady_time now, bucket& of, double cost) const
+    {
+        bool const knows_window = !lease_begun || now - *lease_begun >= bounds.window;
+        if (!knows_window || cost > of.extra)
+        {
+            return false;
+        }
+        note_used(now, of, 0.0);
+        return used_in_window(of) + outstanding_sum(of) + cost <= of.terms.in_window;
+    }
+
     // False for a question that was overtaken by a later one of the same start.
     bool is_new(quota_question const& question)
     {
@@ -124,6 +214,7 @@
             }
             return grant;
         }
+        note_used(now, of, static_cast<double>(need.spent));
         take_statement(instance, need, of);
         refill(now, of);
         grant_waiting(now, need, of, grant);
@@ -150,6 +241,7 @@
         entry->second.held = held;
         entry->second.expires = steady_time::max();     // Set once the grant is known.
         of.level += static_cast<double>(need.returned); // refill() keeps it below the capacity.
+        take_off(of, static_cast<double>(need.returned));
     }
 
     static void issue(bucket& of, quota_grant& grant, std::uint64_t cost)
@@ -173,6 +265,12 @@
                 issue(of, grant, cost);
                 continue;
             }
+            if (grant.room_after_ms == 0 && has_extra(now, of, needed + static_cast<double>(grant.granted)))
+            {
+                grant.granted += cost;
+                of.extra -= needed;
+                continue;
+            }
             if (grant.room_after_ms == 0)
             {
                 grant.room_after_ms = room_after_ms(of, needed);
@@ -182,11 +280,13 @@
         }
     }
 
-    static std::uint64_t room_after_ms(bucket const& of, double needed)
+    std::uint64_t room_after_ms(bucket const& of, double needed) const
     {
         constexpr double ms_per_s = 1000.0;
         double const missing = std::max(needed - of.level, 0.0) + of.backlog;
-        return static_cast<std::uint64_t>(std::ceil(missing / of.quota.per_second * ms_per_s)) + 1;
+        return static_cast<std::uint64_t>(
+                   std::ceil(missing / (of.quota.per_second + extra_rate(of)) * ms_per_s)) +
+               1;
     }
 
     quota_bounds const bounds;
@@ -235,6 +335,8 @@
     for (auto& [name, of] : impl_->buckets)
     {
         of.outstanding.clear();
+        of.used.clear();
+        of.extra = 0.0;
         of.level = 0.0;
         of.filled_at = now;
         of.unknown = of.terms.capacity;
@@ -257,7 +359,10 @@
         auto const found = impl_->buckets.find(need.organisation);
         if (found != impl_->buckets.end())
         {
-            reply.grants.push_back(impl_->serve(now, question.instance, need, found->second));
+            quota_grant grant = impl_->serve(now, question.instance, need, found->second);
+            bool const waits = impl_->takes_over(now) && grant.room_after_ms <= max_takeover_wait_ms;
+            grant.room_after_ms = waits ? 0 : grant.room_after_ms;
+            reply.grants.push_back(std::move(grant));
         }
     }
     return reply;
@@ -272,7 +377,8 @@
         if (over != of.told_over)
         {
             of.told_over = over;
-            changes.push_back({name, of.level, outstanding_sum(of), of.terms.capacity, of.use, over});
+            changes.push_back(
+                {name, of.quota.per_second, of.level, outstanding_sum(of), of.terms.capacity, of.use, over});
         }
     }
     return changes;
--- a/decision/quota_issuer.hpp
+++ b/decision/quota_issuer.hpp
@@ -38,6 +38,7 @@
     struct standing
     {
         std::string organisation;
+        double per_second = 0.0;  ///< Its limit.
         double level = 0.0;       ///< Credit that can be issued now.
         double outstanding = 0.0; ///< Issued, and neither spent, returned nor expired.
         double capacity = 0.0;
--- a/decision/quota_terms.hpp
+++ b/decision/quota_terms.hpp
@@ -16,6 +16,7 @@
 struct quota_terms
 {
     double capacity = 0.0;       ///< Burst + D/4: credit that may be used at any moment, issued or not.
+    double in_window = 0.0;      ///< Rate x window + burst + D/4: what may be used in any window.
     double for_takeover = 0.0;   ///< D/2: beyond the capacity while a new holder does not know all credit.
     double without_holder = 0.0; ///< D/8: what all instances together use in a window without a holder.
     double for_repeats = 0.0;    ///< D/8: requests that run twice, and single ones above the capacity.
--- a/domain/quota_exchange.hpp
+++ b/domain/quota_exchange.hpp
@@ -44,7 +44,9 @@
 {
     std::string organisation;
     std::uint64_t granted = 0;
-    std::uint64_t room_after_ms = 0; ///< When there is room for what waits; zero when it all was granted.
+    /// When there is room for what waits beyond the granted; zero when it was granted, or is to be asked for
+    /// again soon.
+    std::uint64_t room_after_ms = 0;
     std::uint64_t spent_per_s = 0;   ///< By all instances, of late.
 };
 
