Keep the time of the next quota question when callers are refused

Cause: each refused request put off refuse_until, the time before which the gate asks no question, by its own cost / rate. Callers that sent faster than the limit at one instance put it off for as long as they sent, so that the instance never asked again. Change: the time told to callers is kept apart (told_until) and grows; the time of the next question stays the one that the holder named. The account of an organisation whose limit was removed no longer dereferences its missing limit.

--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -54,6 +54,7 @@
     steady_time need_at;
     double mean_cost = 0.0;
     steady_time refuse_until; ///< The holder named this time.
+    steady_time told_until;   ///< The latest time that a refused caller was told.
     double share_level = 0.0; ///< Of what the limit tolerates while no holder answers.
     steady_time share_at;
     steady_time used_at;
@@ -152,26 +153,26 @@
             steps.emplace_back(admit_request{first.number});
             of.waiting.pop_front();
         }
-        if (now < of.refuse_until)
+        if (limit != nullptr && now < of.refuse_until)
         {
             refuse_all(now, *limit, of, steps);
         }
         refuse_late(now, of, steps);
     }
 
+    // The time told to callers grows with what was told to come back before, so that they do not come back
+    // together. The time at which the holder is asked again stays: a flood would put it off for ever.
     static void refuse_all(steady_time now, organisation_quota const& limit, account& of,
                            std::vector<quota_step>& steps)
     {
         std::uint64_t const held = credit_of(of);
         for (quota_request const& each : of.waiting)
         {
-            duration const wait = std::min<duration>(of.refuse_until - now, max_retry_after);
-            steps.emplace_back(refuse_over_limit{each.number, wait, held});
-            // The callers do not come back together.
+            of.told_until = std::min(std::max(of.told_until, of.refuse_until), now + max_retry_after);
+            steps.emplace_back(refuse_over_limit{each.number, of.told_until - now, held});
             auto const room =
                 std::chrono::duration<double>(static_cast<double>(each.cost) / limit.per_second);
-            of.refuse_until =
-                std::min(of.refuse_until + std::chrono::duration_cast<duration>(room), now + max_retry_after);
+            of.told_until += std::chrono::duration_cast<duration>(room);
         }
         of.waiting.clear();
     }
