Count what the rate still adds before credit beyond it is issued

Cause: credit beyond the rate was issued while the use of the last window and the outstanding credit stayed within rate x window + capacity. The rate goes on afterwards, so that a window which begins within the one that was checked could contain up to about capacity + rate x 1.3 s more. The credit granted from the level by the same question was also compared with the extra that was saved up, which refused more than needed. Change: each window that contains the instant is checked, with what the rate adds until its end. Only the request's own cost is compared with the extra.

--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -42,6 +42,7 @@
 struct used_part
 {
     steady_time begun_at;
+    steady_time last_at;
     double used = 0.0;
 };
 
@@ -140,8 +141,9 @@
         }
         if (of.used.empty() || now - of.used.back().begun_at >= part_length())
         {
-            of.used.push_back({now, 0.0});
+            of.used.push_back({now, now, 0.0});
         }
+        of.used.back().last_at = now;
         of.used.back().used += cost;
     }
 
@@ -156,16 +158,6 @@
         }
     }
 
-    static double used_in_window(bucket const& of)
-    {
-        double sum = 0.0;
-        for (used_part const& each : of.used)
-        {
-            sum += each.used;
-        }
-        return sum;
-    }
-
     duration part_length() const { return bounds.window / window_parts; }
 
     // What a window allows beyond the rate, evenly.
@@ -175,17 +167,33 @@
         return window_s > 0.0 ? of.terms.capacity / window_s : 0.0;
     }
 
-    // A limit on windows allows more than its rate and one burst: the burst may come back with each window. A
-    // holder that has seen a whole window issues that as well.
-    bool has_extra(steady_time now, bucket& of, double cost) const
+    // What may be issued beyond the level such that each window stays within its bound, whatever the rate
+    // adds to the level in it: the level is never held back for what was issued beyond it before.
+    double room_beyond_level(steady_time now, bucket const& of) const
     {
-        bool const knows_window = !lease_begun || now - *lease_begun >= bounds.window;
-        if (!knows_window || cost > of.extra)
+        double const available = of.level + outstanding_sum(of);
+        // Of the windows that end from now on, those that have just lost a part are less full.
+        double most = available + of.quota.per_second * std::chrono::duration<double>(bounds.window).count();
+        double used = 0.0;
+        for (auto part = of.used.rbegin(); part != of.used.rend(); ++part)
         {
-            return false;
+            steady_time const end = part->last_at + bounds.window;
+            if (end < now)
+            {
+                break;
+            }
+            used += part->used;
+            most = std::max(most, used + available + of.quota.per_second * seconds_between(now, end));
         }
-        note_used(now, of, 0.0);
-        return used_in_window(of) + outstanding_sum(of) + cost <= of.terms.in_window;
+        return of.terms.in_window - most;
+    }
+
+    // A limit on windows allows more than its rate and one burst: the burst may come back with each window. A
+    // holder that has seen a whole window issues that as well. `granted` is for the question in work.
+    bool has_extra(steady_time now, bucket const& of, double cost, double granted) const
+    {
+        bool const knows_window = !lease_begun || now - *lease_begun >= bounds.window;
+        return knows_window && cost <= of.extra && cost + granted <= room_beyond_level(now, of);
     }
 
     // False for a question that was overtaken by a later one of the same start.
@@ -265,7 +273,7 @@
                 issue(of, grant, cost);
                 continue;
             }
-            if (grant.room_after_ms == 0 && has_extra(now, of, needed + static_cast<double>(grant.granted)))
+            if (grant.room_after_ms == 0 && has_extra(now, of, needed, static_cast<double>(grant.granted)))
             {
                 grant.granted += cost;
                 of.extra -= needed;
