Count credit of the holder before for organisations learnt after the lease

Cause: a holder that reads an organisation's configuration within the first 4 s of its lease began with a full level for it, though the holder before, which knew the organisation, may have issued its whole capacity. Change: such an organisation begins at level 0 with its capacity counted as outstanding, as at begin_lease().

--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -324,7 +324,9 @@
             of.terms = terms_of(each.quota, impl_->bounds);
             if (!was_limited)
             {
-                of.level = of.terms.capacity;
+                // The holder before may have issued credit for it.
+                of.unknown = impl_->takes_over(now) ? of.terms.capacity : 0.0;
+                of.level = of.terms.capacity - of.unknown;
                 of.filled_at = now;
             }
             if (is_limited(of))
