Return credit once, and only while its window is open

Cause: (1) After a question without a reply, an instance told its returned credit again. When only the reply was lost, the holder added it to the level twice. (2) Work that ended as not run and credit that expired were returned however long ago they were admitted or expired, so that a window which did not contain them was served their cost once more. An instance that had been cut off returned credit that the holder had replaced long before. Change: each account keeps what was admitted with credit in the last window, in 32 parts; returned work is taken off the oldest part, and returned credit older than a window is dropped. Returned credit is told once.

--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <numeric>
 #include <utility>
 
 namespace siskinusher
@@ -44,11 +45,15 @@
     steady_time expires;
 };
 
+// Cost by the time from which on it counts, in parts of a window.
+using dated_cost = std::map<steady_time, std::uint64_t>;
+
 struct account
 {
     std::deque<credit_lot> lots; ///< The first one expires first.
     std::deque<quota_request> waiting;
-    std::uint64_t returned = 0; ///< Since the last question that was answered.
+    dated_cost admitted; ///< With credit, within the last window.
+    dated_cost returned; ///< Since the last question.
     std::uint64_t spent = 0;
     double need = 0.0; ///< Cost a second.
     steady_time need_at;
@@ -66,7 +71,7 @@
 {
     std::uint64_t sequence = 0;
     steady_time asked_at;
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> told; ///< Returned and spent.
+    std::map<std::string, std::uint64_t> told; ///< Spent.
 };
 
 double seconds_between(steady_time from, steady_time to)
@@ -89,13 +94,10 @@
     return of.need * std::exp(-seconds_between(of.need_at, now) / need_time_s);
 }
 
-void drop_expired(steady_time now, account& of)
+std::uint64_t sum_of(dated_cost const& of)
 {
-    while (!of.lots.empty() && now >= of.lots.front().expires)
-    {
-        of.returned += of.lots.front().amount;
-        of.lots.pop_front();
-    }
+    return std::accumulate(of.begin(), of.end(), std::uint64_t{0},
+                           [](std::uint64_t sum, auto const& each) { return sum + each.second; });
 }
 
 void spend(account& of, std::uint64_t cost)
@@ -131,6 +133,50 @@
         return found == limits.end() ? nullptr : &found->second;
     }
 
+    // Adds to the part of a window in which `at` is; a part counts from its beginning.
+    void add(dated_cost& to, steady_time at, std::uint64_t cost) const
+    {
+        constexpr int window_parts = 32;
+        duration const length = std::max<duration>(bounds.window / window_parts, microseconds{1});
+        to[at - at.time_since_epoch() % length] += cost;
+    }
+
+    // What counts from before the last window cannot be used again: it is in no window that is still open.
+    void drop_old(steady_time now, dated_cost& of) const
+    {
+        of.erase(of.begin(), of.upper_bound(now - bounds.window));
+    }
+
+    void drop_expired(steady_time now, account& of) const
+    {
+        while (!of.lots.empty() && now >= of.lots.front().expires)
+        {
+            add(of.returned, of.lots.front().expires, of.lots.front().amount);
+            of.lots.pop_front();
+        }
+        drop_old(now, of.returned);
+        drop_old(now, of.admitted);
+    }
+
+    // Work that was admitted in the last window and did not run is returned. Which work it was is not known:
+    // the oldest, which counts for the shortest time.
+    void give_back(steady_time now, account& of, std::uint64_t cost) const
+    {
+        drop_old(now, of.admitted);
+        while (cost > 0 && !of.admitted.empty())
+        {
+            auto const oldest = of.admitted.begin();
+            std::uint64_t const part = std::min(cost, oldest->second);
+            add(of.returned, oldest->first, part);
+            oldest->second -= part;
+            cost -= part;
+            if (oldest->second == 0)
+            {
+                of.admitted.erase(oldest);
+            }
+        }
+    }
+
     void step_account(steady_time now, std::string const& name, account& of, std::vector<quota_step>& steps)
     {
         organisation_quota const* const limit = limit_of(name);
@@ -145,6 +191,7 @@
             else if (first.cost <= credit_of(of))
             {
                 spend(of, first.cost);
+                add(of.admitted, now, first.cost);
             }
             else if (!take_share(now, *limit, of, first.cost))
             {
@@ -231,7 +278,7 @@
         quota_need need;
         need.organisation = name;
         need.held = credit_of(of);
-        need.returned = of.returned;
+        need.returned = sum_of(of.returned);
         need.spent = of.spent;
         if (limit_of(name) == nullptr)
         {
@@ -261,7 +308,7 @@
             return false;
         }
         // Credit counts against the limit at the holder until it is told to be spent.
-        bool const has_news = of.returned > 0 || of.spent > 0;
+        bool const has_news = !of.returned.empty() || of.spent > 0;
         bool const wants_ahead = now >= of.refuse_until && ahead_of(now, of) > 0;
         return !of.waiting.empty() || (now >= next_ahead && (has_news || wants_ahead));
     }
@@ -343,7 +390,7 @@
 {
     // Not to the credit in hand: a mass of refused requests could be spent again at once.
     account& of = impl_->accounts[organisation];
-    of.returned += cost;
+    impl_->give_back(now, of, cost);
     of.spent -= std::min(of.spent, cost);
     of.used_at = now;
 }
@@ -374,7 +421,7 @@
             at(std::max(impl_->next_try, now));
         }
         bool const is_used =
-            !of.lots.empty() || of.returned > 0 || of.spent > 0 || implementation::ahead_of(now, of) > 0;
+            !of.lots.empty() || !of.returned.empty() || of.spent > 0 || implementation::ahead_of(now, of) > 0;
         if (is_used && impl_->limit_of(name) != nullptr && !impl_->open)
         {
             at(std::max({impl_->next_ahead, impl_->next_try, now + retry_interval}));
@@ -400,14 +447,14 @@
     open_question open{question.sequence, now, {}};
     for (auto& [name, of] : impl_->accounts)
     {
-        drop_expired(now, of);
+        impl_->drop_expired(now, of);
         quota_need need = impl_->need_for(now, name, of);
         if (need.held + need.ahead + need.returned + need.spent == 0 && need.waiting.empty())
         {
             continue;
         }
-        open.told[name] = {of.returned, of.spent};
-        of.returned = 0;
+        open.told[name] = of.spent;
+        of.returned.clear();
         of.spent = 0;
         question.needs.push_back(std::move(need));
     }
@@ -457,11 +504,11 @@
     {
         return;
     }
-    for (auto const& [name, told] : impl_->open->told)
+    // What was returned is not told again: the holder may have added it to the level, and only the reply was
+    // lost. What was spent may be counted twice.
+    for (auto const& [name, spent] : impl_->open->told)
     {
-        account& of = impl_->accounts[name];
-        of.returned += told.first;
-        of.spent += told.second;
+        impl_->accounts[name].spent += spent;
     }
     impl_->unanswered_since = impl_->unanswered_since.value_or(impl_->open->asked_at);
     impl_->open.reset();
