Take returned credit back only where the windows have room for it

Cause: everything that was returned was added to the level and taken off the use of the window, whether or not it had been counted as used. Credit that expired, and work refused before it was told as spent, was never counted, so that its return lowered the use that other requests had caused; work that had been spent earlier could be issued again in a window that did not contain it. Change: the holder derives from the credit that the instance held before how much of what is returned was counted as used. Only that is taken off the windows, and it is added to the level as far as each window that contains the instant has room. A new holder, which does not know these windows, takes back half of its takeover share (D/4) and uses the other half for its level.

--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -26,6 +26,9 @@
 // A new holder lets requests wait that it can serve within this time: their organisation may be within its
 // limit, and what the holder before it had saved up is lost.
 constexpr std::uint64_t max_takeover_wait_ms = 1000;
+// A new holder uses this share of the tolerance for it for its level, and the same for credit that is
+// returned: it does not know whether that is in a window that is still open.
+constexpr double share_of_takeover = 0.5;
 // An organisation counts as over its limit for this long after a request was refused.
 constexpr duration over_limit_time = seconds{1};
 
@@ -62,9 +65,10 @@
     std::unordered_map<std::string, outstanding_credit> outstanding; ///< By instance.
     /// What was used in the last window, the oldest part first.
     std::deque<used_part> used;
-    double extra = 0.0;   ///< Saved up of what a window allows beyond the rate.
-    double backlog = 0.0; ///< Cost of requests that were told to come back.
-    double use = 0.0;     ///< Units a second.
+    double returns_left = 0.0; ///< Accepted while the windows before the lease are not known.
+    double extra = 0.0;        ///< Saved up of what a window allows beyond the rate.
+    double backlog = 0.0;      ///< Cost of requests that were told to come back.
+    double use = 0.0;          ///< Units a second.
     steady_time use_at;
     std::optional<steady_time> refused_at;
     bool told_over = false; ///< By take_changes().
@@ -111,10 +115,18 @@
         {
             of.unknown = 0.0;
         }
-        double const most = of.terms.capacity + (takes_over(now) ? of.terms.for_takeover : 0.0);
+        limit_level(now, of);
+    }
+
+    void limit_level(steady_time now, bucket& of) const
+    {
+        double const most =
+            of.terms.capacity + (takes_over(now) ? share_of_takeover * of.terms.for_takeover : 0.0);
         of.level = std::min(of.level, std::max(most - of.unknown - outstanding_sum(of), 0.0));
     }
 
+    bool knows_window(steady_time now) const { return !lease_begun || now - *lease_begun >= bounds.window; }
+
     // Credit of the holder before may be outstanding.
     bool takes_over(steady_time now) const { return lease_begun && now - *lease_begun < credit_lifetime; }
 
@@ -192,8 +204,7 @@
     // holder that has seen a whole window issues that as well. `granted` is for the question in work.
     bool has_extra(steady_time now, bucket const& of, double cost, double granted) const
     {
-        bool const knows_window = !lease_begun || now - *lease_begun >= bounds.window;
-        return knows_window && cost <= of.extra && cost + granted <= room_beyond_level(now, of);
+        return knows_window(now) && cost <= of.extra && cost + granted <= room_beyond_level(now, of);
     }
 
     // False for a question that was overtaken by a later one of the same start.
@@ -223,8 +234,9 @@
             return grant;
         }
         note_used(now, of, static_cast<double>(need.spent));
-        take_statement(instance, need, of);
+        double const taken_off = take_statement(instance, need, of);
         refill(now, of);
+        restore(now, need, taken_off, of);
         grant_waiting(now, need, of, grant);
         if (grant.room_after_ms == 0 && of.level > min_level_for_ahead * of.terms.capacity)
         {
@@ -237,8 +249,8 @@
         return grant;
     }
 
-    // What the instance says that it holds and returns.
-    static void take_statement(std::string const& instance, quota_need const& need, bucket& of)
+    // What the instance says that it holds. Returns how much of what it returns had been counted as used.
+    static double take_statement(std::string const& instance, quota_need const& need, bucket& of)
     {
         auto const held = static_cast<double>(need.held);
         auto const [entry, is_first] = of.outstanding.try_emplace(instance);
@@ -246,10 +258,26 @@
         {
             of.unknown = std::max(of.unknown - held, 0.0);
         }
+        // The rest of what left the outstanding credit was not spent: it expired, or its work did not run.
+        double const unspent = std::max(entry->second.held - held - static_cast<double>(need.spent), 0.0);
         entry->second.held = held;
-        entry->second.expires = steady_time::max();     // Set once the grant is known.
-        of.level += static_cast<double>(need.returned); // refill() keeps it below the capacity.
-        take_off(of, static_cast<double>(need.returned));
+        entry->second.expires = steady_time::max(); // Set once the grant is known.
+        return std::max(static_cast<double>(need.returned) - unspent, 0.0);
+    }
+
+    // Adds what is returned to the level. What had been counted as used is added as far as each window that
+    // contains this instant has room for it. A new holder does not know the windows: it accepts what its
+    // share of the tolerance covers.
+    void restore(steady_time now, quota_need const& need, double taken_off, bucket& of) const
+    {
+        of.level += static_cast<double>(need.returned) - taken_off;
+        take_off(of, taken_off);
+        double& left = of.returns_left;
+        double const most = knows_window(now) ? std::max(room_beyond_level(now, of), 0.0) : left;
+        double const accepted = std::min(taken_off, most);
+        left = knows_window(now) ? 0.0 : left - accepted;
+        of.level += accepted;
+        limit_level(now, of);
     }
 
     static void issue(bucket& of, quota_grant& grant, std::uint64_t cost)
@@ -327,6 +355,7 @@
                 // The holder before may have issued credit for it.
                 of.unknown = impl_->takes_over(now) ? of.terms.capacity : 0.0;
                 of.level = of.terms.capacity - of.unknown;
+                of.returns_left = share_of_takeover * of.terms.for_takeover;
                 of.filled_at = now;
             }
             if (is_limited(of))
@@ -350,6 +379,7 @@
         of.level = 0.0;
         of.filled_at = now;
         of.unknown = of.terms.capacity;
+        of.returns_left = share_of_takeover * of.terms.for_takeover;
         of.backlog = 0.0;
     }
 }
