Issue credit ahead to organisations beyond their limit, and ask again soon

Cause: an organisation beyond its limit was told to come back after the time that all refused callers before it needed, up to 3 s, and its instances asked for no credit meanwhile; the level rose unused. Change: the reply tells separately when the instance may ask again (0.2 s at least) and when callers may come back; credit ahead of need is granted below a quarter of the capacity too, in parts of at least one typical request.

--- a/adapters/quota_codec.cpp
+++ b/adapters/quota_codec.cpp
@@ -48,30 +48,32 @@
 
 json encode_need(quota_need const& need)
 {
-    return json::array({need.organisation, need.held, need.waiting, need.ahead, need.returned, need.spent});
+    return json::array(
+        {need.organisation, need.held, need.waiting, need.ahead, need.returned, need.spent, need.typical});
 }
 
 std::optional<quota_need> decode_need(json const& row)
 {
-    bool const usable = is_named_row(row, 6) && is_amount(row[1]) && row[2].is_array() &&
-                        are_amounts(row[2], 0, row[2].size()) && are_amounts(row, 3, 6);
+    bool const usable = is_named_row(row, 7) && is_amount(row[1]) && row[2].is_array() &&
+                        are_amounts(row[2], 0, row[2].size()) && are_amounts(row, 3, 7);
     if (!usable)
     {
         return std::nullopt;
     }
     return quota_need{
         row[0].get<std::string>(),   row[1].get<std::uint64_t>(), row[2].get<std::vector<std::uint64_t>>(),
-        row[3].get<std::uint64_t>(), row[4].get<std::uint64_t>(), row[5].get<std::uint64_t>()};
+        row[3].get<std::uint64_t>(), row[4].get<std::uint64_t>(), row[5].get<std::uint64_t>(),
+        row[6].get<std::uint64_t>()};
 }
 
 std::optional<quota_grant> decode_grant(json const& row)
 {
-    if (!is_named_row(row, 4) || !are_amounts(row, 1, 4))
+    if (!is_named_row(row, 5) || !are_amounts(row, 1, 5))
     {
         return std::nullopt;
     }
     return quota_grant{row[0].get<std::string>(), row[1].get<std::uint64_t>(), row[2].get<std::uint64_t>(),
-                       row[3].get<std::uint64_t>()};
+                       row[3].get<std::uint64_t>(), row[4].get<std::uint64_t>()};
 }
 
 template <typename Value, typename Decode>
@@ -126,8 +128,8 @@
     json grants = json::array();
     for (quota_grant const& each : reply.grants)
     {
-        grants.push_back(
-            json::array({each.organisation, each.granted, each.room_after_ms, each.spent_per_s}));
+        grants.push_back(json::array(
+            {each.organisation, each.granted, each.room_after_ms, each.ask_after_ms, each.spent_per_s}));
     }
     return to_bytes(json::array({reply.sequence, reply.instances, std::move(grants)}));
 }
--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -36,6 +36,9 @@
 // A request waits for room that comes within this time. An organisation that is hardly over its limit is
 // smoothed so, and the caller is spared a second try.
 constexpr std::uint64_t max_smoothing_ms = 150;
+// An organisation without room is not asked for again for this time at least: 65 instances that ask for each
+// request of a flood would take a tenth of a core of the holder.
+constexpr std::uint64_t min_refusal_ms = 200;
 // Requests whose cost is stated in one question for one organisation; the others wait for the next one.
 constexpr std::size_t max_stated_requests = 64;
 
@@ -58,7 +61,7 @@
     double need = 0.0; ///< Cost a second.
     steady_time need_at;
     double mean_cost = 0.0;
-    steady_time refuse_until; ///< The holder named this time.
+    steady_time refuse_until; ///< There is no room, and the holder is not asked before.
     steady_time told_until;   ///< The latest time that a refused caller was told.
     double share_level = 0.0; ///< Of what the limit tolerates while no holder answers.
     steady_time share_at;
@@ -285,6 +288,7 @@
             return need;
         }
         need.ahead = ahead_of(now, of);
+        need.typical = static_cast<std::uint64_t>(of.mean_cost);
         std::uint64_t available = need.held;
         for (quota_request const& each : of.waiting)
         {
@@ -483,9 +487,12 @@
         }
         if (grant.room_after_ms > max_smoothing_ms)
         {
-            auto const wait = milliseconds{
-                static_cast<std::int64_t>(std::min<std::uint64_t>(grant.room_after_ms, max_retry_after_ms))};
-            of.refuse_until = now + wait;
+            auto const from_now = [now](std::uint64_t ms) {
+                return now + milliseconds{
+                                 static_cast<std::int64_t>(std::min<std::uint64_t>(ms, max_retry_after_ms))};
+            };
+            of.refuse_until = from_now(std::max(grant.ask_after_ms, min_refusal_ms));
+            of.told_until = std::max(of.told_until, from_now(grant.room_after_ms));
         }
     }
     // What still waits, without a time for its return, is asked for again.
--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -15,9 +15,9 @@
 namespace
 {
 
-// Credit ahead of need is granted while the level is above this share of the capacity, and takes at most this
-// share of the level, so that what is left serves requests that wait elsewhere.
-constexpr double min_level_for_ahead = 0.25;
+// Credit ahead of need takes at most this share of the level, so that what is left serves requests that wait
+// elsewhere. An organisation beyond its limit gets it too: each instance then spends its part without a
+// question for each request.
 constexpr double max_share_for_ahead = 0.125;
 // Time constant of the measured use of an organisation.
 constexpr double use_time_s = 2.0;
@@ -238,9 +238,9 @@
         refill(now, of);
         restore(now, need, taken_off, of);
         grant_waiting(now, need, of, grant);
-        if (grant.room_after_ms == 0 && of.level > min_level_for_ahead * of.terms.capacity)
+        double const ahead = std::min(static_cast<double>(need.ahead), max_share_for_ahead * of.level);
+        if (ahead >= static_cast<double>(need.typical))
         {
-            double const ahead = std::min(static_cast<double>(need.ahead), max_share_for_ahead * of.level);
             issue(of, grant, static_cast<std::uint64_t>(ahead));
         }
         outstanding_credit& credit = of.outstanding[instance];
@@ -309,17 +309,18 @@
             }
             if (grant.room_after_ms == 0)
             {
-                grant.room_after_ms = room_after_ms(of, needed);
+                double const missing = std::max(needed - of.level, 0.0);
+                grant.ask_after_ms = time_to_issue_ms(of, missing);
+                grant.room_after_ms = time_to_issue_ms(of, missing + of.backlog);
             }
             of.refused_at = now;
             of.backlog = std::min(of.backlog + needed, of.quota.per_second * max_backlog_s);
         }
     }
 
-    std::uint64_t room_after_ms(bucket const& of, double needed) const
+    std::uint64_t time_to_issue_ms(bucket const& of, double missing) const
     {
         constexpr double ms_per_s = 1000.0;
-        double const missing = std::max(needed - of.level, 0.0) + of.backlog;
         return static_cast<std::uint64_t>(
                    std::ceil(missing / (of.quota.per_second + extra_rate(of)) * ms_per_s)) +
                1;
@@ -402,6 +403,7 @@
             quota_grant grant = impl_->serve(now, question.instance, need, found->second);
             bool const waits = impl_->takes_over(now) && grant.room_after_ms <= max_takeover_wait_ms;
             grant.room_after_ms = waits ? 0 : grant.room_after_ms;
+            grant.ask_after_ms = waits ? 0 : grant.ask_after_ms;
             reply.grants.push_back(std::move(grant));
         }
     }
--- a/domain/quota_exchange.cpp
+++ b/domain/quota_exchange.cpp
@@ -12,8 +12,8 @@
 
 bool operator==(quota_need const& a, quota_need const& b)
 {
-    return std::tie(a.organisation, a.held, a.waiting, a.ahead, a.returned, a.spent) ==
-           std::tie(b.organisation, b.held, b.waiting, b.ahead, b.returned, b.spent);
+    return std::tie(a.organisation, a.held, a.waiting, a.ahead, a.returned, a.spent, a.typical) ==
+           std::tie(b.organisation, b.held, b.waiting, b.ahead, b.returned, b.spent, b.typical);
 }
 
 bool operator==(quota_question const& a, quota_question const& b)
@@ -24,8 +24,8 @@
 
 bool operator==(quota_grant const& a, quota_grant const& b)
 {
-    return std::tie(a.organisation, a.granted, a.room_after_ms, a.spent_per_s) ==
-           std::tie(b.organisation, b.granted, b.room_after_ms, b.spent_per_s);
+    return std::tie(a.organisation, a.granted, a.room_after_ms, a.ask_after_ms, a.spent_per_s) ==
+           std::tie(b.organisation, b.granted, b.room_after_ms, b.ask_after_ms, b.spent_per_s);
 }
 
 bool operator==(quota_reply const& a, quota_reply const& b)
--- a/domain/quota_exchange.hpp
+++ b/domain/quota_exchange.hpp
@@ -30,6 +30,7 @@
     std::uint64_t returned =
         0;                   ///< Credit that expired, or whose request did not run, since the last question.
     std::uint64_t spent = 0; ///< Since the last question, less what was returned of it.
+    std::uint64_t typical = 0; ///< Cost of a usual request; less credit is of no use.
 };
 
 struct quota_question
@@ -44,10 +45,12 @@
 {
     std::string organisation;
     std::uint64_t granted = 0;
-    /// When there is room for what waits beyond the granted; zero when it was granted, or is to be asked for
-    /// again soon.
+    /// When callers of what waits beyond the granted may come back, those before them counted; zero when it
+    /// was granted, or is to be asked for again soon.
     std::uint64_t room_after_ms = 0;
-    std::uint64_t spent_per_s = 0;   ///< By all instances, of late.
+    /// When the instance may ask again for an organisation that has no room; zero like room_after_ms.
+    std::uint64_t ask_after_ms = 0;
+    std::uint64_t spent_per_s = 0; ///< By all instances, of late.
 };
 
 struct quota_reply
