Tell spent credit in full, apart from what is returned of it

Cause: returned cost was subtracted from what was spent since the last question, although the work that did not run had mostly been told as spent before. The holder then missed the use of other work that ran. Change: for an organisation with a limit, spent is told in full and returned beside it (the comment of quota_need::spent says so; the wire form is the same).

--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -388,11 +388,15 @@
 
 void quota_gate::give_back(steady_time now, std::string const& organisation, std::uint64_t cost)
 {
-    // Not to the credit in hand: a mass of refused requests could be spent again at once.
     account& of = impl_->accounts[organisation];
-    impl_->give_back(now, of, cost);
-    of.spent -= std::min(of.spent, cost);
     of.used_at = now;
+    if (impl_->limit_of(organisation) == nullptr)
+    {
+        of.spent -= std::min(of.spent, cost);
+        return;
+    }
+    // Not to the credit in hand: a mass of refused requests could be spent again at once.
+    impl_->give_back(now, of, cost);
 }
 
 std::vector<quota_step> quota_gate::step(steady_time now)
--- a/domain/quota_exchange.hpp
+++ b/domain/quota_exchange.hpp
@@ -28,8 +28,9 @@
     std::vector<std::uint64_t> waiting;
     std::uint64_t ahead = 0; ///< Credit wanted for requests to come.
     std::uint64_t returned =
-        0;                   ///< Credit that expired, or whose request did not run, since the last question.
-    std::uint64_t spent = 0; ///< Since the last question, less what was returned of it.
+        0; ///< Credit that expired, or whose request did not run, since the last question.
+    /// Since the last question; for an organisation with a limit, also what is returned of it.
+    std::uint64_t spent = 0;
 };
 
 struct quota_question
@@ -47,7 +48,7 @@
     /// When there is room for what waits beyond the granted; zero when it was granted, or is to be asked for
     /// again soon.
     std::uint64_t room_after_ms = 0;
-    std::uint64_t spent_per_s = 0;   ///< By all instances, of late.
+    std::uint64_t spent_per_s = 0; ///< By all instances, of late.
 };
 
 struct quota_reply
