Count credit of a restarted instance as used, and restore credit of lost replies

Cause: credit that an instance neither held nor told as spent was dropped from the outstanding credit and counted nowhere. After a restart the instance may have spent it, so that the use of the window was too low for what is issued beyond the rate. Where the instance was not restarted, the credit was in a reply that was lost, or returned in a question without a reply; it is surely unused and was lost to the organisation. Change: the holder keeps the start of the instance with its credit. What is not accounted for goes back to the level when the start is the same (the gate ignores the lost reply from now on), and counts as used otherwise. The measured use of an organisation no longer includes what was returned.

--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -53,6 +53,7 @@
 {
     double held = 0.0;
     steady_time expires;
+    std::uint64_t start = 0; ///< Of the instance.
 };
 
 struct bucket
@@ -91,7 +92,8 @@
 
 void note_use(steady_time now, bucket& of, double cost)
 {
-    of.use = of.use * std::exp(-seconds_between(of.use_at, now) / use_time_s) + cost / use_time_s;
+    double const earlier = of.use * std::exp(-seconds_between(of.use_at, now) / use_time_s);
+    of.use = std::max(earlier + cost / use_time_s, 0.0);
     of.use_at = now;
 }
 
@@ -219,58 +221,71 @@
         return true;
     }
 
-    quota_grant serve(steady_time now, std::string const& instance, quota_need const& need, bucket& of) const
+    quota_grant serve(steady_time now, quota_question const& question, quota_need const& need,
+                      bucket& of) const
     {
-        note_use(now, of, static_cast<double>(need.spent));
         quota_grant grant;
         grant.organisation = need.organisation;
-        grant.spent_per_s = static_cast<std::uint64_t>(of.use);
         if (!is_limited(of))
         {
+            note_use(now, of, static_cast<double>(need.spent));
+            grant.spent_per_s = static_cast<std::uint64_t>(of.use);
             for (std::uint64_t const cost : need.waiting)
             {
                 grant.granted += cost;
             }
             return grant;
         }
-        note_used(now, of, static_cast<double>(need.spent));
-        double const taken_off = take_statement(instance, need, of);
+        double unused = 0.0;
+        double taken_off = 0.0;
+        take_statement(now, question, need, of, unused, taken_off);
+        note_use(now, of, static_cast<double>(need.spent) - taken_off);
+        grant.spent_per_s = static_cast<std::uint64_t>(of.use);
         refill(now, of);
-        restore(now, need, taken_off, of);
+        restore(now, unused, taken_off, of);
         grant_waiting(now, need, of, grant);
         if (grant.room_after_ms == 0 && of.level > min_level_for_ahead * of.terms.capacity)
         {
             double const ahead = std::min(static_cast<double>(need.ahead), max_share_for_ahead * of.level);
             issue(of, grant, static_cast<std::uint64_t>(ahead));
         }
-        outstanding_credit& credit = of.outstanding[instance];
+        outstanding_credit& credit = of.outstanding[question.instance];
         credit.held += static_cast<double>(grant.granted);
         credit.expires = now + credit_lifetime;
         return grant;
     }
 
-    // What the instance says that it holds. Returns how much of what it returns had been counted as used.
-    static double take_statement(std::string const& instance, quota_need const& need, bucket& of)
+    // What the instance says that it holds. Sets how much goes back to the level: `unused` was never counted
+    // as used, `taken_off` was.
+    void take_statement(steady_time now, quota_question const& question, quota_need const& need, bucket& of,
+                        double& unused, double& taken_off) const
     {
         auto const held = static_cast<double>(need.held);
-        auto const [entry, is_first] = of.outstanding.try_emplace(instance);
+        auto const spent = static_cast<double>(need.spent);
+        auto const returned = static_cast<double>(need.returned);
+        auto const [entry, is_first] = of.outstanding.try_emplace(question.instance);
+        outstanding_credit& credit = entry->second;
         if (is_first)
         {
             of.unknown = std::max(of.unknown - held, 0.0);
         }
-        // The rest of what left the outstanding credit was not spent: it expired, or its work did not run.
-        double const unspent = std::max(entry->second.held - held - static_cast<double>(need.spent), 0.0);
-        entry->second.held = held;
-        entry->second.expires = steady_time::max(); // Set once the grant is known.
-        return std::max(static_cast<double>(need.returned) - unspent, 0.0);
+        // Credit that is neither held nor told to be spent has expired, its work did not run, or the reply
+        // was lost and is ignored when it comes now. After a restart it may have been spent.
+        double const unspent = std::max(credit.held - held - spent, 0.0);
+        unused = is_first || credit.start == question.start ? unspent : std::min(returned, unspent);
+        taken_off = std::max(returned - unspent, 0.0);
+        note_used(now, of, spent + unspent - unused);
+        credit.held = held;
+        credit.start = question.start;
+        credit.expires = steady_time::max(); // Set once the grant is known.
     }
 
     // Adds what is returned to the level. What had been counted as used is added as far as each window that
     // contains this instant has room for it. A new holder does not know the windows: it accepts what its
     // share of the tolerance covers.
-    void restore(steady_time now, quota_need const& need, double taken_off, bucket& of) const
+    void restore(steady_time now, double unused, double taken_off, bucket& of) const
     {
-        of.level += static_cast<double>(need.returned) - taken_off;
+        of.level += unused;
         take_off(of, taken_off);
         double& left = of.returns_left;
         double const most = knows_window(now) ? std::max(room_beyond_level(now, of), 0.0) : left;
@@ -399,7 +414,7 @@
         auto const found = impl_->buckets.find(need.organisation);
         if (found != impl_->buckets.end())
         {
-            quota_grant grant = impl_->serve(now, question.instance, need, found->second);
+            quota_grant grant = impl_->serve(now, question, need, found->second);
             bool const waits = impl_->takes_over(now) && grant.room_after_ms <= max_takeover_wait_ms;
             grant.room_after_ms = waits ? 0 : grant.room_after_ms;
             reply.grants.push_back(std::move(grant));
