Share an organisation's rate among the instances for times without a holder

Cause: after the holder was lost for good, nobody issued credit for 6.5 s; in an outage of the store nobody can renew the lease. Change: replies tell each instance a share of the rate in proportion to its use, valid for 8 s after its last answered question.

--- a/adapters/quota_codec.cpp
+++ b/adapters/quota_codec.cpp
@@ -34,6 +34,12 @@
     return value.is_number_unsigned() && value.get<std::uint64_t>() <= max_amount;
 }
 
+bool is_instance_count(json const& value)
+{
+    constexpr std::uint64_t max_instances = 1000000;
+    return value.is_number_unsigned() && value.get<std::uint64_t>() <= max_instances;
+}
+
 bool are_amounts(json const& row, std::size_t first, std::size_t end)
 {
     return std::all_of(row.begin() + static_cast<std::ptrdiff_t>(first),
@@ -68,12 +74,12 @@
 
 std::optional<quota_grant> decode_grant(json const& row)
 {
-    if (!is_named_row(row, 5) || !are_amounts(row, 1, 5))
+    if (!is_named_row(row, 6) || !are_amounts(row, 1, 6))
     {
         return std::nullopt;
     }
-    return quota_grant{row[0].get<std::string>(), row[1].get<std::uint64_t>(), row[2].get<std::uint64_t>(),
-                       row[3].get<std::uint64_t>(), row[4].get<std::uint64_t>()};
+    return quota_grant{row[0].get<std::string>(),   row[1].get<std::uint64_t>(), row[2].get<std::uint64_t>(),
+                       row[3].get<std::uint64_t>(), row[4].get<std::uint64_t>(), row[5].get<std::uint64_t>()};
 }
 
 template <typename Value, typename Decode>
@@ -101,7 +107,8 @@
     {
         needs.push_back(encode_need(each));
     }
-    return to_bytes(json::array({question.instance, question.start, question.sequence, std::move(needs)}));
+    return to_bytes(json::array(
+        {question.instance, question.start, question.sequence, question.instances, std::move(needs)}));
 }
 
 std::optional<quota_question> decode_quota_question(std::string const& bytes)
@@ -112,15 +119,15 @@
         return std::nullopt;
     }
     json const& value = parsed.value();
-    bool const usable = is_named_row(value, 4) && value[1].is_number_unsigned() &&
-                        value[2].is_number_unsigned() && value[3].is_array();
-    auto needs = usable ? decode_rows<quota_need>(value[3], decode_need) : std::nullopt;
+    bool const usable = is_named_row(value, 5) && value[1].is_number_unsigned() &&
+                        value[2].is_number_unsigned() && is_instance_count(value[3]) && value[4].is_array();
+    auto needs = usable ? decode_rows<quota_need>(value[4], decode_need) : std::nullopt;
     if (!needs)
     {
         return std::nullopt;
     }
     return quota_question{value[0].get<std::string>(), value[1].get<std::uint64_t>(),
-                          value[2].get<std::uint64_t>(), std::move(*needs)};
+                          value[2].get<std::uint64_t>(), value[3].get<unsigned>(), std::move(*needs)};
 }
 
 std::string encode_quota_reply(quota_reply const& reply)
@@ -128,15 +135,14 @@
     json grants = json::array();
     for (quota_grant const& each : reply.grants)
     {
-        grants.push_back(json::array(
-            {each.organisation, each.granted, each.room_after_ms, each.ask_after_ms, each.spent_per_s}));
+        grants.push_back(json::array({each.organisation, each.granted, each.room_after_ms, each.ask_after_ms,
+                                      each.spent_per_s, each.share_per_s}));
     }
     return to_bytes(json::array({reply.sequence, reply.instances, std::move(grants)}));
 }
 
 std::optional<quota_reply> decode_quota_reply(std::string const& bytes)
 {
-    constexpr std::uint64_t max_instances = 1000000;
     auto const parsed = field_codec::parse_cbor(bytes);
     if (!parsed.has_value())
     {
@@ -144,8 +150,7 @@
     }
     json const& value = parsed.value();
     bool const usable = value.is_array() && value.size() >= 3 && value[0].is_number_unsigned() &&
-                        value[1].is_number_unsigned() && value[1].get<std::uint64_t>() <= max_instances &&
-                        value[2].is_array();
+                        is_instance_count(value[1]) && value[2].is_array();
     auto grants = usable ? decode_rows<quota_grant>(value[2], decode_grant) : std::nullopt;
     if (!grants)
     {
--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -22,8 +22,13 @@
 constexpr duration ahead_interval = milliseconds{250};
 // After a question without an answer, the next one waits this long: the holder may be changing.
 constexpr duration retry_interval = milliseconds{100};
-// An instance that has had no answer for this long lives on its share of what the limit tolerates.
-constexpr duration holder_silence = milliseconds{1100};
+// An instance that has a share of a rate tells the holder at least this often that it needs no share any
+// more, or that it is there: the holder counts with a silent instance spending it.
+constexpr duration share_interval = milliseconds{800};
+// A share that was not spent is kept for this long.
+constexpr double max_saved_share_s = 1.0;
+// Waiting requests are looked at this often while a share is spent.
+constexpr duration share_poll = milliseconds{50};
 // Time constant of the measured need of an organisation.
 constexpr double need_time_s = 2.0;
 constexpr double mean_cost_weight = 0.2;
@@ -66,7 +71,12 @@
     double share_level = 0.0; ///< Of what the limit tolerates while no holder answers.
     steady_time share_at;
     steady_time used_at;
+    steady_time asked_at; ///< Of the last question that named it.
     std::optional<double> fleet_use;
+    double rate_share = 0.0; ///< Units a second, by the holder, for a time without one.
+    steady_time rate_share_until;
+    double saved_share = 0.0;
+    steady_time saved_at;
 };
 
 // What a question said of an account, to be said again when it is not answered.
@@ -196,7 +206,7 @@
                 spend(of, first.cost);
                 add(of.admitted, now, first.cost);
             }
-            else if (!take_share(now, *limit, of, first.cost))
+            else if (!take_rate_share(now, of, first.cost) && !take_share(now, *limit, of, first.cost))
             {
                 break;
             }
@@ -207,6 +217,7 @@
         {
             refuse_all(now, *limit, of, steps);
         }
+        refuse_unaffordable(now, of, steps);
         refuse_late(now, of, steps);
     }
 
@@ -241,12 +252,67 @@
         }
     }
 
+    // The time since which the instance lives on its shares; none while a holder answers.
+    std::optional<steady_time> without_holder_since(steady_time now) const
+    {
+        bool const silent = unanswered_since && now - *unanswered_since >= holder_silence;
+        return silent ? std::optional(*unanswered_since + holder_silence) : std::nullopt;
+    }
+
+    // While no holder answers, the organisation's rate is shared as it was used before.
+    bool take_rate_share(steady_time now, account& of, std::uint64_t cost) const
+    {
+        auto const since = without_holder_since(now);
+        if (!since || of.rate_share <= 0.0)
+        {
+            return false;
+        }
+        steady_time const until = std::min(now, of.rate_share_until);
+        bool const begins = of.saved_at < *since;
+        double const most = std::max(of.rate_share * max_saved_share_s, of.mean_cost);
+        of.saved_share = std::min((begins ? 0.0 : of.saved_share) +
+                                      of.rate_share * seconds_between(begins ? *since : of.saved_at, until),
+                                  most);
+        of.saved_at = std::max(now, *since);
+        if (static_cast<double>(cost) > of.saved_share)
+        {
+            return false;
+        }
+        of.saved_share -= static_cast<double>(cost);
+        of.spent += cost;
+        return true;
+    }
+
+    // Requests that the share cannot serve in time are refused at once.
+    void refuse_unaffordable(steady_time now, account& of, std::vector<quota_step>& steps) const
+    {
+        if (!without_holder_since(now) || of.rate_share <= 0.0)
+        {
+            return;
+        }
+        double missing = -of.saved_share;
+        for (auto each = of.waiting.begin(); each != of.waiting.end();)
+        {
+            double const with_this = missing + static_cast<double>(each->cost);
+            steady_time const served_at =
+                now + std::chrono::duration_cast<duration>(
+                          std::chrono::duration<double>(std::max(with_this, 0.0) / of.rate_share));
+            if (served_at <= std::min(each->refuse_at, of.rate_share_until))
+            {
+                missing = with_this;
+                ++each;
+                continue;
+            }
+            steps.emplace_back(refuse_unchecked{each->number, now - each->submitted_at});
+            each = of.waiting.erase(each);
+        }
+    }
+
     // While no holder answers, an instance uses an even share of what the limits tolerate: half of it at
     // once, the other half in the course of a window.
     bool take_share(steady_time now, organisation_quota const& limit, account& of, std::uint64_t cost)
     {
-        bool const silent = unanswered_since && now - *unanswered_since >= holder_silence;
-        if (!silent || instances == 0 || bounds.window <= duration{0})
+        if (!without_holder_since(now) || instances == 0 || bounds.window <= duration{0})
         {
             return false;
         }
@@ -314,7 +380,8 @@
         // Credit counts against the limit at the holder until it is told to be spent.
         bool const has_news = !of.returned.empty() || of.spent > 0;
         bool const wants_ahead = now >= of.refuse_until && ahead_of(now, of) > 0;
-        return !of.waiting.empty() || (now >= next_ahead && (has_news || wants_ahead));
+        return !of.waiting.empty() || (now >= next_ahead && (has_news || wants_ahead)) ||
+               (of.rate_share > 0.0 && now >= of.asked_at + share_interval);
     }
 
     void forget_unused(steady_time now)
@@ -392,11 +459,15 @@
 
 void quota_gate::give_back(steady_time now, std::string const& organisation, std::uint64_t cost)
 {
-    // Not to the credit in hand: a mass of refused requests could be spent again at once.
     account& of = impl_->accounts[organisation];
-    impl_->give_back(now, of, cost);
-    of.spent -= std::min(of.spent, cost);
     of.used_at = now;
+    if (impl_->limit_of(organisation) == nullptr)
+    {
+        of.spent -= std::min(of.spent, cost);
+        return;
+    }
+    // Not to the credit in hand: a mass of refused requests could be spent again at once.
+    impl_->give_back(now, of, cost);
 }
 
 std::vector<quota_step> quota_gate::step(steady_time now)
@@ -424,6 +495,14 @@
         {
             at(std::max(impl_->next_try, now));
         }
+        if (!of.waiting.empty() && impl_->without_holder_since(now) && of.rate_share > 0.0)
+        {
+            at(now + share_poll);
+        }
+        if (of.rate_share > 0.0 && !impl_->open)
+        {
+            at(std::max(impl_->next_try, of.asked_at + share_interval));
+        }
         bool const is_used =
             !of.lots.empty() || !of.returned.empty() || of.spent > 0 || implementation::ahead_of(now, of) > 0;
         if (is_used && impl_->limit_of(name) != nullptr && !impl_->open)
@@ -448,16 +527,19 @@
     question.instance = impl_->instance;
     question.start = impl_->start;
     question.sequence = ++impl_->last_sequence;
+    question.instances = impl_->instances;
     open_question open{question.sequence, now, {}};
     for (auto& [name, of] : impl_->accounts)
     {
         impl_->drop_expired(now, of);
         quota_need need = impl_->need_for(now, name, of);
-        if (need.held + need.ahead + need.returned + need.spent == 0 && need.waiting.empty())
+        if (need.held + need.ahead + need.returned + need.spent == 0 && need.waiting.empty() &&
+            of.rate_share <= 0.0)
         {
             continue;
         }
         open.told[name] = of.spent;
+        of.asked_at = now;
         of.returned.clear();
         of.spent = 0;
         question.needs.push_back(std::move(need));
@@ -481,6 +563,8 @@
     {
         account& of = impl_->accounts[grant.organisation];
         of.fleet_use = static_cast<double>(grant.spent_per_s);
+        of.rate_share = static_cast<double>(grant.share_per_s);
+        of.rate_share_until = asked_at + share_lifetime;
         if (grant.granted > 0)
         {
             of.lots.push_back({grant.granted, asked_at + credit_lifetime});
--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -53,6 +53,12 @@
 {
     double held = 0.0;
     steady_time expires;
+    std::uint64_t start = 0; ///< Of the instance.
+    double use = 0.0;        ///< Units a second, by this instance.
+    steady_time use_at;
+    double share = 0.0; ///< Of the rate, that the instance may spend without a holder.
+    steady_time asked_at;
+    steady_time counted_until; ///< The share was taken off the level up to here.
 };
 
 struct bucket
@@ -91,7 +97,8 @@
 
 void note_use(steady_time now, bucket& of, double cost)
 {
-    of.use = of.use * std::exp(-seconds_between(of.use_at, now) / use_time_s) + cost / use_time_s;
+    double const earlier = of.use * std::exp(-seconds_between(of.use_at, now) / use_time_s);
+    of.use = std::max(earlier + cost / use_time_s, 0.0);
     of.use_at = now;
 }
 
@@ -107,7 +114,7 @@
         drop_expired(now, of);
         double const passed = seconds_between(of.filled_at, now);
         of.filled_at = now;
-        of.level += of.quota.per_second * passed;
+        of.level += known_part() * of.quota.per_second * passed - take_silent_shares(now, of);
         double const extra_per_s = extra_rate(of);
         of.extra = std::min(of.extra + extra_per_s * passed, extra_per_s * max_saved_s);
         of.backlog = std::max(of.backlog - of.quota.per_second * passed, 0.0);
@@ -118,6 +125,50 @@
         limit_level(now, of);
     }
 
+    // What instances may have spent of their shares since the last call: those that have asked nothing for a
+    // while.
+    static double take_silent_shares(steady_time now, bucket& of)
+    {
+        double sum = 0.0;
+        for (auto& [instance, credit] : of.outstanding)
+        {
+            steady_time const begin = std::max(credit.asked_at + holder_silence, credit.counted_until);
+            steady_time const end = std::min(now, credit.asked_at + share_lifetime);
+            sum += credit.share * seconds_between(begin, end);
+            credit.counted_until = std::max(credit.counted_until, end);
+        }
+        return sum;
+    }
+
+    // The part of the rate that is not shared among instances that this holder may not know of. A new holder
+    // counts with those that the holder before told of and that do not report to it.
+    double known_part() const
+    {
+        return shares_unknown && told_instances > instances_now
+                   ? static_cast<double>(instances_now) / told_instances
+                   : 1.0;
+    }
+
+    // Divides the rate for a time without a holder, as it was used of late.
+    double share_of(steady_time now, bucket const& of, outstanding_credit const& credit) const
+    {
+        double use = 0.0;
+        double told = 0.0;
+        for (auto const& [instance, each] : of.outstanding)
+        {
+            use += use_of(now, each);
+            bool const is_other = &each != &credit;
+            told += is_other && now < each.asked_at + share_lifetime ? each.share : 0.0;
+        }
+        double const part = use > 0.0 ? use_of(now, credit) / use : 0.0;
+        return std::max(std::min(part * of.quota.per_second, of.quota.per_second - told), 0.0);
+    }
+
+    static double use_of(steady_time now, outstanding_credit const& credit)
+    {
+        return credit.use * std::exp(-seconds_between(credit.use_at, now) / use_time_s);
+    }
+
     void limit_level(steady_time now, bucket& of) const
     {
         double const most =
@@ -135,13 +186,14 @@
     {
         for (auto each = of.outstanding.begin(); each != of.outstanding.end();)
         {
-            if (now < each->second.expires)
+            outstanding_credit& credit = each->second;
+            if (now >= credit.expires && credit.held > 0.0)
             {
-                ++each;
-                continue;
+                note_used(now, of, credit.held);
+                credit.held = 0.0;
             }
-            note_used(now, of, each->second.held);
-            each = of.outstanding.erase(each);
+            bool const ended = now >= credit.expires && now >= credit.asked_at + share_lifetime;
+            each = ended ? of.outstanding.erase(each) : std::next(each);
         }
     }
 
@@ -219,58 +271,76 @@
         return true;
     }
 
-    quota_grant serve(steady_time now, std::string const& instance, quota_need const& need, bucket& of) const
+    quota_grant serve(steady_time now, quota_question const& question, quota_need const& need,
+                      bucket& of) const
     {
-        note_use(now, of, static_cast<double>(need.spent));
         quota_grant grant;
         grant.organisation = need.organisation;
-        grant.spent_per_s = static_cast<std::uint64_t>(of.use);
         if (!is_limited(of))
         {
+            note_use(now, of, static_cast<double>(need.spent));
+            grant.spent_per_s = static_cast<std::uint64_t>(of.use);
             for (std::uint64_t const cost : need.waiting)
             {
                 grant.granted += cost;
             }
             return grant;
         }
-        note_used(now, of, static_cast<double>(need.spent));
-        double const taken_off = take_statement(instance, need, of);
+        double unused = 0.0;
+        double taken_off = 0.0;
+        take_statement(now, question, need, of, unused, taken_off);
+        note_use(now, of, static_cast<double>(need.spent) - taken_off);
+        grant.spent_per_s = static_cast<std::uint64_t>(of.use);
         refill(now, of);
-        restore(now, need, taken_off, of);
+        restore(now, unused, taken_off, of);
         grant_waiting(now, need, of, grant);
         double const ahead = std::min(static_cast<double>(need.ahead), max_share_for_ahead * of.level);
         if (ahead >= static_cast<double>(need.typical))
         {
             issue(of, grant, static_cast<std::uint64_t>(ahead));
         }
-        outstanding_credit& credit = of.outstanding[instance];
+        outstanding_credit& credit = of.outstanding[question.instance];
         credit.held += static_cast<double>(grant.granted);
         credit.expires = now + credit_lifetime;
+        credit.use = use_of(now, credit) + (static_cast<double>(need.spent) - taken_off) / use_time_s;
+        credit.use_at = now;
+        credit.asked_at = now;
+        credit.share = share_of(now, of, credit);
+        grant.share_per_s = static_cast<std::uint64_t>(credit.share);
         return grant;
     }
 
-    // What the instance says that it holds. Returns how much of what it returns had been counted as used.
-    static double take_statement(std::string const& instance, quota_need const& need, bucket& of)
+    // What the instance says that it holds. Sets how much goes back to the level: `unused` was never counted
+    // as used, `taken_off` was.
+    void take_statement(steady_time now, quota_question const& question, quota_need const& need, bucket& of,
+                        double& unused, double& taken_off) const
     {
         auto const held = static_cast<double>(need.held);
-        auto const [entry, is_first] = of.outstanding.try_emplace(instance);
+        auto const spent = static_cast<double>(need.spent);
+        auto const returned = static_cast<double>(need.returned);
+        auto const [entry, is_first] = of.outstanding.try_emplace(question.instance);
+        outstanding_credit& credit = entry->second;
         if (is_first)
         {
             of.unknown = std::max(of.unknown - held, 0.0);
         }
-        // The rest of what left the outstanding credit was not spent: it expired, or its work did not run.
-        double const unspent = std::max(entry->second.held - held - static_cast<double>(need.spent), 0.0);
-        entry->second.held = held;
-        entry->second.expires = steady_time::max(); // Set once the grant is known.
-        return std::max(static_cast<double>(need.returned) - unspent, 0.0);
+        // Credit that is neither held nor told to be spent has expired, its work did not run, or the reply
+        // was lost and is ignored when it comes now. After a restart it may have been spent.
+        double const unspent = std::max(credit.held - held - spent, 0.0);
+        unused = is_first || credit.start == question.start ? unspent : std::min(returned, unspent);
+        taken_off = std::max(returned - unspent, 0.0);
+        note_used(now, of, spent + unspent - unused);
+        credit.held = held;
+        credit.start = question.start;
+        credit.expires = steady_time::max(); // Set once the grant is known.
     }
 
     // Adds what is returned to the level. What had been counted as used is added as far as each window that
     // contains this instant has room for it. A new holder does not know the windows: it accepts what its
     // share of the tolerance covers.
-    void restore(steady_time now, quota_need const& need, double taken_off, bucket& of) const
+    void restore(steady_time now, double unused, double taken_off, bucket& of) const
     {
-        of.level += static_cast<double>(need.returned) - taken_off;
+        of.level += unused;
         take_off(of, taken_off);
         double& left = of.returns_left;
         double const most = knows_window(now) ? std::max(room_beyond_level(now, of), 0.0) : left;
@@ -331,6 +401,9 @@
     /// Start and sequence number of the latest question of each instance.
     std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> questions;
     std::optional<steady_time> lease_begun;
+    bool shares_unknown = false; ///< Shares that the holder before told may be in use.
+    unsigned told_instances = 0; ///< The most that the holder before told of.
+    unsigned instances_now = 0;  ///< That report to this one.
 };
 
 quota_issuer::quota_issuer(quota_bounds bounds) : impl_(std::make_unique<implementation>(bounds)) {}
@@ -372,12 +445,13 @@
 {
     impl_->lease_begun = now;
     impl_->questions.clear();
+    impl_->told_instances = 0;
     for (auto& [name, of] : impl_->buckets)
     {
         of.outstanding.clear();
         of.used.clear();
         of.extra = 0.0;
-        of.level = 0.0;
+        of.level = share_of_takeover * of.terms.for_takeover;
         of.filled_at = now;
         of.unknown = of.terms.capacity;
         of.returns_left = share_of_takeover * of.terms.for_takeover;
@@ -394,13 +468,19 @@
     {
         return reply;
     }
+    impl_->shares_unknown = impl_->lease_begun && now - *impl_->lease_begun < share_lifetime;
+    impl_->instances_now = instances;
+    if (impl_->shares_unknown)
+    {
+        impl_->told_instances = std::max(impl_->told_instances, question.instances);
+    }
     for (quota_need const& need : question.needs)
     {
         // An organisation that is not known here yet is left out; the instance asks again.
         auto const found = impl_->buckets.find(need.organisation);
         if (found != impl_->buckets.end())
         {
-            quota_grant grant = impl_->serve(now, question.instance, need, found->second);
+            quota_grant grant = impl_->serve(now, question, need, found->second);
             bool const waits = impl_->takes_over(now) && grant.room_after_ms <= max_takeover_wait_ms;
             grant.room_after_ms = waits ? 0 : grant.room_after_ms;
             grant.ask_after_ms = waits ? 0 : grant.ask_after_ms;
--- a/decision/quota_terms.hpp
+++ b/decision/quota_terms.hpp
@@ -11,6 +11,13 @@
 /// 1.5 to 4.8 s, for the most part, and bounds how long credit of a lost instance is missing.
 constexpr duration credit_lifetime = seconds{4};
 
+/// An instance may spend its share of an organisation's rate for this long after its last answered question.
+/// It bridges the longest time without a holder, 6.5 s after one is lost for good, and outages of the store.
+constexpr duration share_lifetime = seconds{8};
+/// An instance that has had no answer for this long spends its share; the holder counts with that from the
+/// same time on.
+constexpr duration holder_silence = milliseconds{1100};
+
 /// How the tolerance of an organisation's limit is divided. With D = slack + excess x (rate x window +
 /// burst), the limit holds in each window when all shares together stay below D.
 struct quota_terms
--- a/domain/quota_exchange.hpp
+++ b/domain/quota_exchange.hpp
@@ -28,8 +28,9 @@
     std::vector<std::uint64_t> waiting;
     std::uint64_t ahead = 0; ///< Credit wanted for requests to come.
     std::uint64_t returned =
-        0;                   ///< Credit that expired, or whose request did not run, since the last question.
-    std::uint64_t spent = 0; ///< Since the last question, less what was returned of it.
+        0; ///< Credit that expired, or whose request did not run, since the last question.
+    /// Since the last question; for an organisation with a limit, also what is returned of it.
+    std::uint64_t spent = 0;
     std::uint64_t typical = 0; ///< Cost of a usual request; less credit is of no use.
 };
 
@@ -38,6 +39,7 @@
     std::string instance;
     std::uint64_t start = 0;    ///< Differs between two starts of the instance.
     std::uint64_t sequence = 0; ///< Rises with each question of a start.
+    unsigned instances = 0;     ///< As a holder told last; zero when none has.
     std::vector<quota_need> needs;
 };
 
@@ -51,6 +53,8 @@
     /// When the instance may ask again for an organisation that has no room; zero like room_after_ms.
     std::uint64_t ask_after_ms = 0;
     std::uint64_t spent_per_s = 0; ///< By all instances, of late.
+    /// What the instance may spend a second, without credit, while no holder answers.
+    std::uint64_t share_per_s = 0;
 };
 
 struct quota_reply
