Keep issued credit counted for 1 % longer than it can be spent

Cause: the holder removed credit 4 s after the question, on its own clock. An instance whose clock runs 1 % slower can spend it for 40 ms longer. Change: the holder counts it for 4.04 s, also the credit of the holder before.

--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -30,6 +30,8 @@
 // returned: it does not know whether that is in a window that is still open.
 constexpr double share_of_takeover = 0.5;
 // An organisation counts as over its limit for this long after a request was refused.
+// The clocks of the instances may run 1 % slower than that of the holder.
+constexpr duration held_credit_lifetime = credit_lifetime * 101 / 100;
 constexpr duration over_limit_time = seconds{1};
 
 double seconds_between(steady_time from, steady_time to)
@@ -130,7 +132,10 @@
     bool knows_window(steady_time now) const { return !lease_begun || now - *lease_begun >= bounds.window; }
 
     // Credit of the holder before may be outstanding.
-    bool takes_over(steady_time now) const { return lease_begun && now - *lease_begun < credit_lifetime; }
+    bool takes_over(steady_time now) const
+    {
+        return lease_begun && now - *lease_begun < held_credit_lifetime;
+    }
 
     // Credit of an instance that asks no more may have been spent.
     void drop_expired(steady_time now, bucket& of) const
@@ -251,7 +256,7 @@
         }
         outstanding_credit& credit = of.outstanding[question.instance];
         credit.held += static_cast<double>(grant.granted);
-        credit.expires = now + credit_lifetime;
+        credit.expires = now + held_credit_lifetime;
         return grant;
     }
 
