Forget instances that have asked the quota holder nothing for a minute

Cause: the sequence number of each instance that ever asked was kept until the next lease, without a bound where instances get new names at each start. Change: entries older than 60 s are removed, at most once in 60 s. A question is answered within 300 ms or ignored, so that no old one is taken for new.

--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstddef>
 #include <deque>
+#include <iterator>
 #include <unordered_map>
 #include <utility>
 
@@ -39,6 +40,9 @@
     return std::max(std::chrono::duration<double>(to - from).count(), 0.0);
 }
 
+// Instances that have asked nothing for this long are forgotten. A question is answered within its time limit
+// of 300 ms or not at all.
+constexpr duration question_memory = seconds{60};
 // The use of a window is kept in this many parts.
 constexpr std::size_t window_parts = 32;
 // What a window allows beyond the rate may be saved up for this long.
@@ -51,6 +55,13 @@
     double used = 0.0;
 };
 
+struct last_question
+{
+    std::uint64_t start = 0;
+    std::uint64_t sequence = 0;
+    steady_time at;
+};
+
 struct outstanding_credit
 {
     double held = 0.0;
@@ -215,17 +226,31 @@
     }
 
     // False for a question that was overtaken by a later one of the same start.
-    bool is_new(quota_question const& question)
+    bool is_new(steady_time now, quota_question const& question)
     {
-        auto& last = questions[question.instance];
-        if (last.first == question.start && last.second >= question.sequence)
+        forget_silent(now);
+        last_question& last = questions[question.instance];
+        if (last.start == question.start && last.sequence >= question.sequence)
         {
             return false;
         }
-        last = {question.start, question.sequence};
+        last = {question.start, question.sequence, now};
         return true;
     }
 
+    void forget_silent(steady_time now)
+    {
+        if (now < next_forgetting)
+        {
+            return;
+        }
+        next_forgetting = now + question_memory;
+        for (auto each = questions.begin(); each != questions.end();)
+        {
+            each = now - each->second.at >= question_memory ? questions.erase(each) : std::next(each);
+        }
+    }
+
     quota_grant serve(steady_time now, quota_question const& question, quota_need const& need,
                       bucket& of) const
     {
@@ -348,7 +373,8 @@
     quota_bounds const bounds;
     std::unordered_map<std::string, bucket> buckets; ///< By organisation, also those without a limit.
     /// Start and sequence number of the latest question of each instance.
-    std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> questions;
+    std::unordered_map<std::string, last_question> questions;
+    steady_time next_forgetting;
     std::optional<steady_time> lease_begun;
 };
 
@@ -409,7 +435,7 @@
     quota_reply reply;
     reply.sequence = question.sequence;
     reply.instances = instances;
-    if (!impl_->is_new(question))
+    if (!impl_->is_new(now, question))
     {
         return reply;
     }
