Refuse requests that never fit without making others wait

Cause: a request that costs more than the capacity and D/8 was put to the holder, which stated a time at which it still would not fit. All requests of the organisation at that instance were refused until then (up to 4 s), and the stated times of all instances grew by its cost. A request slightly above the capacity was granted only at a moment at which no instance held credit. Change: the gate refuses a request that can never fit at once, with the longest time, and does not ask for it. A request above the capacity is granted when the level and D/8 cover it, which is the same overdraft.

--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -181,6 +181,7 @@
     {
         organisation_quota const* const limit = limit_of(name);
         drop_expired(now, of);
+        refuse_unfitting(limit, of, steps);
         while (!of.waiting.empty())
         {
             quota_request const& first = of.waiting.front();
@@ -224,6 +225,26 @@
         of.waiting.clear();
     }
 
+    // A request that never fits would make all others of its organisation wait for a time that never comes.
+    void refuse_unfitting(organisation_quota const* limit, account& of, std::vector<quota_step>& steps) const
+    {
+        if (limit == nullptr || of.waiting.empty())
+        {
+            return;
+        }
+        quota_terms const terms = terms_of(*limit, bounds);
+        for (auto each = of.waiting.begin(); each != of.waiting.end();)
+        {
+            if (can_fit(terms, each->cost))
+            {
+                ++each;
+                continue;
+            }
+            steps.emplace_back(refuse_over_limit{each->number, max_retry_after, credit_of(of)});
+            each = of.waiting.erase(each);
+        }
+    }
+
     static void refuse_late(steady_time now, account& of, std::vector<quota_step>& steps)
     {
         for (auto each = of.waiting.begin(); each != of.waiting.end();)
--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -30,9 +30,9 @@
 // A new holder uses this share of the tolerance for it for its level, and the same for credit that is
 // returned: it does not know whether that is in a window that is still open.
 constexpr double share_of_takeover = 0.5;
-// An organisation counts as over its limit for this long after a request was refused.
 // The clocks of the instances may run 1 % slower than that of the holder.
 constexpr duration held_credit_lifetime = credit_lifetime * 101 / 100;
+// An organisation counts as over its limit for this long after a request was refused.
 constexpr duration over_limit_time = seconds{1};
 
 double seconds_between(steady_time from, steady_time to)
@@ -338,9 +338,7 @@
             auto const needed = static_cast<double>(cost);
             bool const fits = needed <= of.level;
             // Nothing more can be saved up for a request that costs more than the capacity.
-            bool const oversized = needed > of.terms.capacity &&
-                                   needed <= of.terms.capacity + of.terms.for_repeats &&
-                                   of.level >= of.terms.capacity;
+            bool const oversized = needed > of.terms.capacity && needed <= of.level + of.terms.for_repeats;
             if (grant.room_after_ms == 0 && (fits || oversized))
             {
                 issue(of, grant, cost);
@@ -357,6 +355,8 @@
                 grant.room_after_ms = room_after_ms(of, needed);
             }
             of.refused_at = now;
+            // A request that waits for room and asks again counts again, so that it is soon told a time that
+            // it does not wait for. With long waits, requests sent in one window would run in the next.
             of.backlog = std::min(of.backlog + needed, of.quota.per_second * max_backlog_s);
         }
     }
--- a/decision/quota_terms.cpp
+++ b/decision/quota_terms.cpp
@@ -12,4 +12,9 @@
             tolerance / 8.0};
 }
 
+bool can_fit(quota_terms const& terms, std::uint64_t cost)
+{
+    return static_cast<double>(cost) <= terms.capacity + terms.for_repeats;
+}
+
 } // namespace siskinusher
--- a/decision/quota_terms.hpp
+++ b/decision/quota_terms.hpp
@@ -4,6 +4,8 @@
 #include "domain/organisation.hpp"
 #include "domain/quota_exchange.hpp"
 
+#include <cstdint>
+
 namespace siskinusher
 {
 
@@ -24,4 +26,7 @@
 
 quota_terms terms_of(organisation_quota const& quota, quota_bounds const& bounds);
 
+/// False for a request that costs more than the organisation can ever use at once.
+bool can_fit(quota_terms const& terms, std::uint64_t cost);
+
 } // namespace siskinusher
