--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -21,7 +21,10 @@
 // Interval of questions for credit ahead of need, and of those that only tell what was returned or spent.
 constexpr duration ahead_interval = milliseconds{250};
 // After a question without an answer, the next one waits this long: the holder may be changing.
-constexpr duration retry_interval = milliseconds{100};
+constexpr duration retry_interval = milliseconds{250};
+// Questions of an instance are at least this far apart: the holder may have a link of 10 Mbit/s for the
+// questions of all instances.
+constexpr duration min_question_interval = milliseconds{40};
 // An instance that has a share of a rate tells the holder at least this often that it needs no share any
 // more, or that it is there: the holder counts with a silent instance spending it.
 constexpr duration share_interval = milliseconds{800};
@@ -41,6 +44,8 @@
 // A request waits for room that comes within this time. An organisation that is hardly over its limit is
 // smoothed so, and the caller is spared a second try.
 constexpr std::uint64_t max_smoothing_ms = 150;
+// Then it asks again.
+constexpr duration smoothing_interval = milliseconds{150};
 // An organisation without room is not asked for again for this time at least: 65 instances that ask for each
 // request of a flood would take a tenth of a core of the holder.
 constexpr std::uint64_t min_refusal_ms = 200;
@@ -194,6 +199,7 @@
     {
         organisation_quota const* const limit = limit_of(name);
         drop_expired(now, of);
+        refuse_unfitting(limit, of, steps);
         while (!of.waiting.empty())
         {
             quota_request const& first = of.waiting.front();
@@ -238,6 +244,26 @@
         of.waiting.clear();
     }
 
+    // A request that never fits would make all others of its organisation wait for a time that never comes.
+    void refuse_unfitting(organisation_quota const* limit, account& of, std::vector<quota_step>& steps) const
+    {
+        if (limit == nullptr || of.waiting.empty())
+        {
+            return;
+        }
+        quota_terms const terms = terms_of(*limit, bounds);
+        for (auto each = of.waiting.begin(); each != of.waiting.end();)
+        {
+            if (can_fit(terms, each->cost))
+            {
+                ++each;
+                continue;
+            }
+            steps.emplace_back(refuse_over_limit{each->number, max_retry_after, credit_of(of)});
+            each = of.waiting.erase(each);
+        }
+    }
+
     static void refuse_late(steady_time now, account& of, std::vector<quota_step>& steps)
     {
         for (auto each = of.waiting.begin(); each != of.waiting.end();)
@@ -384,6 +410,13 @@
                (of.rate_share > 0.0 && now >= of.asked_at + share_interval);
     }
 
+    // A question that is sent for one organisation tells of others only what is worth its bytes.
+    static bool belongs_in_question(steady_time now, quota_need const& need, account const& of)
+    {
+        bool const has_news = need.held + need.ahead + need.returned + need.spent > 0 || of.rate_share > 0.0;
+        return !need.waiting.empty() || (has_news && now >= of.asked_at + ahead_interval);
+    }
+
     void forget_unused(steady_time now)
     {
         for (auto each = accounts.begin(); each != accounts.end();)
@@ -533,8 +566,7 @@
     {
         impl_->drop_expired(now, of);
         quota_need need = impl_->need_for(now, name, of);
-        if (need.held + need.ahead + need.returned + need.spent == 0 && need.waiting.empty() &&
-            of.rate_share <= 0.0)
+        if (!impl_->belongs_in_question(now, need, of))
         {
             continue;
         }
@@ -586,7 +618,7 @@
                                        account const& of = each.second;
                                        return !of.waiting.empty() && of.waiting.front().cost > credit_of(of);
                                    });
-    impl_->next_try = lacks ? now + retry_interval : now;
+    impl_->next_try = std::max(asked_at + min_question_interval, lacks ? now + smoothing_interval : now);
 }
 
 void quota_gate::on_no_reply(steady_time now)
--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstddef>
 #include <deque>
+#include <iterator>
 #include <unordered_map>
 #include <utility>
 
@@ -29,6 +30,9 @@
 // A new holder uses this share of the tolerance for it for its level, and the same for credit that is
 // returned: it does not know whether that is in a window that is still open.
 constexpr double share_of_takeover = 0.5;
+// The clocks of the instances may run 1 % slower than that of the holder.
+constexpr duration held_credit_lifetime = credit_lifetime * 101 / 100;
+constexpr duration held_share_lifetime = share_lifetime * 101 / 100;
 // An organisation counts as over its limit for this long after a request was refused.
 constexpr duration over_limit_time = seconds{1};
 
@@ -37,6 +41,9 @@
     return std::max(std::chrono::duration<double>(to - from).count(), 0.0);
 }
 
+// Instances that have asked nothing for this long are forgotten. A question is answered within its time limit
+// of 300 ms or not at all.
+constexpr duration question_memory = seconds{60};
 // The use of a window is kept in this many parts.
 constexpr std::size_t window_parts = 32;
 // What a window allows beyond the rate may be saved up for this long.
@@ -49,6 +56,13 @@
     double used = 0.0;
 };
 
+struct last_question
+{
+    std::uint64_t start = 0;
+    std::uint64_t sequence = 0;
+    steady_time at;
+};
+
 struct outstanding_credit
 {
     double held = 0.0;
@@ -133,7 +147,7 @@
         for (auto& [instance, credit] : of.outstanding)
         {
             steady_time const begin = std::max(credit.asked_at + holder_silence, credit.counted_until);
-            steady_time const end = std::min(now, credit.asked_at + share_lifetime);
+            steady_time const end = std::min(now, credit.asked_at + held_share_lifetime);
             sum += credit.share * seconds_between(begin, end);
             credit.counted_until = std::max(credit.counted_until, end);
         }
@@ -158,7 +172,7 @@
         {
             use += use_of(now, each);
             bool const is_other = &each != &credit;
-            told += is_other && now < each.asked_at + share_lifetime ? each.share : 0.0;
+            told += is_other && now < each.asked_at + held_share_lifetime ? each.share : 0.0;
         }
         double const part = use > 0.0 ? use_of(now, credit) / use : 0.0;
         return std::max(std::min(part * of.quota.per_second, of.quota.per_second - told), 0.0);
@@ -179,7 +193,10 @@
     bool knows_window(steady_time now) const { return !lease_begun || now - *lease_begun >= bounds.window; }
 
     // Credit of the holder before may be outstanding.
-    bool takes_over(steady_time now) const { return lease_begun && now - *lease_begun < credit_lifetime; }
+    bool takes_over(steady_time now) const
+    {
+        return lease_begun && now - *lease_begun < held_credit_lifetime;
+    }
 
     // Credit of an instance that asks no more may have been spent.
     void drop_expired(steady_time now, bucket& of) const
@@ -192,7 +209,7 @@
                 note_used(now, of, credit.held);
                 credit.held = 0.0;
             }
-            bool const ended = now >= credit.expires && now >= credit.asked_at + share_lifetime;
+            bool const ended = now >= credit.expires && now >= credit.asked_at + held_share_lifetime;
             each = ended ? of.outstanding.erase(each) : std::next(each);
         }
     }
@@ -260,17 +277,31 @@
     }
 
     // False for a question that was overtaken by a later one of the same start.
-    bool is_new(quota_question const& question)
+    bool is_new(steady_time now, quota_question const& question)
     {
-        auto& last = questions[question.instance];
-        if (last.first == question.start && last.second >= question.sequence)
+        forget_silent(now);
+        last_question& last = questions[question.instance];
+        if (last.start == question.start && last.sequence >= question.sequence)
         {
             return false;
         }
-        last = {question.start, question.sequence};
+        last = {question.start, question.sequence, now};
         return true;
     }
 
+    void forget_silent(steady_time now)
+    {
+        if (now < next_forgetting)
+        {
+            return;
+        }
+        next_forgetting = now + question_memory;
+        for (auto each = questions.begin(); each != questions.end();)
+        {
+            each = now - each->second.at >= question_memory ? questions.erase(each) : std::next(each);
+        }
+    }
+
     quota_grant serve(steady_time now, quota_question const& question, quota_need const& need,
                       bucket& of) const
     {
@@ -301,7 +332,7 @@
         }
         outstanding_credit& credit = of.outstanding[question.instance];
         credit.held += static_cast<double>(grant.granted);
-        credit.expires = now + credit_lifetime;
+        credit.expires = now + held_credit_lifetime;
         credit.use = use_of(now, credit) + (static_cast<double>(need.spent) - taken_off) / use_time_s;
         credit.use_at = now;
         credit.asked_at = now;
@@ -363,9 +394,7 @@
             auto const needed = static_cast<double>(cost);
             bool const fits = needed <= of.level;
             // Nothing more can be saved up for a request that costs more than the capacity.
-            bool const oversized = needed > of.terms.capacity &&
-                                   needed <= of.terms.capacity + of.terms.for_repeats &&
-                                   of.level >= of.terms.capacity;
+            bool const oversized = needed > of.terms.capacity && needed <= of.level + of.terms.for_repeats;
             if (grant.room_after_ms == 0 && (fits || oversized))
             {
                 issue(of, grant, cost);
@@ -384,6 +413,8 @@
                 grant.room_after_ms = time_to_issue_ms(of, missing + of.backlog);
             }
             of.refused_at = now;
+            // A request that waits for room and asks again counts again, so that it is soon told a time that
+            // it does not wait for. With long waits, requests sent in one window would run in the next.
             of.backlog = std::min(of.backlog + needed, of.quota.per_second * max_backlog_s);
         }
     }
@@ -399,7 +430,8 @@
     quota_bounds const bounds;
     std::unordered_map<std::string, bucket> buckets; ///< By organisation, also those without a limit.
     /// Start and sequence number of the latest question of each instance.
-    std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> questions;
+    std::unordered_map<std::string, last_question> questions;
+    steady_time next_forgetting;
     std::optional<steady_time> lease_begun;
     bool shares_unknown = false; ///< Shares that the holder before told may be in use.
     unsigned told_instances = 0; ///< The most that the holder before told of.
@@ -464,11 +496,11 @@
     quota_reply reply;
     reply.sequence = question.sequence;
     reply.instances = instances;
-    if (!impl_->is_new(question))
+    if (!impl_->is_new(now, question))
     {
         return reply;
     }
-    impl_->shares_unknown = impl_->lease_begun && now - *impl_->lease_begun < share_lifetime;
+    impl_->shares_unknown = impl_->lease_begun && now - *impl_->lease_begun < held_share_lifetime;
     impl_->instances_now = instances;
     if (impl_->shares_unknown)
     {
