Let instances with more processor claim the lease first where organisations are configured

Change: with organisations, an instance with a quarter of a core or more claims without delay and all others later, instead of the standbys first.

--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -120,6 +120,7 @@
     result.lease.claim_delay = claim_delay + duration{static_cast<duration::rep>(spread)};
     result.rotation.window_s = settings.load_window_s;
     result.quotas = settings.quotas;
+    result.suits_as_holder = settings.cpu_share >= reference_cpu_share;
     return result;
 }
 
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -382,7 +382,7 @@
         bool const knows_others = standbys.size() > (is_standby ? 1U : 0U);
         next_standby = 0;
         state.on_standbys(is_standby, knows_others);
-        lease.defer_claims(!is_standby && knows_others);
+        set_claim_order();
         std::string names;
         for (std::string const& each : standbys)
         {
@@ -391,6 +391,16 @@
         log.write({"standbys", {{"addresses", names}, {"self", is_standby ? "true" : "false"}}});
     }
 
+    // With organisations, requests wait for the holder: an instance with little processor and a narrow link
+    // leaves the reports of a fleet unanswered after it has become the holder.
+    void set_claim_order()
+    {
+        bool const is_standby = !standbys.empty() && standbys.front() == settings.peer_address;
+        bool const knows_others = standbys.size() > (is_standby ? 1U : 0U);
+        bool const goes_first = has_organisations ? settings.suits_as_holder : is_standby;
+        lease.defer_claims(knows_others && !goes_first);
+    }
+
     // A question is a report without demand: the standby needs to know only what this instance knows.
     void ask_standby(steady_time now)
     {
@@ -903,6 +913,7 @@
 void placement_service::on_config(std::shared_ptr<serving_config const> config)
 {
     impl_->has_organisations = config->organisations.has_value();
+    impl_->set_claim_order();
     impl_->quotas.on_config(boot_now(), config);
     impl_->planner.on_config(std::move(config));
 }
--- a/apps/placement_service.hpp
+++ b/apps/placement_service.hpp
@@ -43,6 +43,9 @@
     std::string proposed_peer_key; ///< Proposed as the key that peers share if the lease record has none yet.
     order_lease_times lease;
     load_planner_settings rotation;
+    /// The instance has the processor for the questions of all others, and claims the lease before instances
+    /// that have not.
+    bool suits_as_holder = false;
     quota_bounds quotas;
 };
 
