Take waiting requests by organisation, so that a flood does not take all room

Cause: waiting requests were taken by priority and deadline alone, so that an organisation that sends many times its share took the places of the others. Change: within a priority, the organisation with the least recent use of the model goes first; the use by all instances counts as the lease holder reports it, and fades while it reports nothing new. Beside others, an organisation has at most 256 requests waiting for a service. A request does not search servers when an equal one found none in the same step. Without organisations, order and work are as before.

--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -221,6 +221,7 @@
           peers(loop, server_settings(settings.peer_address, 512),
                 [this](std::shared_ptr<caller_exchange> const& exchange) { on_peer(exchange); })
     {
+        requests.on_fleet_use([this](std::string const& name) { return fleet_use_of(name); });
     }
 
     quota_holder quota_holder_now() const
@@ -449,6 +450,17 @@
         placement.on_peer_call(exchange);
     }
 
+    std::optional<fleet_use> fleet_use_of(std::string const& name) const
+    {
+        std::optional<double> const use = quotas.fleet_use(name);
+        organisation const* const known = access.find(name);
+        if (!use || known == nullptr)
+        {
+            return std::nullopt;
+        }
+        return fleet_use{*use, known->quota.unit == quota_unit::requests};
+    }
+
     void on_config(std::shared_ptr<serving_config const> const& fresh)
     {
         config = fresh;
--- a/apps/quota_keeper.cpp
+++ b/apps/quota_keeper.cpp
@@ -213,7 +213,7 @@
 
 std::optional<double> quota_keeper::fleet_use(std::string const& organisation) const
 {
-    return impl_->gate.fleet_use(organisation);
+    return impl_->gate.fleet_use(boot_now(), organisation);
 }
 
 } // namespace siskinusher
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -247,6 +247,7 @@
             // A copy: identify() replaces what it reads.
             platform::identify(open.request, std::string(open.request.stated_organisation));
             caller_of = access.find(open.request.organisation);
+            open.work = caller_of == nullptr ? 0 : work_of(caller_of->quota, open.request.tokens);
             return true;
         }
         if (!access.is_active())
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "decision/dispatcher.hpp"
 
 #include "decision/backend_state_table.hpp"
+#include "decision/fair_order.hpp"
 #include "decision/refusal_limiter.hpp"
 #include "decision/send_limiter.hpp"
 
@@ -64,11 +65,72 @@
 // they do not come together.
 constexpr double max_retry_spread = 0.25;
 
+// Requests that one organisation may have waiting for a service while others wait for it: half of a list of
+// 512, which is what an instance with 20 places works off in about a second when answers take 40 ms.
+constexpr unsigned max_waiting_beside_others = 256;
+// The lease holder reports the use by all instances as often.
+constexpr duration fleet_use_interval = milliseconds{500};
+// Models that were not used for a while are forgotten as often.
+constexpr duration order_sweep_interval = seconds{10};
+
+// The waiting requests of one organisation for one model of a service. Use is counted for each model: what an
+// organisation uses of models with room does not set it back where another model is scarce.
+struct waiting_organisation
+{
+    std::string service;
+    std::string model;
+    std::string name; ///< Empty for requests without an organisation.
+    fair_order* order = nullptr;
+    unsigned requests = 0;
+    bool is_new = true; ///< Since the last step.
+    double use = 0.0;   ///< Valid within a step.
+    std::optional<steady_time> fleet_use_at;
+    std::size_t turn = 0; ///< Index of its turn in the step's current priority.
+    std::uint64_t turn_of = 0;
+};
+
 struct waiting_request
 {
     dispatch_request request;
     steady_time since;
     steady_time refuse_at;
+    // Set while requests of organisations wait; null otherwise.
+    waiting_organisation* organisation = nullptr;
+};
+
+using waiting_list = std::list<waiting_request>;
+
+// The requests of one organisation and priority in a step.
+struct organisation_turn
+{
+    waiting_organisation* organisation = nullptr;
+    std::vector<waiting_list::iterator> requests; ///< By deadline.
+    std::size_t next = 0;
+};
+
+// True when `a` is served after `b`; the order of a heap.
+bool is_later(organisation_turn const* a, organisation_turn const* b)
+{
+    return std::tie(a->organisation->use, a->requests[a->next]->request.deadline) >
+           std::tie(b->organisation->use, b->requests[b->next]->request.deadline);
+}
+
+// Requests that are equal in these fields have the same candidates, and none finds a server in a step in
+// which another one found none: within a step, servers only fill up.
+using request_kind = std::tuple<std::string, std::string, std::string, backend_name, std::set<std::string>>;
+
+auto kind_of(dispatch_request const& request)
+{
+    return std::tie(request.model, request.service, request.adapter, request.running_at, request.versions);
+}
+
+// Why a kind of request finds no server.
+struct search_failure
+{
+    dispatch_basis basis;
+    bool unknown_model = false;
+    bool version_gone = false;
+    std::optional<steady_time> pauses_end;
 };
 
 struct demand_count
@@ -302,6 +364,272 @@
                find_model(*service->engine, request.model) == nullptr;
     }
 
+    // Takes requests by priority, organisation and deadline.
+    void step_by_organisation(steady_time now, std::vector<dispatch_step>& steps)
+    {
+        forget_unused_orders(now);
+        for (waiting_request& each : waiting)
+        {
+            join_organisation(each);
+        }
+        for (auto first = organisations.begin(); first != organisations.end();)
+        {
+            auto last = first;
+            while (last != organisations.end() && last->second.order == first->second.order)
+            {
+                ++last;
+            }
+            compare_organisations(now, first, last);
+            first = last;
+        }
+        failures_of_step.clear();
+        for (auto first = waiting.begin(); first != waiting.end();)
+        {
+            std::vector<organisation_turn> turns;
+            ++last_turn;
+            unsigned const priority = first->request.priority;
+            for (; first != waiting.end() && first->request.priority == priority; ++first)
+            {
+                waiting_organisation& of = *first->organisation;
+                if (std::exchange(of.turn_of, last_turn) != last_turn)
+                {
+                    of.turn = turns.size();
+                    turns.push_back({&of, {}, 0});
+                }
+                turns[of.turn].requests.push_back(first);
+            }
+            take_turns(now, turns, steps);
+        }
+        refuse_excess(now, steps);
+    }
+
+    void forget_unused_orders(steady_time now)
+    {
+        if (now - orders_swept_at < order_sweep_interval)
+        {
+            return;
+        }
+        orders_swept_at = now;
+        for (auto each = orders.begin(); each != orders.end();)
+        {
+            each->second.forget_unused(now);
+            auto const& [service, model] = each->first;
+            auto const waits = organisations.lower_bound({service, model, ""});
+            bool const needed = each->second.size() > 0 ||
+                                (waits != organisations.end() && waits->second.order == &each->second);
+            each = needed ? std::next(each) : orders.erase(each);
+        }
+    }
+
+    void join_organisation(waiting_request& each)
+    {
+        if (each.organisation != nullptr)
+        {
+            return;
+        }
+        dispatch_request const& request = each.request;
+        waiting_organisation& of = organisations[{request.service, request.model, request.organisation}];
+        if (of.order == nullptr)
+        {
+            of.service = request.service;
+            of.model = request.model;
+            of.name = request.organisation;
+            of.order = &orders[{of.service, of.model}];
+        }
+        ++of.requests;
+        each.organisation = &of;
+    }
+
+    waiting_list::iterator remove_waiting(waiting_list::iterator each)
+    {
+        waiting_of_organisations -= each->request.organisation.empty() ? 0 : 1;
+        if (waiting_organisation* const of = each->organisation; of != nullptr && --of->requests == 0)
+        {
+            organisations.erase(organisations.find({of->service, of->model, of->name}));
+        }
+        return waiting.erase(each);
+    }
+
+    // By service, model and name.
+    using organisation_map =
+        std::map<std::tuple<std::string, std::string, std::string>, waiting_organisation>;
+
+    // Brings the use of the organisations that wait for a model up to date.
+    void compare_organisations(steady_time now, organisation_map::iterator first,
+                               organisation_map::iterator last)
+    {
+        bool const alone = std::next(first) == last;
+        std::optional<double> least;
+        for (auto each = first; each != last; ++each)
+        {
+            waiting_organisation& of = each->second;
+            if (!alone)
+            {
+                look_up_fleet_use(now, of);
+                of.use = of.order->use(now, of.name);
+            }
+            if (!of.is_new)
+            {
+                least = least ? std::min(*least, of.use) : of.use;
+            }
+        }
+        for (auto each = first; each != last; ++each)
+        {
+            waiting_organisation& of = each->second;
+            if (std::exchange(of.is_new, false) && !alone && least)
+            {
+                of.order->on_return(now, of.name, *least);
+                of.use = std::max(of.use, *least);
+            }
+        }
+    }
+
+    void look_up_fleet_use(steady_time now, waiting_organisation& of)
+    {
+        if (!fleet_use_of || of.name.empty() ||
+            (of.fleet_use_at && now - *of.fleet_use_at < fleet_use_interval))
+        {
+            return;
+        }
+        of.fleet_use_at = now;
+        std::optional<fleet_use> const told = fleet_use_of(of.name);
+        if (!told)
+        {
+            return;
+        }
+        // The holder tells one figure for all models. It is divided as the use at this instance is.
+        double const own = use_of_all_models.own_use(now, of.name);
+        double const share = own > 0.0 ? of.order->own_use(now, of.name) / own : 1.0;
+        double const cost = told->in_requests ? of.order->cost_per_request(of.name) : 1.0;
+        of.order->on_fleet_use(now, of.name, told->per_second * share * cost);
+    }
+
+    void take_turns(steady_time now, std::vector<organisation_turn>& turns, std::vector<dispatch_step>& steps)
+    {
+        std::vector<organisation_turn*> queue;
+        queue.reserve(turns.size());
+        for (organisation_turn& each : turns)
+        {
+            queue.push_back(&each);
+        }
+        std::make_heap(queue.begin(), queue.end(), is_later);
+        while (!queue.empty())
+        {
+            std::pop_heap(queue.begin(), queue.end(), is_later);
+            organisation_turn& turn = *queue.back();
+            waiting_list::iterator const each = turn.requests[turn.next++];
+            bool const is_last = turn.next == turn.requests.size();
+            take(now, each, steps);
+            if (is_last)
+            {
+                queue.pop_back();
+                continue;
+            }
+            std::push_heap(queue.begin(), queue.end(), is_later);
+        }
+    }
+
+    // Assigns a request, refuses it, or lets it wait.
+    void take(steady_time now, waiting_list::iterator each, std::vector<dispatch_step>& steps)
+    {
+        search_failure failure;
+        auto const known = failures_of_step.find(kind_of(each->request));
+        if (known == failures_of_step.end())
+        {
+            ++searches;
+            known_backend* const backend = choose(now, each->request, failure.basis);
+            if (backend != nullptr)
+            {
+                steps.emplace_back(assign(now, *each, *backend, failure.basis));
+                charge(now, *each);
+                remove_waiting(each);
+                return;
+            }
+            explain(now, each->request, failure);
+        }
+        search_failure const& why = known == failures_of_step.end() ? failure : known->second;
+        if (now >= each->refuse_at || why.unknown_model ||
+            (why.version_gone && each->request.may_be_refused) ||
+            (why.pauses_end && *why.pauses_end >= each->refuse_at))
+        {
+            steps.emplace_back(reject(now, *each, why.basis));
+            remove_waiting(each);
+            return;
+        }
+        new_missing_model = new_missing_model || (why.basis.candidates == 0 && each->since == now);
+    }
+
+    void explain(steady_time now, dispatch_request const& request, search_failure& failure)
+    {
+        failure.unknown_model = unknown_model(request);
+        failure.version_gone =
+            !request.versions.empty() && !table.has_version_of(request.service, request.versions);
+        failure.pauses_end = end_of_pauses(now, request);
+        // A server's limit counts each request that it holds back, so that each must be tried.
+        if (failure.basis.limited == 0)
+        {
+            failures_of_step.emplace(kind_of(request), failure);
+        }
+    }
+
+    // A request that states no cost counts as much as others of its organisation do.
+    void charge(steady_time now, waiting_request const& each)
+    {
+        waiting_organisation& of = *each.organisation;
+        double const cost = each.request.cost > 0 ? static_cast<double>(each.request.cost)
+                                                  : of.order->cost_per_request(of.name);
+        of.order->on_assigned(now, of.name, cost);
+        use_of_all_models.on_assigned(now, of.name, cost);
+        of.use += cost;
+    }
+
+    // Refuses the least urgent and newest requests of organisations that have too many waiting beside others.
+    void refuse_excess(steady_time now, std::vector<dispatch_step>& steps)
+    {
+        if (waiting.size() <= max_waiting_beside_others)
+        {
+            return;
+        }
+        std::map<std::string, unsigned> by_service;
+        std::map<std::pair<std::string, std::string>, unsigned> by_organisation;
+        for (auto const& [key, of] : organisations)
+        {
+            by_service[of.service] += of.requests;
+            by_organisation[{of.service, of.name}] += of.requests;
+        }
+        for (auto const& [key, requests] : by_organisation)
+        {
+            if (requests <= max_waiting_beside_others || requests == by_service[key.first])
+            {
+                continue;
+            }
+            std::vector<waiting_list::iterator> found;
+            for (auto each = waiting.begin(); each != waiting.end(); ++each)
+            {
+                if (each->request.may_be_refused && each->request.service == key.first &&
+                    each->request.organisation == key.second)
+                {
+                    found.push_back(each);
+                }
+            }
+            std::sort(found.begin(), found.end(),
+                      [](auto const& a, auto const& b)
+                      {
+                          return std::tie(a->request.priority, a->since, a->request.number) >
+                                 std::tie(b->request.priority, b->since, b->request.number);
+                      });
+            found.resize(std::min<std::size_t>(found.size(), requests - max_waiting_beside_others));
+            for (waiting_list::iterator const each : found)
+            {
+                reject_request refused = reject(now, *each, {});
+                refused.answer.reason = refusal_reason::queue_full;
+                refused.answer.retry_after = overload_retry_after;
+                steps.emplace_back(refused);
+                remove_waiting(each);
+            }
+        }
+    }
+
     dispatcher_settings const settings;
     std::shared_ptr<serving_config const> config;
     backend_state_table table;
@@ -310,7 +638,16 @@
     random_source random;
     steady_time latest_pause_end; ///< Of all servers.
     // Sorted by priority, then by deadline.
-    std::list<waiting_request> waiting;
+    waiting_list waiting;
+    unsigned waiting_of_organisations = 0; ///< Waiting requests that have an organisation.
+    organisation_map organisations;        ///< Those that wait, by service and name.
+    std::map<std::pair<std::string, std::string>, fair_order> orders; ///< By service and model.
+    fair_order use_of_all_models;
+    steady_time orders_swept_at;
+    std::map<request_kind, search_failure, std::less<>> failures_of_step;
+    std::uint64_t last_turn = 0;
+    std::uint64_t searches = 0;
+    fleet_use_lookup fleet_use_of;
     std::map<request_number, dispatch_request> assigned;
     void drop_unread_tokens(request_number number)
     {
@@ -375,6 +712,11 @@
     impl_->table.on_placements(now, placement);
 }
 
+void dispatcher::on_fleet_use(fleet_use_lookup lookup)
+{
+    impl_->fleet_use_of = std::move(lookup);
+}
+
 void dispatcher::submit(steady_time now, dispatch_request request)
 {
     demand_count& count = impl_->demand[key_of(request)];
@@ -391,13 +733,17 @@
         return std::tie(a.request.priority, a.request.deadline) <
                std::tie(b.request.priority, b.request.deadline);
     };
+    impl_->waiting_of_organisations += entry.request.organisation.empty() ? 0 : 1;
     auto const place = std::upper_bound(impl_->waiting.begin(), impl_->waiting.end(), entry, before);
     impl_->waiting.insert(place, std::move(entry));
 }
 
 void dispatcher::withdraw(request_number number)
 {
-    impl_->waiting.remove_if([number](waiting_request const& each) { return each.request.number == number; });
+    for (auto each = impl_->waiting.begin(); each != impl_->waiting.end();)
+    {
+        each = each->request.number == number ? impl_->remove_waiting(each) : std::next(each);
+    }
 }
 
 void dispatcher::refuse_waiting_by(steady_time limit)
@@ -528,9 +874,15 @@
 {
     std::vector<dispatch_step> steps;
     impl_->stepped_at = now;
+    if (impl_->waiting_of_organisations > 0)
+    {
+        impl_->step_by_organisation(now, steps);
+        return steps;
+    }
     for (auto each = impl_->waiting.begin(); each != impl_->waiting.end();)
     {
         dispatch_basis basis;
+        ++impl_->searches;
         known_backend* const backend = impl_->choose(now, each->request, basis);
         if (backend != nullptr)
         {
@@ -548,7 +900,7 @@
             ++each;
             continue;
         }
-        each = impl_->waiting.erase(each);
+        each = impl_->remove_waiting(each);
     }
     return steps;
 }
@@ -630,6 +982,21 @@
     return impl_->waiting.size();
 }
 
+std::uint64_t dispatcher::searches() const
+{
+    return impl_->searches;
+}
+
+std::size_t dispatcher::remembered_organisations() const
+{
+    std::size_t sum = 0;
+    for (auto const& [key, order] : impl_->orders)
+    {
+        sum += order.size();
+    }
+    return sum;
+}
+
 std::size_t dispatcher::backends() const
 {
     return impl_->table.size();
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -40,6 +40,15 @@
 };
 using dispatch_step = std::variant<assign_request, reject_request>;
 
+/// Use of an organisation by all instances, as the lease holder reports it.
+struct fleet_use
+{
+    double per_second = 0.0;
+    bool in_requests = false; ///< Counted in requests, otherwise in the unit of dispatch_request::cost.
+};
+/// Looks up the use of an organisation; no value when it is not known.
+using fleet_use_lookup = std::function<std::optional<fleet_use>(std::string const& organisation)>;
+
 /// What the choice of servers needs to know about an attempt that ended.
 struct attempt_report
 {
@@ -54,12 +63,17 @@
 /// Keeps the waiting requests in a queue, assigns each one to a backend server that holds its model, or
 /// refuses it.
 ///
+/// Requests are taken by priority, then by the organisation whose recent use of the model is the least,
+/// then by deadline. While others wait for the service, an organisation has at most 256 requests waiting for
+/// it; the least urgent and newest beyond that are refused.
+///
 /// It is designed for these loads: bursts of one kind of request (the more urgent are served first, then
-/// those with the nearer deadline), requests for models that no engine holds (they wait up to their max_wait
-/// while the lease holder loads the model), failing servers (they are avoided for a while), slow servers
-/// (others are preferred), servers that name a limit for all instances together (others are used), servers
-/// that all want a pause (what cannot wait for the first of them is refused at once, to come back after it),
-/// and services without servers (their requests are refused at once after a short start-up time).
+/// those with the nearer deadline), floods by some organisations (the others keep their share), requests for
+/// models that no engine holds (they wait up to their max_wait while the lease holder loads the model),
+/// failing servers (they are avoided for a while), slow servers (others are preferred), servers that name a
+/// limit for all instances together (others are used), servers that all want a pause (what cannot wait for
+/// the first of them is refused at once, to come back after it), and services without servers (their requests
+/// are refused at once after a short start-up time).
 class dispatcher
 {
 public:
@@ -73,6 +87,10 @@
     void on_backend_gone(backend_name const& name);
     void on_placements(steady_time now, placement_update const& placement);
 
+    /// Sets where the use of organisations by all instances is looked up, every 0.5 s for each one that waits
+    /// beside another. Without it only the use at this instance counts.
+    void on_fleet_use(fleet_use_lookup lookup);
+
     void submit(steady_time now, dispatch_request request);
     /// Removes a waiting request that no longer needs a server. Does nothing when the request does not wait.
     void withdraw(request_number number);
@@ -127,6 +145,10 @@
     std::string any_address(std::uint64_t draw,
                             std::function<bool(backend_name const&)> const& left_out) const;
     std::size_t waiting() const;
+    /// Searches for a server so far, each over all servers that hold the model.
+    std::uint64_t searches() const;
+    /// Organisations whose use is remembered, counted once for each model.
+    std::size_t remembered_organisations() const;
     std::size_t backends() const;
 
 private:
--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -26,6 +26,8 @@
 // Time constant of the measured need of an organisation.
 constexpr double need_time_s = 2.0;
 constexpr double mean_cost_weight = 0.2;
+// The holder measures the use of an organisation with the same time constant.
+constexpr double fleet_use_decay_s = 2.0;
 // Accounts that were not used for this long are forgotten.
 constexpr duration account_lifetime = seconds{30};
 // Callers of an organisation that is over its limit are told to come back within this time at most: later
@@ -58,6 +60,7 @@
     steady_time share_at;
     steady_time used_at;
     std::optional<double> fleet_use;
+    steady_time fleet_use_at;
 };
 
 // What a question said of an account, to be said again when it is not answered.
@@ -426,6 +429,7 @@
     {
         account& of = impl_->accounts[grant.organisation];
         of.fleet_use = static_cast<double>(grant.spent_per_s);
+        of.fleet_use_at = now;
         if (grant.granted > 0)
         {
             of.lots.push_back({grant.granted, asked_at + credit_lifetime});
@@ -474,10 +478,15 @@
     return sum;
 }
 
-std::optional<double> quota_gate::fleet_use(std::string const& organisation) const
+std::optional<double> quota_gate::fleet_use(steady_time now, std::string const& organisation) const
 {
     auto const found = impl_->accounts.find(organisation);
-    return found == impl_->accounts.end() ? std::nullopt : found->second.fleet_use;
+    if (found == impl_->accounts.end() || !found->second.fleet_use)
+    {
+        return std::nullopt;
+    }
+    double const age_s = std::chrono::duration<double>(now - found->second.fleet_use_at).count();
+    return *found->second.fleet_use * std::exp(-age_s / fleet_use_decay_s);
 }
 
 } // namespace siskinusher
--- a/decision/quota_gate.hpp
+++ b/decision/quota_gate.hpp
@@ -51,8 +51,8 @@
 
     std::size_t waiting() const;
     /// Use of an organisation by all instances, in units of its limit a second, as the holder last told; none
-    /// when it has not told.
-    std::optional<double> fleet_use(std::string const& organisation) const;
+    /// when it has not told. Decays while the holder tells nothing new.
+    std::optional<double> fleet_use(steady_time now, std::string const& organisation) const;
 
 private:
     class implementation;
--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -2,8 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -402,3 +404,228 @@
     refusal const* const refused = rejected(steps, 2);
     cr_assert(refused != nullptr && refused->reason == refusal_reason::no_backend);
 }
+
+namespace
+{
+
+dispatch_request of_organisation(request_number number, std::string const& organisation,
+                                 std::uint64_t cost = 100)
+{
+    dispatch_request made = request(number);
+    made.organisation = organisation;
+    made.cost = cost;
+    return made;
+}
+
+std::vector<request_number> order_of(std::vector<dispatch_step> const& steps)
+{
+    std::vector<request_number> numbers;
+    for (dispatch_step const& step : steps)
+    {
+        if (auto const* const each = std::get_if<assign_request>(&step))
+        {
+            numbers.push_back(each->number);
+        }
+    }
+    return numbers;
+}
+
+std::size_t refused(std::vector<dispatch_step> const& steps, refusal_reason reason)
+{
+    return static_cast<std::size_t>(std::count_if(steps.begin(), steps.end(),
+                                                  [reason](dispatch_step const& step)
+                                                  {
+                                                      auto const* const each =
+                                                          std::get_if<reject_request>(&step);
+                                                      return each != nullptr && each->answer.reason == reason;
+                                                  }));
+}
+
+} // namespace
+
+// Load: a burst of 60 requests in three priorities. Guards against a different order, or further searches for
+// servers, where callers have no organisation.
+Test(dispatcher, without_organisations_the_order_is_by_priority_and_deadline)
+{
+    dispatcher requests(settings());
+    requests.on_backend(server("a", "here", 100));
+    std::vector<std::pair<std::pair<unsigned, std::int64_t>, request_number>> expected;
+    for (request_number n = 1; n <= 60; ++n)
+    {
+        dispatch_request made = request(n, "", static_cast<unsigned>(n * 7 % 3));
+        std::int64_t const deadline = 5000 + static_cast<std::int64_t>(n * 13 % 10);
+        made.deadline = at(deadline);
+        made.cost = n % 5 * 1000;
+        expected.push_back({{made.priority, deadline}, n});
+        requests.submit(at(1), made);
+    }
+    std::sort(expected.begin(), expected.end());
+    std::vector<request_number> const order = order_of(requests.step(at(1)));
+    cr_assert_eq(order.size(), expected.size());
+    for (std::size_t i = 0; i < order.size(); ++i)
+    {
+        cr_assert_eq(order[i], expected[i].second, "place %zu", i);
+    }
+    cr_assert_eq(requests.searches(), 60);
+}
+
+// Load: more than fits, of organisations and priorities. Guards against fair shares that outrank priorities,
+// and against an order within an organisation that is not by deadline.
+Test(dispatcher, priority_comes_before_organisation_and_deadline_after_it)
+{
+    dispatcher requests(settings());
+    requests.on_backend(server("a", "here", 4)); // 8 requests: 4 run, 4 may wait at it.
+    for (request_number n = 1; n <= 6; ++n)
+    {
+        dispatch_request made = of_organisation(n, "busy");
+        made.deadline = at(10000 - static_cast<std::int64_t>(n));
+        requests.submit(at(0), made);
+    }
+    dispatch_request urgent = of_organisation(7, "busy", 5000);
+    urgent.priority = 0;
+    requests.submit(at(0), urgent);
+    requests.submit(at(0), of_organisation(8, "light"));
+    requests.submit(at(0), of_organisation(9, "light"));
+    std::vector<request_number> const order = order_of(requests.step(at(0)));
+    cr_assert(order == (std::vector<request_number>{7, 8, 9, 6, 5, 4, 3, 2}));
+}
+
+// Load: callers of public routes, whose requests state no cost, beside an organisation. Guards against
+// requests without a cost that are taken for free.
+Test(dispatcher, requests_without_a_cost_count_like_others)
+{
+    dispatcher requests(settings());
+    requests.on_backend(server("a", "here", 16)); // 20 requests.
+    for (request_number n = 1; n <= 40; ++n)
+    {
+        requests.submit(at(0), n % 2 == 0 ? of_organisation(n, "known", 1000) : request(n));
+    }
+    std::vector<request_number> const order = order_of(requests.step(at(0)));
+    cr_assert_eq(order.size(), 20);
+    auto const known = std::count_if(order.begin(), order.end(), [](request_number n) { return n % 2 == 0; });
+    cr_assert(known >= 9 && known <= 11, "%td of 20", known);
+}
+
+// Load: a flood of 600 requests without a server, then one request of another organisation. Guards against a
+// waiting list that one organisation fills, against refusals while nobody else waits, and against refusing
+// the oldest requests or answers that have begun.
+Test(dispatcher, one_organisation_takes_at_most_half_of_the_waiting_list_beside_others)
+{
+    dispatcher requests(settings());
+    for (request_number n = 1; n <= 600; ++n)
+    {
+        dispatch_request made = of_organisation(n, "flood");
+        made.may_be_refused = n != 590;
+        requests.submit(at(static_cast<std::int64_t>(n / 10)), made);
+    }
+    cr_assert(requests.step(at(100)).empty(), "nobody else waits");
+    requests.submit(at(100), of_organisation(601, "other"));
+    auto const steps = requests.step(at(100));
+    cr_assert_eq(refused(steps, refusal_reason::queue_full), 344);
+    cr_assert_eq(requests.waiting(), 257);
+    cr_assert(rejected(steps, 255) == nullptr && rejected(steps, 590) == nullptr &&
+              rejected(steps, 601) == nullptr);
+    refusal const* const newest = rejected(steps, 600);
+    cr_assert(newest != nullptr && newest->execution == execution_verdict::not_run);
+    cr_assert(newest->retry_after > duration{0});
+    requests.withdraw(601);
+    for (request_number n = 700; n < 750; ++n)
+    {
+        requests.submit(at(110), of_organisation(n, "flood"));
+    }
+    cr_assert(requests.step(at(110)).empty(), "nobody else waits any more");
+}
+
+// Load: 500 waiting requests of 16 organisations for three models at 112 full engines, and then one free
+// place. Guards against a step that searches servers for each waiting request: instances have 0.12 of a core.
+// Only the requests that are assigned and the first of each kind that finds no server may search.
+Test(dispatcher, step_over_a_long_waiting_list_searches_once_for_each_kind)
+{
+    dispatcher requests(settings());
+    for (unsigned i = 0; i < 112; ++i)
+    {
+        backend_entry entry = engine("e" + std::to_string(i), "m0");
+        entry.models.push_back({"m1", {}});
+        entry.models.push_back({"m2", {}});
+        entry.places = 12;
+        requests.on_backend(entry);
+        requests.on_load(at(1), entry.name, {12, 4, 12});
+    }
+    for (request_number n = 1; n <= 500; ++n)
+    {
+        dispatch_request made = request(n, "m" + std::to_string(n % 3));
+        made.organisation = "o" + std::to_string(n % 16);
+        made.cost = 100;
+        requests.submit(at(1), made);
+    }
+    cr_assert(requests.step(at(1)).empty());
+    cr_assert_eq(requests.searches(), 3);
+    requests.on_load(at(10), "e50", {11, 4, 12});
+    cr_assert_eq(order_of(requests.step(at(10))).size(), 1);
+    cr_assert_eq(requests.searches(), 3 + 1 + 3);
+    requests.on_load(at(20), "e50", {12, 4, 12});
+    // At their max_wait all are refused, with the basis of the one search.
+    cr_assert_eq(refused(requests.step(at(1001)), refusal_reason::overloaded), 499);
+    cr_assert_eq(requests.searches(), 7 + 3);
+}
+
+// Load: a request that may not go to the server that works on it, before others of its organisation and
+// model. Guards against taking its failure to find a server for that of all.
+Test(dispatcher, requests_with_other_servers_to_choose_from_are_still_tried)
+{
+    dispatcher requests(settings());
+    requests.on_backend(server("a", "here", 4));
+    dispatch_request moving = of_organisation(1, "o");
+    moving.running_at = "a";
+    moving.deadline = at(50);
+    dispatch_request versioned = of_organisation(2, "o");
+    versioned.versions = {"v9"};
+    versioned.may_be_refused = false;
+    versioned.deadline = at(60);
+    requests.submit(at(0), moving);
+    requests.submit(at(0), versioned);
+    requests.submit(at(0), of_organisation(3, "o"));
+    cr_assert(order_of(requests.step(at(0))) == (std::vector<request_number>{3}));
+    cr_assert_eq(requests.waiting(), 2);
+}
+
+// Load: eight waiting requests at a server that names a limit. Guards against wants that are not reported to
+// the lease holder because a request of the same kind was held back before.
+Test(dispatcher, each_request_that_a_limit_holds_back_is_reported)
+{
+    dispatcher requests(settings());
+    requests.on_backend(server("a", "here", 64));
+    requests.on_limit(at(0), "a", 0.001);
+    for (request_number n = 1; n <= 8; ++n)
+    {
+        requests.submit(at(0), of_organisation(n, n % 2 == 0 ? "x" : "y"));
+    }
+    std::size_t const sent = order_of(requests.step(at(0))).size();
+    auto const reports = requests.take_limit_reports(at(0));
+    cr_assert_eq(reports.size(), 1);
+    cr_assert_eq(reports[0].wanted, 8, "%u wanted, %zu sent", reports[0].wanted, sent);
+}
+
+// Load: 10,000 organisations with one request each, served and not seen again, then some use of others.
+// Guards against waiting organisations that are kept after their last request, and against withdrawn requests
+// that leave theirs behind.
+Test(dispatcher, organisations_are_not_kept_after_their_last_request)
+{
+    dispatcher requests(settings());
+    requests.on_backend(server("a", "here", 4));
+    for (request_number n = 1; n <= 10000; ++n)
+    {
+        std::int64_t const ms = static_cast<std::int64_t>(n) * 10;
+        requests.submit(at(ms), of_organisation(n, "o" + std::to_string(n)));
+        if (n % 4 == 0)
+        {
+            requests.withdraw(n);
+        }
+        std::vector<dispatch_step> const steps = requests.step(at(ms));
+        cr_assert_eq(order_of(steps).size(), n % 4 == 0 ? 0U : 1U);
+        requests.on_attempt_end(at(ms + 5), {n, "a", attempt_result::answered, false, false, {}});
+    }
+    cr_assert_eq(requests.waiting(), 0);
+    // Assigned within the last 30 s, and up to 10 s before the last sweep.
+    cr_assert(requests.remembered_organisations() <= 4000, "%zu", requests.remembered_organisations());
+}
