--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -506,6 +506,39 @@
     cr_assert(known >= 9 && known <= 11, "%td of 20", known);
 }
 
+// Load: two organisations wait beside each other; the holder reports 50 requests a second for the one and
+// 2,000 tokens a second for the other, whose requests cost 100 tokens each. Guards against comparing requests
+// with tokens, and against a look-up for each request.
+Test(dispatcher, use_by_all_instances_is_converted_and_looked_up_seldom)
+{
+    dispatcher requests(settings());
+    requests.on_backend(server("a", "here", 1));
+    unsigned lookups = 0;
+    requests.on_fleet_use(
+        [&lookups](std::string const& name) -> std::optional<fleet_use>
+        {
+            ++lookups;
+            return name == "counted" ? fleet_use{50.0, true} : fleet_use{2000.0, false};
+        });
+    for (request_number n = 1; n <= 40; ++n)
+    {
+        requests.submit(at(0), of_organisation(n, n % 2 == 0 ? "counted" : "tokens"));
+    }
+    requests.step(at(0));
+    cr_assert_eq(lookups, 2);
+    for (std::int64_t ms = 10; ms < 500; ms += 10)
+    {
+        requests.step(at(ms));
+    }
+    cr_assert_eq(lookups, 2);
+    // 5,000 tokens a second against 2,000: the next places go to the second organisation.
+    requests.on_backend(server("b", "here", 4)); // 8 requests.
+    std::vector<request_number> const order = order_of(requests.step(at(500)));
+    cr_assert_eq(lookups, 4);
+    cr_assert_eq(order.size(), 8);
+    cr_assert(std::all_of(order.begin(), order.end(), [](request_number n) { return n % 2 == 1; }));
+}
+
 // Load: a flood of 600 requests without a server, then one request of another organisation. Guards against a
 // waiting list that one organisation fills, against refusals while nobody else waits, and against refusing
 // the oldest requests or answers that have begun.
--- a/tests/decision/fair_order_test.cpp
+++ b/tests/decision/fair_order_test.cpp
@@ -534,7 +534,7 @@
         others.push_back(numbered("o", i));
         loads.push_back({others.back(), 10, 100, 100, 0, 20000, 0, 0, i % 2 == 0 ? "m" : "n"});
     }
-    expect_served(play.run(loads), others);
+    expect_served(play.run(loads, 6000, 2000), others);
 }
 
 // Load: 480 requests/s fit; one organisation sends 500/s, and each refused request again at once, ten times.
