--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -35,6 +35,8 @@
 // Time constant of the measured need of an organisation.
 constexpr double need_time_s = 2.0;
 constexpr double mean_cost_weight = 0.2;
+// The holder measures the use of an organisation with the same time constant.
+constexpr double fleet_use_decay_s = 2.0;
 // Accounts that were not used for this long are forgotten.
 constexpr duration account_lifetime = seconds{30};
 // Callers of an organisation that is over its limit are told to come back within this time at most: later
@@ -82,6 +84,7 @@
     steady_time rate_share_until;
     double saved_share = 0.0;
     steady_time saved_at;
+    steady_time fleet_use_at;
 };
 
 // What a question said of an account, to be said again when it is not answered.
@@ -597,6 +600,7 @@
         of.fleet_use = static_cast<double>(grant.spent_per_s);
         of.rate_share = static_cast<double>(grant.share_per_s);
         of.rate_share_until = asked_at + share_lifetime;
+        of.fleet_use_at = now;
         if (grant.granted > 0)
         {
             of.lots.push_back({grant.granted, asked_at + credit_lifetime});
@@ -648,10 +652,15 @@
     return sum;
 }
 
-std::optional<double> quota_gate::fleet_use(std::string const& organisation) const
+std::optional<double> quota_gate::fleet_use(steady_time now, std::string const& organisation) const
 {
     auto const found = impl_->accounts.find(organisation);
-    return found == impl_->accounts.end() ? std::nullopt : found->second.fleet_use;
+    if (found == impl_->accounts.end() || !found->second.fleet_use)
+    {
+        return std::nullopt;
+    }
+    double const age_s = std::chrono::duration<double>(now - found->second.fleet_use_at).count();
+    return *found->second.fleet_use * std::exp(-age_s / fleet_use_decay_s);
 }
 
 } // namespace siskinusher
