Prove the configuration by when a read began, not by when its wait should have ended

Cause: an answer without changes to a watch counted as current at the time at which the call was sent plus the wait that it asked for. A store that ends the wait early, read late by a process that stood still, made the proof up to one wait (3 s; 0.2 of the bound where a proof is needed) too young, so that a key could work that much longer than the bound. Change: the watch also keeps when the latest answered call was sent, and the proof rests on that. Result: object_watch/proof_does_not_count_the_wait_of_a_call passes; with the former rule the same answer counts as 500 ms or more newer than it can be, by construction of the test (not run against the former build).

--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -363,7 +363,7 @@
 
     steady_time config_current_at() const
     {
-        return std::max({config_watch.confirmed_at(), config_confirmed.at, told_current_at});
+        return std::max({config_watch.read_at(), config_confirmed.at, told_current_at});
     }
 
     void take_over(holder_reply const& reply, steady_time config_current_at)
--- a/tests/platform/object_watch_test.cpp
+++ b/tests/platform/object_watch_test.cpp
@@ -1,3 +1,4 @@
+#include "adapters/boot_clock.hpp"
 #include "adapters/outbound_pool.hpp"
 #include "platform/metadata_store.hpp"
 #include "platform/object_watch.hpp"
@@ -9,6 +10,8 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <string>
+#include <thread>
 
 using namespace siskinusher;
 
@@ -57,3 +60,47 @@
     cr_expect_eq(ports.count("siskin_store_failures_total", "history_gone"), 1);
     cr_expect(watch.proves_absence());
 }
+
+// Guards against a proof that rests on a wait which the store has not used up: a process that stood still
+// reads an answer late that the store gave early, and a configuration may have been accepted in between.
+Test(object_watch, proof_does_not_count_the_wait_of_a_call)
+{
+    standins::store_standin store;
+    store.write("config", "main", {{"version", 1}});
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    recording_ports ports;
+    platform::metadata_store client(store.address(), pool, ports, ports);
+    platform::object_watch_settings settings;
+    settings.kind = "config";
+    bool listed = false;
+    platform::object_watch_handlers handlers;
+    handlers.on_object = [](platform::store_object const&) {};
+    handlers.on_deleted = [](std::string const&) {};
+    handlers.on_listed = [&listed] { listed = true; };
+    platform::object_watch watch(loop, client, ports, settings, handlers);
+    steady_time const before = boot_now();
+    watch.start();
+    while (!listed)
+    {
+        loop.run_one();
+    }
+    cr_expect(watch.read_at() >= before && watch.read_at() <= boot_now());
+    loop.run_for(milliseconds{200}); // The watch waits.
+    store.end_waits_early(true);
+    store.write("elsewhere", "x", {}); // Wakes the watch; its answer has no change.
+    std::this_thread::sleep_for(milliseconds{600});
+    steady_time const answered = boot_now() - milliseconds{500};
+    store.write("config", "main", {{"version", 2}});
+    while (watch.read_at() <= before + milliseconds{50})
+    {
+        steady_time const known = watch.read_at();
+        loop.run_one();
+        if (watch.read_at() != known)
+        {
+            break;
+        }
+    }
+    cr_expect(watch.read_at() < answered, "the answer is taken to be %d ms newer than it can be",
+              static_cast<int>((watch.read_at() - answered) / milliseconds{1}));
+}
--- a/tests/wire/store_standin.cpp
+++ b/tests/wire/store_standin.cpp
@@ -271,7 +271,7 @@
                 events.push_back(each.event);
             }
         }
-        bool const over = std::chrono::steady_clock::now() >= until;
+        bool const over = ends_waits_early_ || std::chrono::steady_clock::now() >= until;
         if (!events.empty() || over)
         {
             std::string const text = text_of(json{{"events", events}, {"as_of", revision_}});
--- a/tests/wire/store_standin.hpp
+++ b/tests/wire/store_standin.hpp
@@ -42,6 +42,8 @@
     /// Limits the objects of one answer to a listing; zero for no limit.
     void set_page_size(std::size_t objects) { page_size_ = objects; }
     void set_mode(mode value);
+    /// Answers watches without changes at once, whatever wait they ask for.
+    void end_waits_early(bool value) { ends_waits_early_ = value; }
     /// Drops the history, so that every watch of an older revision is answered 410.
     void drop_history();
     /// Keeps a copy of all objects, for restore().
@@ -86,6 +88,7 @@
     void record(std::string const& kind, std::string const& name, object const& value, bool deleted);
 
     std::atomic<std::size_t> page_size_{0};
+    std::atomic<bool> ends_waits_early_{false};
     std::mutex mutex_;
     std::map<std::string, std::string> texts_; ///< By the spec that stands for each.
     std::condition_variable changed_;
