Take no proof of the configuration from replies of older builds

Cause: a reply without the age of the configuration counted with its age of the state. Older builds count that age from when they were told it, not from when they asked, so that a reply that had waited at a stopped instance proved a configuration which was older than the bound. Change: such a reply proves nothing. An instance that needs a proof and gets none from its peers lists the configuration itself, each 0.4 of the bound. Result: found by review; no test has an instance of an older build.

--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -342,7 +342,7 @@
                 streams.on_recorded(boot_now(), each, true);
             }
             streams.on_confirmed(asked_at);
-            state.on_reply(*reply, config_current_at(outcome, *reply, asked_at));
+            state.on_reply(*reply, config_current_at(outcome, asked_at));
             if (!state.wants_standby())
             {
                 lease.on_holder_reply(boot_now());
@@ -422,11 +422,13 @@
     }
 
     // The time at which the configuration was the newest one, by a reply to a question that was sent at
-    // `asked_at`. The reply may have waited, at an instance that stood still, for any time since then.
-    static steady_time config_current_at(http_outcome const& outcome, holder_reply const& reply,
-                                         steady_time asked_at)
+    // `asked_at`. The reply may have waited, at an instance that stood still, for any time since then. Replies
+    // of older builds prove nothing: their age of the state counts from when they were told it, not from when
+    // they asked. The epoch then.
+    static steady_time config_current_at(http_outcome const& outcome, steady_time asked_at)
     {
-        return asked_at - decode_config_age(outcome.headers).value_or(reply.store_state_age);
+        auto const age = decode_config_age(outcome.headers);
+        return age ? asked_at - *age : steady_time{};
     }
 
     void on_standby_answer(std::string const& address, http_outcome const& outcome, steady_time asked_at)
@@ -445,7 +447,7 @@
         }
         standby_config = reply->config;
         standby_config.text.clear();
-        state.on_standby_reply(*reply, config_current_at(outcome, *reply, asked_at));
+        state.on_standby_reply(*reply, config_current_at(outcome, asked_at));
     }
 
     // Answers a question for the state. Its age tells whether it is of use.
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -55,6 +55,9 @@
 // A watch that has to prove the configuration waits this share of the bound on the age of the proof at most,
 // so that one lost call does not use up the bound.
 constexpr double proof_wait_share = 0.2;
+// From this share of the bound on, an instance whose peers prove nothing, as those of older builds, reads the
+// configuration from the store itself.
+constexpr double own_read_share = 0.4;
 // Interval between choices of the state source; short compared with the lifetime of a reply.
 constexpr duration choice_interval = milliseconds{100};
 
@@ -366,6 +369,20 @@
         return std::max({config_watch.read_at(), config_confirmed.at, told_current_at});
     }
 
+    // The watch is paused while peers tell the state. Those of older builds do not prove the configuration.
+    void prove_by_store(steady_time now)
+    {
+        bool const needed = settings.proof_limit && config && config->organisations;
+        duration const limit = needed ? share_of(*settings.proof_limit, own_read_share) : duration{0};
+        if (!needed || source == state_source::store || now < next_config_read ||
+            now - config_current_at() < limit)
+        {
+            return;
+        }
+        next_config_read = now + limit;
+        config_watch.refresh();
+    }
+
     void take_over(holder_reply const& reply, steady_time config_current_at)
     {
         // While expired entries may still appear again, a list without them does not prove that they are
@@ -509,6 +526,7 @@
         choose_source();
         log_noted_changes();
         explain_renewal();
+        prove_by_store(boot_now());
         timer.expires_after(choice_interval);
         timer.async_wait(
             [this](boost::system::error_code error)
