Accept no key by an older copy of the configuration while a peer knows a later one

Cause: an instance that starts while the store shows an older copy of itself took the copy for the newest configuration, because it had read it from the store, and kept doing so until a peer had told it the later text. A peer that knew no proof reported its machine's uptime as the age of its configuration. Change: an instance whose organisations need a proof has none until a peer has named the version that it has in force, or it has held the lease for 1.5 s, for 10 s at most; it is not ready meanwhile. While a peer has a later version that the store has lost, the store proves nothing. A peer without a proof says so.

--- a/adapters/placement_codec.cpp
+++ b/adapters/placement_codec.cpp
@@ -401,23 +401,28 @@
     return text.empty() ? std::string() : std::string(standbys_header) + ": " + text + "\r\n";
 }
 
-std::string encode_config_age(duration age)
+std::string encode_config_age(std::optional<duration> age)
 {
     // Rounded up: a configuration must not be taken for newer than it is.
-    auto const whole = std::chrono::duration_cast<milliseconds>(age).count() + 1;
-    return std::string(config_age_header) + ": " + std::to_string(whole) + "\r\n";
+    std::string const text =
+        age ? std::to_string(std::chrono::duration_cast<milliseconds>(*age).count() + 1) : "none";
+    return std::string(config_age_header) + ": " + text + "\r\n";
 }
 
-std::optional<duration>
-decode_config_age(std::vector<std::pair<std::string, std::string>> const& headers)
+told_config_age decode_config_age(std::vector<std::pair<std::string, std::string>> const& headers)
 {
     constexpr std::uint64_t max_ms = 1000000000000U; // Keeps the conversion in range.
     auto const found =
         std::find_if(headers.begin(), headers.end(),
                      [](auto const& each) { return equal_ignoring_case(each.first, config_age_header); });
-    auto const age = found == headers.end() ? std::nullopt : parse_number(found->second);
-    return age ? std::optional<duration>(milliseconds{static_cast<std::int64_t>(std::min(*age, max_ms))})
-               : std::nullopt;
+    if (found == headers.end())
+    {
+        return {};
+    }
+    auto const age = parse_number(found->second);
+    return {true,
+            age ? std::optional<duration>(milliseconds{static_cast<std::int64_t>(std::min(*age, max_ms))})
+                : std::nullopt};
 }
 
 std::vector<std::string> decode_standbys(std::vector<std::pair<std::string, std::string>> const& headers)
--- a/adapters/placement_codec.hpp
+++ b/adapters/placement_codec.hpp
@@ -39,10 +39,14 @@
 /// Header of a reply that tells how long ago, in milliseconds, the configuration is known to have been the
 /// newest one. It is sent only where organisations are configured.
 extern char const* const config_age_header;
-std::string encode_config_age(duration age);
-/// No value when there is no such header, as in replies of older builds.
-std::optional<duration>
-decode_config_age(std::vector<std::pair<std::string, std::string>> const& headers);
+/// No value when nothing is known of that yet, as after a start.
+std::string encode_config_age(std::optional<duration> age);
+struct told_config_age
+{
+    bool stated = false;         ///< False when there is no such header, as in replies of older builds.
+    std::optional<duration> age; ///< No value when the peer knows none.
+};
+told_config_age decode_config_age(std::vector<std::pair<std::string, std::string>> const& headers);
 
 /// Path of the call that asks a standby for the state that it reads from the store. The body is a demand
 /// report without demand, the answer a reply without placements. Older builds answer 404.
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -408,7 +408,8 @@
     bool ready() const
     {
         bool const depends_on_others = reach.cut_off_for(boot_now()) >= unready_after && !relays.empty();
-        return !stopping && service.has_config() && state.servers_known() && !depends_on_others;
+        return !stopping && service.has_config() && state.servers_known() && !state.awaits_peers() &&
+               !depends_on_others;
     }
 
     // Returns the header lines of the refusal.
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -342,7 +342,7 @@
                 streams.on_recorded(boot_now(), each, true);
             }
             streams.on_confirmed(asked_at);
-            state.on_reply(*reply, config_current_at(outcome, asked_at));
+            state.on_reply(*reply, told_by(outcome, asked_at));
             if (!state.wants_standby())
             {
                 lease.on_holder_reply(boot_now());
@@ -421,14 +421,13 @@
                   { self->on_standby_answer(address, outcome, asked_at); });
     }
 
-    // The time at which the configuration was the newest one, by a reply to a question that was sent at
-    // `asked_at`. The reply may have waited, at an instance that stood still, for any time since then. Replies
-    // of older builds prove nothing: their age of the state counts from when they were told it, not from when
-    // they asked. The epoch then.
-    static steady_time config_current_at(http_outcome const& outcome, steady_time asked_at)
+    // What a reply to a question that was sent at `asked_at` proves. The reply may have waited, at an
+    // instance that stood still, for any time since then. Replies of older builds prove nothing: their age of
+    // the state counts from when they were told it, not from when they asked.
+    static told_currency told_by(http_outcome const& outcome, steady_time asked_at)
     {
-        auto const age = decode_config_age(outcome.headers);
-        return age ? asked_at - *age : steady_time{};
+        auto const told = decode_config_age(outcome.headers);
+        return {told.age ? asked_at - *told.age : steady_time{}, told.stated && !told.age};
     }
 
     void on_standby_answer(std::string const& address, http_outcome const& outcome, steady_time asked_at)
@@ -447,7 +446,7 @@
         }
         standby_config = reply->config;
         standby_config.text.clear();
-        state.on_standby_reply(*reply, config_current_at(outcome, asked_at));
+        state.on_standby_reply(*reply, told_by(outcome, asked_at));
     }
 
     // Answers a question for the state. Its age tells whether it is of use.
@@ -468,7 +467,10 @@
     // Only organisations need it.
     std::string encoded_config_age() const
     {
-        return has_organisations ? encode_config_age(boot_now() - state.config_current_at()) : std::string();
+        steady_time const current_at = state.config_current_at();
+        auto const age =
+            current_at == steady_time{} ? std::nullopt : std::optional<duration>(boot_now() - current_at);
+        return has_organisations ? encode_config_age(age) : std::string();
     }
 
     std::string encoded_standbys(steady_time now, demand_report const& report)
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -58,6 +58,11 @@
 // From this share of the bound on, an instance whose peers prove nothing, as those of older builds, reads the
 // configuration from the store itself.
 constexpr double own_read_share = 0.4;
+// The other instances read the lease record each second and report to a new holder at once, with the version
+// that they have in force.
+constexpr duration first_reports_time = milliseconds{1500};
+// Longer than any time without a lease holder, of which the store's operators allow a few seconds.
+constexpr duration max_wait_for_peers = seconds{10};
 // Interval between choices of the state source; short compared with the lifetime of a reply.
 constexpr duration choice_interval = milliseconds{100};
 
@@ -264,10 +269,16 @@
 
     void on_peer_config(known_config const& told)
     {
+        if (told.version >= told_version)
+        {
+            told_version = told.version;
+            told_version_revision = told.revision;
+        }
         if (told.text.empty() || told.version <= known.version)
         {
             return;
         }
+        judged_version = std::max(judged_version, told.version);
         auto const spec = platform::parse_json(told.text);
         if (!spec)
         {
@@ -347,25 +358,46 @@
         handlers.on_backend_gone(name);
     }
 
-    void on_reply(holder_reply const& reply, steady_time config_current_at)
+    void on_reply(holder_reply const& reply, told_currency const& currency)
     {
         choice.on_reply(boot_now(), reply.store_state_age);
-        take_over(reply, config_current_at);
+        take_over(reply, currency);
     }
 
     // The configuration of this instance was the newest one at the time of the read that a peer's reply rests
     // on, if it has read as much as the peer.
-    void on_told_current(store_revision const& revision, steady_time at)
+    void on_told_current(known_config const& told, steady_time at)
     {
-        told_revision = std::max(told_revision, revision);
-        if (known.revision >= revision)
+        told_revision = std::max(told_revision, told.revision);
+        if (known.revision >= told.revision && told.version <= std::max(known.version, judged_version))
         {
             told_current_at = std::max(told_current_at, at);
         }
     }
 
+    // A peer has a later version in force than this instance, which has read all that the peer has read: the
+    // store has lost that version, and the peer has not told its text yet.
+    bool lacks_lost_version() const
+    {
+        return told_version > std::max(known.version, judged_version) &&
+               known.revision >= told_version_revision;
+    }
+
+    // After its start an instance may read from the store a configuration that is older than its peers' one.
+    bool awaits_peers() const
+    {
+        steady_time const now = boot_now();
+        bool const needed = settings.proof_limit && config && config->organisations;
+        bool const holds_long = holds && now - holds_since >= first_reports_time;
+        return needed && !heard_from_peer && !holds_long && now - started_at < max_wait_for_peers;
+    }
+
     steady_time config_current_at() const
     {
+        if (lacks_lost_version() || awaits_peers())
+        {
+            return {};
+        }
         return std::max({config_watch.read_at(), config_confirmed.at, told_current_at});
     }
 
@@ -383,7 +415,7 @@
         config_watch.refresh();
     }
 
-    void take_over(holder_reply const& reply, steady_time config_current_at)
+    void take_over(holder_reply const& reply, told_currency const& currency)
     {
         // While expired entries may still appear again, a list without them does not prove that they are
         // gone.
@@ -396,7 +428,8 @@
             apply_crashes(*reply.crash_marks);
         }
         on_peer_config(reply.config);
-        on_told_current(reply.config.revision, config_current_at);
+        on_told_current(reply.config, currency.current_at);
+        heard_from_peer = heard_from_peer || !currency.peer_awaits;
         choose_source();
         steady_time const now = boot_now();
         if (source != state_source::store && reply.config.revision > known.revision &&
@@ -547,8 +580,14 @@
     backend_directory directory;
     state_source_selector choice;
     state_source source{state_source::store};
-    store_revision told_revision;    ///< The latest one of the configuration that a peer has named.
-    steady_time told_current_at;     ///< Of the configuration, by what peers told.
+    store_revision told_revision;         ///< The latest one of the configuration that a peer has named.
+    std::uint64_t told_version = 0;       ///< The latest one that a peer has in force.
+    store_revision told_version_revision; ///< What that peer has read of the configuration.
+    std::uint64_t judged_version = 0;     ///< The latest one whose text a peer has told, usable or not.
+    steady_time told_current_at;          ///< Of the configuration, by what peers told.
+    steady_time const started_at = boot_now();
+    steady_time holds_since;
+    bool heard_from_peer = false;    ///< A holder or standby has named the version that it has in force.
     update_position holder_position; ///< Position in the holder's changes.
     std::shared_ptr<serving_config const> config;
     known_config known; ///< With the text of the configuration in force.
@@ -598,6 +637,7 @@
     {
         impl_->servers_fresh = false;
     }
+    impl_->holds_since = holds && !impl_->holds ? boot_now() : impl_->holds_since;
     impl_->holds = holds;
     impl_->set_pace();
     impl_->choose_source();
@@ -608,15 +648,15 @@
     impl_->on_renewed(revision, sent_at);
 }
 
-void state_follower::on_reply(holder_reply const& reply, steady_time config_current_at)
+void state_follower::on_reply(holder_reply const& reply, told_currency const& currency)
 {
-    impl_->on_reply(reply, config_current_at);
+    impl_->on_reply(reply, currency);
 }
 
-void state_follower::on_standby_reply(holder_reply const& reply, steady_time config_current_at)
+void state_follower::on_standby_reply(holder_reply const& reply, told_currency const& currency)
 {
     impl_->choice.on_standby_reply(boot_now(), reply.store_state_age);
-    impl_->take_over(reply, config_current_at);
+    impl_->take_over(reply, currency);
 }
 
 steady_time state_follower::config_current_at() const
@@ -626,7 +666,12 @@
 
 bool state_follower::config_behind() const
 {
-    return impl_->told_revision > impl_->known.revision;
+    return impl_->told_revision > impl_->known.revision || impl_->lacks_lost_version();
+}
+
+bool state_follower::awaits_peers() const
+{
+    return impl_->awaits_peers();
 }
 
 void state_follower::on_standbys(bool is_standby, bool knows_others)
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -38,6 +38,15 @@
     std::optional<duration> proof_limit{};
 };
 
+/// What a peer's reply tells about the age of the configuration that it rests on.
+struct told_currency
+{
+    /// A time at which the configuration was the newest one; the epoch when the reply proves none.
+    steady_time current_at;
+    /// The peer does not know itself, as after its start. Older builds do not tell.
+    bool peer_awaits = false;
+};
+
 /// Handlers for changes of the fleet's state, called on the event loop's thread.
 struct state_handlers
 {
@@ -65,11 +74,9 @@
     void on_lease(bool holds);
     /// On the lease holder: the lease was written, by a call that was sent at `sent_at`.
     void on_renewed(store_revision const& revision, steady_time sent_at);
-    /// `config_current_at` is a time at which the configuration was the newest one, by the holder's
-    /// knowledge.
-    void on_reply(holder_reply const& reply, steady_time config_current_at);
+    void on_reply(holder_reply const& reply, told_currency const& currency);
     /// A standby answered a question for the state.
-    void on_standby_reply(holder_reply const& reply, steady_time config_current_at);
+    void on_standby_reply(holder_reply const& reply, told_currency const& currency);
     /// Sets whether this instance is a standby, and whether it knows others to ask.
     void on_standbys(bool is_standby, bool knows_others);
     /// True when this instance should ask a standby.
@@ -78,10 +85,15 @@
     /// any limit when it has not listed them.
     duration age() const;
     /// The latest time at which the store is known to have had no newer configuration than this instance: the
-    /// time at which a read that shows it was sent. The epoch when there was none.
+    /// time at which a read that shows it was sent. The epoch when there was none, while peers have a later
+    /// version that the store has lost, and while awaits_peers().
     steady_time config_current_at() const;
-    /// True when a peer has named a later revision of the configuration than this instance has read.
+    /// True when a peer has named a later revision of the configuration than this instance has read, or a
+    /// later version that the store has lost.
     bool config_behind() const;
+    /// True after the start, while organisations need a proof, until a peer has named the version that it has
+    /// in force: the store may show an older one, after it came back from an older copy of itself.
+    bool awaits_peers() const;
     /// Called when the holder answers that it no longer holds the lease, or when nothing listens at its
     /// address.
     void on_holder_lost();
