Show no key of requests that were accepted before organisations were configured

Cause: a request keeps the headers with which it was accepted. One that came before organisations were configured carried its key in later attempts, also to peers, and was called identified there; one that was identified was called unidentified, and refused by the peer, once organisations were configured no more. Requests from peers counted nothing in the division of scarce room. Change: a configuration with organisations withholds the credentials of all open requests that have not been identified; whether a request is identified is kept with it; the tokens of a request from a peer count. Result: trial of organisation/request_from_before_organisations_shows_no_key_after: the server of the second attempt saw the key before, and does not now. The other two changes were found by review.

--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -58,6 +58,8 @@
     bool forwarded = false;
     /// Identified and charged by the instance that passed it on.
     bool caller_checked = false;
+    /// Identified here. It stays so when a later configuration has no organisations.
+    bool identified = false;
     std::uint64_t quota_cost = 0; ///< In units of the limit of its organisation.
     std::uint64_t work = 0;       ///< Its tokens, for the division of scarce room among organisations.
     bool awaits_credit = false;   ///< Of its organisation; it has not been passed on yet.
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -247,6 +247,10 @@
             // A copy: identify() replaces what it reads.
             platform::identify(open.request, std::string(open.request.stated_organisation));
             caller_of = access.find(open.request.organisation);
+            if (caller_of != nullptr)
+            {
+                open.work = work_of(caller_of->quota, open.request.tokens);
+            }
             return true;
         }
         if (!access.is_active())
@@ -260,6 +264,7 @@
             return false;
         }
         caller_of = std::get<caller_admitted>(decision).caller;
+        open.identified = true;
         platform::identify(open.request, caller_of == nullptr ? std::string() : caller_of->name);
         if (caller_of != nullptr)
         {
@@ -269,6 +274,24 @@
         return true;
     }
 
+    // Requests that were accepted before organisations were configured go on without one. Their further
+    // attempts must not show keys to servers or peers.
+    void withhold_credentials()
+    {
+        if (!access.is_active())
+        {
+            return;
+        }
+        for (auto const& [number, open] : exchanges)
+        {
+            if (!open->identified && !open->caller_checked)
+            {
+                platform::identify(open->request, {});
+                open->identified = true;
+            }
+        }
+    }
+
     void refuse_caller(open_exchange& open, caller_refused const& refused)
     {
         int const status = refusal_status(refused);
@@ -1012,7 +1035,7 @@
         request.method = "POST";
         request.bytes = encode_forwarded_head(
             open.request, request.body->size(), headers, attempt.servers_lent, attempt.target.address,
-            authorization ? authorization() : "", open.caller_checked || access.is_active());
+            authorization ? authorization() : "", open.caller_checked || open.identified);
         request.time_limit = std::max<duration>(open.deadline - attempt.begun_at, milliseconds{1});
         request.connect_limit = std::min<duration>(peer_connect_time, request.time_limit / 2);
     }
@@ -1862,6 +1885,7 @@
     impl_->access.on_config(config);
     impl_->quotas.on_config(config);
     impl_->routes.emplace(std::move(config));
+    impl_->withhold_credentials();
 }
 
 void request_service::on_forwarded(std::shared_ptr<caller_exchange> const& call)
