Name the organisation in the lines of its requests and of refused keys

Cause: the lines `request` and `attempt` did not name the organisation, and a known key that was refused for want of a proof was counted for nobody, so that a complaint could not be followed. Change: both lines name the organisation of a request that has one; so does `caller_refused`, with the time to come back, and the refusal is counted in siskin_organisation_refusals_total. Lines of requests without an organisation are unchanged.

--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -107,9 +107,9 @@
 {
 public:
     using handler = std::function<void(std::shared_ptr<caller_exchange>)>;
-    /// Returns further header lines of the refusal, each ended by CRLF.
     /// Returns a refusal for a request that needs no look at its body.
     using head_check = std::function<std::optional<head_refusal>(request_head const&)>;
+    /// Returns further header lines of the refusal, each ended by CRLF.
     using refusal_handler = std::function<std::string(request_head const&, memory_refusal const&)>;
 
     caller_server(boost::asio::io_context& loop, caller_server_settings settings, handler on_request);
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -77,17 +77,26 @@
                  {"config", std::to_string(config_version)}}});
 }
 
-void request_log::caller_refused(std::string const& request_id, int status, admission_fault fault,
-                                 duration proof_age, std::uint64_t config_version)
+void request_log::caller_refused(std::string const& request_id, int status,
+                                 siskinusher::caller_refused const& refused, duration proof_age,
+                                 std::uint64_t config_version)
 {
-    metrics_.add("siskin_refusals_total", to_string(fault), 1);
-    log_.write({"caller_refused",
-                {{"request", request_id.substr(0, max_logged_text_length)},
-                 {"reason", to_string(fault)},
-                 {"status", std::to_string(status)},
-                 {"execution", "not_run"},
-                 {"proof_age_ms", ms_text(proof_age)},
-                 {"config", std::to_string(config_version)}}});
+    char const* const reason = to_string(refused.fault);
+    metrics_.add("siskin_refusals_total", reason, 1);
+    log_event event{"caller_refused",
+                    {{"request", request_id.substr(0, max_logged_text_length)},
+                     {"reason", reason},
+                     {"status", std::to_string(status)},
+                     {"execution", "not_run"},
+                     {"proof_age_ms", ms_text(proof_age)},
+                     {"retry_after_ms", ms_text(refused.retry_after)},
+                     {"config", std::to_string(config_version)}}};
+    if (refused.caller != nullptr)
+    {
+        count_organisation_refusal(refused.caller->name, reason);
+        event.fields.emplace_back("organisation", refused.caller->name);
+    }
+    log_.write(event);
 }
 
 void request_log::over_limit(open_exchange const& open, duration retry_after, std::uint64_t held)
@@ -115,6 +124,15 @@
                  {"execution", "not_run"}}});
 }
 
+void request_log::write_of(open_exchange const& open, log_event event)
+{
+    if (!open.request.organisation.empty())
+    {
+        event.fields.emplace_back("organisation", open.request.organisation);
+    }
+    log_.write(event);
+}
+
 void request_log::count_organisation_refusal(std::string const& organisation, char const* reason)
 {
     bool const counted = counted_organisations_.count(organisation) > 0 ||
@@ -181,25 +199,25 @@
     {
         metrics_.add("siskin_extra_answers_total", "idle", use.closed_with_bytes);
     }
-    log_.write({"attempt",
-                {{"request", open.request.request_id},
-                 {"service", open.service},
-                 {"model", open.request.model},
-                 {"backend", step.target.backend},
-                 {"candidates", std::to_string(step.basis.candidates)},
-                 {"limited", std::to_string(step.basis.limited)},
-                 {"in_use", std::to_string(step.basis.in_use)},
-                 {"load_age_ms", ms_text(step.basis.load_age)},
-                 {"waited_ms", ms_text(step.basis.waited)},
-                 {"send", std::to_string(open.times_sent + 1)},
-                 {"via_peer", attempt.via_peer ? "true" : "false"},
-                 {"servers_lent", std::to_string(attempt.servers_lent)},
-                 {"servers_run", std::to_string(open.backends_run)},
-                 {"version", open.version.value_or("")},
-                 {"replaces", replaced},
-                 {"connection", std::to_string(use.connection)},
-                 {"connection_requests", std::to_string(use.earlier_requests)},
-                 {"closed_with_bytes", std::to_string(use.closed_with_bytes)}}});
+    write_of(open, {"attempt",
+                    {{"request", open.request.request_id},
+                     {"service", open.service},
+                     {"model", open.request.model},
+                     {"backend", step.target.backend},
+                     {"candidates", std::to_string(step.basis.candidates)},
+                     {"limited", std::to_string(step.basis.limited)},
+                     {"in_use", std::to_string(step.basis.in_use)},
+                     {"load_age_ms", ms_text(step.basis.load_age)},
+                     {"waited_ms", ms_text(step.basis.waited)},
+                     {"send", std::to_string(open.times_sent + 1)},
+                     {"via_peer", attempt.via_peer ? "true" : "false"},
+                     {"servers_lent", std::to_string(attempt.servers_lent)},
+                     {"servers_run", std::to_string(open.backends_run)},
+                     {"version", open.version.value_or("")},
+                     {"replaces", replaced},
+                     {"connection", std::to_string(use.connection)},
+                     {"connection_requests", std::to_string(use.earlier_requests)},
+                     {"closed_with_bytes", std::to_string(use.closed_with_bytes)}}});
 }
 
 void request_log::attempt_ended(open_exchange const& open, server_attempt const& attempt,
@@ -328,27 +346,27 @@
     {
         latencies_.observe("siskin_first_event_seconds", priority, open.first_event_after);
     }
-    log_.write(
-        {"request",
-         {{"request", open.request.request_id},
-          {"outcome", outcome},
-          {"status", std::to_string(status)},
-          {"route", open.route.name},
-          {"service", open.service},
-          {"model", open.request.model + (open.request.adapter.empty() ? "" : "/" + open.request.adapter)},
-          {"backend", open.current ? open.current->target.backend : backend_name()},
-          {"attempts", std::to_string(open.attempts)},
-          {"servers_run", std::to_string(open.backends_run)},
-          {"servers_allowed", std::to_string(open.route.max_backends)},
-          {"passed_on_by", open.passed_on_by},
-          {"last_failure", open.last_failure},
-          {"first_event_ms", ms_text(open.first_event_after)},
-          {"longest_pause_ms", ms_text(open.longest_pause)},
-          {"events", std::to_string(open.events_forwarded)},
-          {"total_ms", ms_text(total)},
-          {"allowed_ms", ms_text(open.deadline - open.caller->arrived())},
-          {"config", std::to_string(config_version)},
-          {"config_at_arrival", std::to_string(open.config_version)}}});
+    write_of(open, {"request",
+                    {{"request", open.request.request_id},
+                     {"outcome", outcome},
+                     {"status", std::to_string(status)},
+                     {"route", open.route.name},
+                     {"service", open.service},
+                     {"model",
+                      open.request.model + (open.request.adapter.empty() ? "" : "/" + open.request.adapter)},
+                     {"backend", open.current ? open.current->target.backend : backend_name()},
+                     {"attempts", std::to_string(open.attempts)},
+                     {"servers_run", std::to_string(open.backends_run)},
+                     {"servers_allowed", std::to_string(open.route.max_backends)},
+                     {"passed_on_by", open.passed_on_by},
+                     {"last_failure", open.last_failure},
+                     {"first_event_ms", ms_text(open.first_event_after)},
+                     {"longest_pause_ms", ms_text(open.longest_pause)},
+                     {"events", std::to_string(open.events_forwarded)},
+                     {"total_ms", ms_text(total)},
+                     {"allowed_ms", ms_text(open.deadline - open.caller->arrived())},
+                     {"config", std::to_string(config_version)},
+                     {"config_at_arrival", std::to_string(open.config_version)}}});
 }
 
 } // namespace siskinusher
--- a/apps/request_log.hpp
+++ b/apps/request_log.hpp
@@ -4,6 +4,7 @@
 #include "decision/caller_admission.hpp"
 #include "decision/crash_ledger.hpp"
 #include "decision/dispatcher.hpp"
+#include "domain/action.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -40,8 +41,8 @@
                           std::uint64_t config_version);
     /// A request whose caller has no key that may be used. `proof_age` is the age of the proof that the
     /// configuration is the newest one. Neither the key nor the path, which may contain one, is logged.
-    void caller_refused(std::string const& request_id, int status, admission_fault fault, duration proof_age,
-                        std::uint64_t config_version);
+    void caller_refused(std::string const& request_id, int status, siskinusher::caller_refused const& refused,
+                        duration proof_age, std::uint64_t config_version);
     /// The organisation of a request has used up its limit.
     void over_limit(open_exchange const& open, duration retry_after, std::uint64_t held);
     /// No lease holder has told whether the organisation of a request is within its limit.
@@ -81,6 +82,8 @@
                        std::uint64_t config_version);
 
 private:
+    /// Adds the organisation of a request that has one.
+    void write_of(open_exchange const& open, log_event event);
     void count_organisation_refusal(std::string const& organisation, char const* reason);
     void limit_change(char const* event, char const* counter, std::optional<double> per_second,
                       std::string const& unreadable, open_exchange const& open,
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -298,7 +298,7 @@
         std::string lines = refusal_lines(refused);
         lines.append(open.forwarded ? platform::encode_not_run(0) : "");
         open.caller->answer(status, lines, "");
-        log.caller_refused(open.request.request_id, status, refused.fault, access.proof_age(boot_now()),
+        log.caller_refused(open.request.request_id, status, refused, access.proof_age(boot_now()),
                            config_version());
     }
 
@@ -319,7 +319,7 @@
         {
             return std::nullopt;
         }
-        log.caller_refused(platform::request_id_of(head), refusal_status(*refused), refused->fault,
+        log.caller_refused(platform::request_id_of(head), refusal_status(*refused), *refused,
                            access.proof_age(boot_now()), config_version());
         return head_refusal{refusal_status(*refused), refusal_lines(*refused)};
     }
--- a/decision/caller_admission.cpp
+++ b/decision/caller_admission.cpp
@@ -35,14 +35,16 @@
     {
         bool const is_final = !rejected->unknown_key ||
                               (!currency.behind && age <= share_of(bounds.change_time, final_age_share));
-        return is_final ? caller_refused{admission_fault::unknown_key, {}}
-                        : caller_refused{admission_fault::key_not_known_yet, unknown_key_retry_after};
+        return is_final
+                   ? caller_refused{admission_fault::unknown_key, {}, nullptr}
+                   : caller_refused{admission_fault::key_not_known_yet, unknown_key_retry_after, nullptr};
     }
+    auto const* const caller = std::get<organisation const*>(identity);
     if (bounds.revocation_time && age > share_of(*bounds.revocation_time, 1.0 - max_clock_drift))
     {
-        return caller_refused{admission_fault::keys_unproven, unproven_retry_after};
+        return caller_refused{admission_fault::keys_unproven, unproven_retry_after, caller};
     }
-    return caller_admitted{std::get<organisation const*>(identity)};
+    return caller_admitted{caller};
 }
 
 char const* to_string(admission_fault fault)
--- a/decision/caller_admission.hpp
+++ b/decision/caller_admission.hpp
@@ -42,7 +42,8 @@
 struct caller_refused
 {
     admission_fault fault{admission_fault::unknown_key};
-    duration retry_after{0}; ///< Zero when the refusal is final.
+    duration retry_after{0};              ///< Zero when the refusal is final.
+    organisation const* caller = nullptr; ///< Whose key it is, if that is known.
 };
 using admission = std::variant<caller_admitted, caller_refused>;
 
