--- a/tests/adapters/caller_server_test.cpp
+++ b/tests/adapters/caller_server_test.cpp
@@ -17,6 +17,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -78,6 +79,10 @@
     {
         on_loop([&] { server_->drain(); });
     }
+    void check_heads(caller_server::head_check const& check)
+    {
+        on_loop([&] { server_->check_heads(check); });
+    }
     /// Runs a task on the thread of the event loop and waits for its end.
     void on_loop(std::function<void()> const& task)
     {
@@ -688,3 +693,73 @@
     cr_assert(contains(caller.received(), "Connection: close\r\n"), "%s", caller.received().c_str());
     cr_assert_eq(after_head(caller.received()), "body of /next");
 }
+
+// Guards against the bodies of callers without a key: they are not read into memory and reach no handler, no
+// interim answer invites them, and the caller that goes on sending gets its answer.
+Test(caller_server, refused_head_is_answered_before_its_body_is_read)
+{
+    std::atomic<unsigned> handled{0};
+    caller_limits limits;
+    limits.body_bytes = 16U << 20U;
+    running_server server(
+        [&handled](exchange_pointer const& exchange)
+        {
+            ++handled;
+            answer_by_path(exchange);
+        },
+        limits);
+    server.check_heads(
+        [](request_head const& head) -> std::optional<head_refusal>
+        {
+            return head.fields.has("Key") ? std::nullopt
+                                          : std::optional(head_refusal{401, "Retry-After-Test: 1\r\n"});
+        });
+    std::string const large(8U << 20U, 'x');
+    // Nothing, a part, and all of the body is sent before the answer.
+    std::vector<std::string> const refused{
+        request("POST /p HTTP/1.1", "Content-Length: 8388608\r\n"),
+        request("POST /p HTTP/1.1", "Content-Length: 8388608\r\n") + "part",
+        request("POST /p HTTP/1.1", "Content-Length: 8388608\r\n") + large,
+        request("POST /p HTTP/1.1", "Transfer-Encoding: chunked\r\n") + "800000\r\n" + large,
+        request("POST /p HTTP/1.1", "Expect: 100-continue\r\nContent-Length: 8388608\r\n")};
+    for (std::string const& bytes : refused)
+    {
+        raw_caller caller(server.address());
+        cr_expect(caller.send(bytes), "closed while the caller was sending");
+        connection_end const end = caller.receive_all();
+        cr_expect_eq(caller.received().find("HTTP/1.1 401 "), 0, "%s", caller.received().c_str());
+        cr_expect(contains(caller.received(), "\r\nRetry-After-Test: 1\r\n"), "%s",
+                  caller.received().c_str());
+        cr_expect_not(contains(caller.received(), "100 Continue"), "%s", caller.received().c_str());
+        cr_expect_eq(end, connection_end::closed);
+    }
+    cr_expect_eq(handled, 0U);
+    raw_caller admitted(server.address());
+    cr_assert(admitted.send(request("POST /p HTTP/1.1", "Key: 1\r\nContent-Length: 4\r\n") + "body"));
+    cr_expect_eq(admitted.receive_until("\r\n\r\n").find("HTTP/1.1 200 "), 0, "%s",
+                 admitted.received().c_str());
+    cr_expect_eq(handled, 1U);
+}
+
+// Guards against a second request on the connection of a refused one, which is read from bytes of the body.
+Test(caller_server, bytes_behind_a_refused_head_are_no_request)
+{
+    std::atomic<unsigned> handled{0};
+    running_server server(
+        [&handled](exchange_pointer const& exchange)
+        {
+            ++handled;
+            answer_by_path(exchange);
+        });
+    server.check_heads(
+        [](request_head const& head) {
+            return head.target == "/no" ? std::optional(head_refusal{401, ""}) : std::nullopt;
+        });
+    raw_caller caller(server.address());
+    cr_assert(caller.send(request("POST /no HTTP/1.1", "Content-Length: 37\r\n") +
+                          request("GET /hidden HTTP/1.1") + request("GET /next HTTP/1.1")));
+    (void)caller.receive_all();
+    cr_expect_eq(caller.received().find("HTTP/1.1 401 "), 0, "%s", caller.received().c_str());
+    cr_expect_not(contains(after_head(caller.received()), "HTTP/1.1"), "%s", caller.received().c_str());
+    cr_expect_eq(handled, 0U);
+}
--- a/tests/adapters/edge_settings_test.cpp
+++ b/tests/adapters/edge_settings_test.cpp
@@ -110,3 +110,47 @@
                       "s.yaml:7: wrong value '-1' for 'orders.holder_gap_ms'; accepted: a number from 0 to "
                       "600000"));
 }
+
+// Guards against settings of deployments without organisations that are refused, or that ask for a proof.
+Test(edge_settings, organisations_may_be_absent)
+{
+    edge_settings const settings = read(whole);
+    cr_assert(!settings.revocation_time.has_value());
+    cr_assert(settings.quotas == (quota_bounds{seconds{1}, 0.0, 0.0}));
+    cr_assert(!read(whole + "organisations: { revoke_fail_closed: false }\n").revocation_time.has_value());
+}
+
+// Guards against a bound that is read as another one: a longer one lets revoked keys work.
+Test(edge_settings, organisations_are_read_as_written)
+{
+    std::string const section =
+        "organisations: { revoke_ms: 5000, revoke_fail_closed: true, quota_window_s: 8, "
+        "quota_excess: 0.1, quota_slack: 17000 }\n";
+    edge_settings const settings = read(whole + section);
+    cr_assert(settings.revocation_time == duration(milliseconds{5000}));
+    cr_assert(settings.quotas.window == duration(seconds{8}));
+    cr_assert_float_eq(settings.quotas.excess, 0.1, 1e-9);
+    cr_assert_float_eq(settings.quotas.slack, 17000.0, 1e-9);
+    cr_assert(!(settings == read(whole)));
+    // With a fraction, as on a scaled-down deployment, the bound is not lengthened.
+    std::string const fraction = "organisations: { revoke_ms: 1250.0009, revoke_fail_closed: true }\n";
+    cr_assert(read(whole + fraction).revocation_time == duration(microseconds{1250000}));
+    // Without fail-closed, keys that were taken away may work while the instance cannot know.
+    std::string const open = "organisations: { revoke_ms: 5000, revoke_fail_closed: false }\n";
+    cr_assert(!read(whole + open).revocation_time.has_value());
+}
+
+// Guards against a process that starts without the bound that its operators meant to set.
+Test(edge_settings, faults_of_organisations_are_named)
+{
+    for (std::string const section :
+         {"organisations: { revoke_fail_closed: true }",
+          "organisations: { revoke_fail_closed: yes, revoke_ms: 5000 }",
+          "organisations: { revoke_fail_closed: true, revoke_ms: 0 }",
+          "organisations: { revoke_fail_closed: true, revoke_ms: -5 }",
+          "organisations: { revoke_fail_closed: true, revoke_ms: .inf }", "organisations: { revoke_s: 5 }",
+          "organisations: { quota_excess: -0.1 }", "organisations: { quota_window_s: 0 }"})
+    {
+        cr_expect_not(read_edge_settings(whole + section + "\n", "s.yaml"), "%s", section.c_str());
+    }
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -10,7 +10,10 @@
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 
+#include <initializer_list>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace siskinusher;
 using namespace siskinusher::platform;
@@ -342,3 +345,276 @@
                   .fresh_connection);
     cr_assert(encode_inquiry("e1").fresh_connection);
 }
+
+namespace
+{
+
+constexpr char const* first_key = "asnm-first-secret";
+constexpr char const* second_key = "k7b2-second-secret";
+
+json config_with_tenants(json const& tenants)
+{
+    json config = standins::example_config(7);
+    config["tenants"] = tenants;
+    return config;
+}
+
+json tenant(char const* name, std::initializer_list<json> keys)
+{
+    return {{"name", name}, {"api_keys", json(std::vector<json>(keys))}};
+}
+
+// The reason for which the field is refused; empty when it is accepted.
+std::string field_fault(json const& tenants)
+{
+    std::string why;
+    return decode_serving_config(config_with_tenants(tenants), why).has_value() ? std::string() : why;
+}
+
+std::string tenants_fault(std::initializer_list<json> tenants)
+{
+    return field_fault(json(std::vector<json>(tenants)));
+}
+
+std::string tenant_fault(char const* field, json const& value, json const& rate = 10)
+{
+    json one = tenant("hule930", {first_key});
+    one["rate_per_s"] = rate;
+    one[field] = value;
+    return tenants_fault({one});
+}
+
+request_head head_with(std::vector<std::pair<std::string, std::string>> const& fields)
+{
+    request_head head;
+    head.method = "GET";
+    head.target = "/p/1";
+    head.fields.add("Host", "h");
+    head.fields.add("Attempt-Id", "r1");
+    for (auto const& [name, value] : fields)
+    {
+        head.fields.add(name, value);
+    }
+    return head;
+}
+
+caller_credentials credentials_in(std::string const& authorization)
+{
+    return decode_credentials(head_with({{"Authorization", authorization}}));
+}
+
+} // namespace
+
+// Guards against limits, keys and priorities that are read as others than the operators wrote.
+Test(serving_config_codec, organisations_are_read_as_written)
+{
+    std::string why;
+    json full = tenant("hule930", {first_key, second_key});
+    full.update({{"priority", 1},
+                 {"unit", "token"},
+                 {"plain_tokens", 200},
+                 {"rate_per_s", 329349},
+                 {"burst", 1000.5}});
+    json text = config_with_tenants(json::array({full, tenant("plain", {})}));
+    text["routes"][1]["public"] = true;
+    auto const config = decode_serving_config(text, why);
+    cr_assert(config.has_value(), "%s", why.c_str());
+    cr_assert(config->organisations.has_value());
+    organisation const expected{
+        "hule930", {first_key, second_key}, 1U, {quota_unit::tokens, 329349.0, 1000.5, 200.0}};
+    cr_assert(config->organisations->at(0) == expected);
+    organisation const plain{"plain", {}, {}, {quota_unit::requests, 0.0, 0.0, 1.0}};
+    cr_assert(config->organisations->at(1) == plain);
+    cr_assert_not(config->routes[0].is_public);
+    cr_assert(config->routes[1].is_public);
+    text.erase("tenants");
+    auto const without = decode_serving_config(text, why);
+    cr_assert(without.has_value() && !without->organisations.has_value());
+}
+
+// Guards against routes that are open to everybody: an empty list asks for keys, and a field that is no list
+// is a fault of the whole configuration.
+Test(serving_config_codec, empty_list_of_organisations_is_not_an_absent_one)
+{
+    std::string why;
+    auto const config = decode_serving_config(config_with_tenants(json::array()), why);
+    cr_assert(config.has_value() && config->organisations.has_value() && config->organisations->empty());
+    for (json const& value : {json(), json(3), json("text"), json::object(), json(false)})
+    {
+        cr_expect_eq(field_fault(value), "tenants is not a list", "%s", value.dump().c_str());
+    }
+    // Only the value true opens a route.
+    json text = config_with_tenants(json::array());
+    text["routes"][0]["public"] = "true";
+    text["routes"][1]["public"] = 1;
+    auto const odd = decode_serving_config(text, why);
+    cr_assert(!odd.has_value() || (!odd->routes[0].is_public && !odd->routes[1].is_public));
+}
+
+// Guards against a configuration in force in which a key or a name means two organisations, or a limit means
+// nothing; and against operators who are not told which fault it is.
+Test(serving_config_codec, faults_of_organisations_are_named)
+{
+    json const a = tenant("a", {first_key});
+    cr_expect_eq(tenants_fault({a, tenant("b", {first_key})}),
+                 "organisation 'b' has a key that is listed twice");
+    cr_expect_eq(tenants_fault({tenant("a", {first_key, first_key})}),
+                 "organisation 'a' has a key that is listed twice");
+    cr_expect_eq(tenants_fault({a, tenant("a", {second_key})}), "two organisations have the name 'a'");
+    std::string const bad_key = "organisation 'a' has an empty key, or api_keys is not a list of texts";
+    cr_expect_eq(tenants_fault({tenant("a", {first_key, ""})}), bad_key);
+    cr_expect_eq(tenants_fault({tenant("a", {first_key, 3})}), bad_key);
+    cr_expect_eq(tenants_fault({json{{"name", "a"}, {"api_keys", first_key}}}), bad_key);
+    for (char const* const name : {"", " a", "a ", "a\r\nX: 1", "a\tb", "a\x7f"})
+    {
+        cr_expect_eq(tenants_fault({tenant(name, {first_key})}), "an organisation has no usable name");
+    }
+    cr_expect_eq(tenants_fault({json{{"api_keys", json::array({first_key})}}}),
+                 "an organisation has no usable name");
+    cr_expect_eq(tenants_fault({json(first_key)}), "an organisation has no usable name");
+    std::string const number =
+        "organisation 'hule930': rate_per_s, burst and plain_tokens must be numbers from "
+        "0 on";
+    cr_expect_eq(tenant_fault("rate_per_s", -1), number);
+    cr_expect_eq(tenant_fault("rate_per_s", "10"), number);
+    cr_expect_eq(tenant_fault("burst", -0.5), number);
+    cr_expect_eq(tenant_fault("burst", json::array()), number);
+    cr_expect_eq(tenant_fault("plain_tokens", -200), number);
+    cr_expect_eq(tenant_fault("burst", 5, 0), "organisation 'hule930': burst without rate_per_s");
+    cr_expect_eq(tenant_fault("burst", 0, 0), "");
+    for (json const& unit : {json("tokens"), json(""), json(3), json()})
+    {
+        cr_expect_eq(tenant_fault("unit", unit),
+                     "organisation 'hule930': unit is neither 'token' nor 'request'");
+    }
+    cr_expect_eq(tenant_fault("unit", "request"), "");
+}
+
+// Guards against a reason, which is logged, that contains a key.
+Test(serving_config_codec, no_reason_contains_a_key)
+{
+    json const good = tenant("a", {first_key, second_key});
+    auto const with = [&good](char const* field, json const& value)
+    {
+        json changed = good;
+        changed[field] = value;
+        return changed;
+    };
+    json const keys = good["api_keys"];
+    std::vector<json> const faulty{json::array({good, tenant("b", {second_key})}),
+                                   json::array({tenant("a", {first_key, first_key})}),
+                                   json::array({with("name", keys)}),
+                                   json::array({with("unit", first_key)}),
+                                   json::array({with("rate_per_s", first_key)}),
+                                   json::array({with("api_keys", json{{first_key, second_key}})}),
+                                   json::array({with("api_keys", json::object({{first_key, second_key}}))}),
+                                   json::array({with("api_keys", first_key)}),
+                                   json::array({tenant("a", {first_key, ""})}),
+                                   json::array({tenant("a", {first_key, json::array({second_key})})}),
+                                   json::array({first_key}),
+                                   json(first_key)};
+    for (json const& tenants : faulty)
+    {
+        std::string const why = field_fault(tenants);
+        cr_expect_not(why.empty(), "%s", tenants.dump().c_str());
+        cr_expect_not(contains(why, "secret"), "%s", why.c_str());
+    }
+}
+
+// Guards against credentials that are taken for a key although it is unclear which key the caller means.
+Test(request_codec, credentials_are_one_key_in_the_expected_form)
+{
+    for (std::string const text : {"Bearer k7b2", "bearer k7b2", "BEARER   k7b2", "Bearer k7b2  "})
+    {
+        cr_expect(credentials_in(text) == (caller_credentials{credentials_form::bearer, "k7b2"}), "%s",
+                  text.c_str());
+    }
+    for (std::string const text :
+         {"", "Bearer", "Bearer ", "k7b2", "Basic k7b2", "Bearerk7b2", "Bearer k7b2 x", "Bearer k7b2,x",
+          "Bearer\tk7b2", "Bearer k7b2\tx", "Bearer k7b2, Bearer k7b2", "Token Bearer k7b2"})
+    {
+        cr_expect(credentials_in(text) == (caller_credentials{credentials_form::malformed, {}}), "%s",
+                  text.c_str());
+    }
+    cr_expect(decode_credentials(head_with({})) == (caller_credentials{credentials_form::absent, {}}));
+    caller_credentials const repeated{credentials_form::repeated, {}};
+    cr_expect(decode_credentials(head_with({{"Authorization", "Bearer k"}, {"authorization", "Bearer k"}})) ==
+              repeated);
+    cr_expect(decode_credentials(head_with({{"Authorization", "Bearer k"}, {"Authorization", ""}})) ==
+              repeated);
+}
+
+// Guards against a server that takes a caller's word for its organisation, with and without organisations.
+Test(request_codec, callers_do_not_name_their_organisation)
+{
+    for (std::string const name : {"Tenant", "tenant", "TENANT"})
+    {
+        caller_request request = decode_request(head_with(
+            {{name, "forged"}, {name, "again"}, {"Authorization", "Bearer secret"}, {"X-Kept", "1"}}));
+        std::string const without = encode_attempt_head(request, 0, attempt_headers{});
+        cr_expect_not(contains(without, "forged") || contains(without, "again"), "%s", without.c_str());
+        cr_expect(contains(without, "Authorization: Bearer secret\r\n"), "%s", without.c_str());
+        identify(request, "hule930");
+        std::string const with = encode_attempt_head(request, 0, attempt_headers{});
+        cr_expect(contains(with, "\r\nTenant: hule930\r\n"), "%s", with.c_str());
+        cr_expect_not(contains(with, "forged") || contains(with, "secret") || contains(with, "Authorization"),
+                      "%s", with.c_str());
+        identify(request, "");
+        std::string const on_public_route = encode_attempt_head(request, 0, attempt_headers{});
+        cr_expect_not(contains(on_public_route, "Tenant") || contains(on_public_route, "secret"), "%s",
+                      on_public_route.c_str());
+        cr_expect(contains(on_public_route, "X-Kept: 1\r\n"));
+    }
+}
+
+// Guards against a change for deployments without organisations: the header passes byte by byte, also where
+// it would be no key, and all of its lines.
+Test(request_codec, without_organisations_credentials_pass_unchanged)
+{
+    for (std::string const value : {"Bearer secret", "Basic dXNlcjpwYXNz", "bearer  two  spaces", "x"})
+    {
+        std::string const text =
+            encode_attempt_head(decode_request(head_with({{"Authorization", value}})), 0, attempt_headers{});
+        cr_expect(contains(text, "\r\nAuthorization: " + value + "\r\n"), "%s", text.c_str());
+    }
+    std::string const both = encode_attempt_head(
+        decode_request(head_with({{"Authorization", "Bearer a"}, {"authorization", "Bearer b"}})), 0,
+        attempt_headers{});
+    cr_expect(contains(both, "Authorization: Bearer a\r\n") && contains(both, "uthorization: Bearer b\r\n"),
+              "%s", both.c_str());
+    std::string const of_connection = encode_attempt_head(
+        decode_request(head_with({{"Connection", "authorization"}, {"Authorization", "Bearer a"}})), 0,
+        attempt_headers{});
+    cr_expect_not(contains(of_connection, "Bearer a"), "%s", of_connection.c_str());
+}
+
+// Guards against the name of a request that depends on the key: it is written into crash marks, and the keys
+// of one organisation would give a crashing request several names.
+Test(request_codec, crash_name_depends_on_the_organisation_and_not_on_the_key)
+{
+    auto const name = [](std::string const& key, std::string const& organisation)
+    {
+        caller_request request = decode_request(head_with({{"Authorization", "Bearer " + key}}));
+        identify(request, organisation);
+        return suspects_in(request, "body").request;
+    };
+    cr_expect_eq(name("secret-1", "a"), name("secret-2", "a"));
+    cr_expect_neq(name("secret-1", "a"), name("secret-1", "b"));
+    cr_expect_neq(name("secret-1", "a"), name("secret-1", ""));
+}
+
+// Guards against work that is charged for what no server runs, or not charged because of an odd header.
+Test(request_codec, tokens_are_the_sum_of_two_numbers)
+{
+    auto const tokens = [](std::string const& text) {
+        return decode_request(head_with({{"Token-Usage", text}})).tokens;
+    };
+    cr_expect(tokens("900,200") == 1100U);
+    cr_expect(tokens(" 900 , 200 ") == 1100U);
+    cr_expect(tokens("0,0") == 0U);
+    cr_expect(tokens("18446744073709551615,1") == 1000000000001U);
+    for (char const* const text : {"", "900", "900,", ",200", "900,200,1", "-1,5", "a,b", "1.5,2"})
+    {
+        cr_expect(!tokens(text).has_value(), "%s", text);
+    }
+}
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -231,7 +231,8 @@
     {
         exchange.set_header("Server-Limit", limit_);
     }
-    for (char const* const header : {"Deadline-Ms", "Expect-Instance", "Hold", "Last-Event-Id"})
+    for (char const* const header :
+         {"Deadline-Ms", "Expect-Instance", "Hold", "Last-Event-Id", "Tenant", "Authorization"})
     {
         last_headers_[header] = exchange.header(header);
     }
--- a/tests/wire/edge_child.cpp
+++ b/tests/wire/edge_child.cpp
@@ -35,7 +35,7 @@
 } // namespace
 
 edge_child::edge_child(std::string name, std::string const& store_address, unsigned holder_gap_ms,
-                       unsigned retry_slack, unsigned memory_mb)
+                       unsigned retry_slack, unsigned memory_mb, unsigned revoke_ms)
     : name_(std::move(name)),
       directory_(make_temporary_directory()), ports_{reserve_port(), reserve_port(), reserve_port()}
 {
@@ -50,7 +50,10 @@
              << "retries: { ratio: 0.2, window_s: 10, slack: " << retry_slack << " }\n"
              << "orders: { holder_gap_ms: " << holder_gap_ms << ", load_window_s: 5 }\n"
              << "limits: { stop_s: 8, descriptors: 2000"
-             << (memory_mb > 0 ? ", memory_mb: " + std::to_string(memory_mb) : "") << " }\n";
+             << (memory_mb > 0 ? ", memory_mb: " + std::to_string(memory_mb) : "") << " }\n"
+             << (revoke_ms > 0 ? "organisations: { revoke_fail_closed: true, revoke_ms: " +
+                                     std::to_string(revoke_ms) + " }\n"
+                               : "");
     settings.close();
     start();
 }
--- a/tests/wire/partition_fleet.cpp
+++ b/tests/wire/partition_fleet.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-partition_fleet::partition_fleet(unsigned instances, unsigned retry_slack)
+partition_fleet::partition_fleet(unsigned instances, unsigned retry_slack, unsigned revoke_ms)
 {
     store_.write("config", "main", example_config(1));
     for (unsigned i = 0; i < 6; ++i)
@@ -41,8 +41,8 @@
     }
     for (unsigned i = 0; i < instances; ++i)
     {
-        edges_.push_back(
-            std::make_unique<edge_child>("edge-" + std::to_string(i), store_.address(), 300, retry_slack));
+        edges_.push_back(std::make_unique<edge_child>("edge-" + std::to_string(i), store_.address(), 300,
+                                                      retry_slack, 0, revoke_ms));
         std::lock_guard<std::mutex> const lock(mutex_);
         processes_.push_back(edges_.back()->process().process_id());
     }
@@ -149,14 +149,16 @@
 bool partition_fleet::send_one(std::size_t index, unsigned kind, std::string const& id)
 {
     edge_child const& edge = *edges_[index];
+    std::map<std::string, std::string> headers = headers_;
+    headers["Deadline-Ms"] = kind == 0 ? "3000" : "2000";
     if (kind == 0)
     {
-        auto const answer =
-            edge.call("POST", "/stream/1", id, {{"Model", "m0"}, {"Deadline-Ms", "3000"}}, id);
+        headers["Model"] = "m0";
+        auto const answer = edge.call("POST", "/stream/1", id, headers, id);
         return answer && answer->status == 200 && event_ids(answer->body) == all_events;
     }
     std::string const path = kind == 1 ? "/once/" : "/again/";
-    auto const answer = edge.call(kind == 1 ? "POST" : "GET", path + id, id, {{"Deadline-Ms", "2000"}});
+    auto const answer = edge.call(kind == 1 ? "POST" : "GET", path + id, id, headers);
     return answer && answer->status == 200 && answer->body == "body of " + id;
 }
 
--- a/tests/wire/partition_fleet.hpp
+++ b/tests/wire/partition_fleet.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <sys/types.h>
@@ -31,12 +32,13 @@
 class partition_fleet
 {
 public:
-    /// `retry_slack` is that of the instances' settings.
-    explicit partition_fleet(unsigned instances, unsigned retry_slack = 640);
+    /// `retry_slack` and `revoke_ms` are those of the instances' settings.
+    explicit partition_fleet(unsigned instances, unsigned retry_slack = 640, unsigned revoke_ms = 0);
     ~partition_fleet();
     partition_fleet(partition_fleet const&) = delete;
     partition_fleet& operator=(partition_fleet const&) = delete;
 
+    store_standin& store() { return store_; }
     edge_child& edge(std::size_t index) { return *edges_[index]; }
     backend_standin& server(std::size_t index) { return *servers_[index]; }
     std::size_t servers() const { return servers_.size(); }
@@ -54,6 +56,8 @@
     /// Sends calls and streams to the instance for a while; returns what was served. Twelve callers are
     /// enough for a judgement when each request waits for its deadline.
     served_share send_for(std::size_t index, std::chrono::milliseconds span, unsigned callers = 12);
+    /// Headers that send_for() adds to each request from now on.
+    void set_headers(std::map<std::string, std::string> headers) { headers_ = std::move(headers); }
     /// Requests that send_for() has sent so far.
     unsigned requests_sent();
     /// How often each request ran, on all servers together.
@@ -75,6 +79,7 @@
     std::vector<std::unique_ptr<backend_standin>> servers_;
     std::vector<std::unique_ptr<tcp_relay>> links_;
     std::vector<std::unique_ptr<edge_child>> edges_;
+    std::map<std::string, std::string> headers_; ///< Changed only while no request is sent.
     unsigned last_id_ = 0;
 };
 
