--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -261,6 +261,7 @@
             return false;
         }
         caller_of = std::get<caller_admitted>(decision).caller;
+        open.identified = true;
         platform::identify(open.request, caller_of == nullptr ? std::string() : caller_of->name);
         if (caller_of != nullptr)
         {
@@ -270,13 +271,31 @@
         return true;
     }
 
+    // Requests that were accepted before organisations were configured go on without one. Their further
+    // attempts must not show keys to servers or peers.
+    void withhold_credentials()
+    {
+        if (!access.is_active())
+        {
+            return;
+        }
+        for (auto const& [number, open] : exchanges)
+        {
+            if (!open->identified && !open->caller_checked)
+            {
+                platform::identify(open->request, {});
+                open->identified = true;
+            }
+        }
+    }
+
     void refuse_caller(open_exchange& open, caller_refused const& refused)
     {
         int const status = refusal_status(refused);
         std::string lines = refusal_lines(refused);
         lines.append(open.forwarded ? platform::encode_not_run(0) : "");
         open.caller->answer(status, lines, "");
-        log.caller_refused(open.request.request_id, status, refused.fault, access.proof_age(boot_now()),
+        log.caller_refused(open.request.request_id, status, refused, access.proof_age(boot_now()),
                            config_version());
     }
 
@@ -297,7 +316,7 @@
         {
             return std::nullopt;
         }
-        log.caller_refused(platform::request_id_of(head), refusal_status(*refused), refused->fault,
+        log.caller_refused(platform::request_id_of(head), refusal_status(*refused), *refused,
                            access.proof_age(boot_now()), config_version());
         return head_refusal{refusal_status(*refused), refusal_lines(*refused)};
     }
@@ -1013,7 +1032,7 @@
         request.method = "POST";
         request.bytes = encode_forwarded_head(
             open.request, request.body->size(), headers, attempt.servers_lent, attempt.target.address,
-            authorization ? authorization() : "", open.caller_checked || access.is_active());
+            authorization ? authorization() : "", open.caller_checked || open.identified);
         request.time_limit = std::max<duration>(open.deadline - attempt.begun_at, milliseconds{1});
         request.connect_limit = std::min<duration>(peer_connect_time, request.time_limit / 2);
     }
@@ -1863,6 +1882,7 @@
     impl_->access.on_config(config);
     impl_->quotas.on_config(config);
     impl_->routes.emplace(std::move(config));
+    impl_->withhold_credentials();
 }
 
 void request_service::on_forwarded(std::shared_ptr<caller_exchange> const& call)
