Keep the sum of outstanding credit instead of adding it up for each request

Cause: each question added up the credit of all instances for each waiting request and looked through them for expired credit, so that the holder's work grew with the square of the number of instances. Change: the sum and the next expiry are kept.

--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -77,6 +77,8 @@
     steady_time filled_at;
     double unknown = 0.0; ///< Credit of an earlier holder that no instance has reported yet.
     std::unordered_map<std::string, outstanding_credit> outstanding; ///< By instance.
+    double outstanding_total = 0.0;
+    steady_time next_expiry = steady_time::max(); ///< No credit expires before.
     /// What was used in the last window, the oldest part first.
     std::deque<used_part> used;
     double returns_left = 0.0; ///< Accepted while the windows before the lease are not known.
@@ -93,16 +95,6 @@
     return of.quota.per_second > 0.0;
 }
 
-double outstanding_sum(bucket const& of)
-{
-    double sum = 0.0;
-    for (auto const& [instance, credit] : of.outstanding)
-    {
-        sum += credit.held;
-    }
-    return sum;
-}
-
 void note_use(steady_time now, bucket& of, double cost)
 {
     double const earlier = of.use * std::exp(-seconds_between(of.use_at, now) / use_time_s);
@@ -137,7 +129,7 @@
     {
         double const most =
             of.terms.capacity + (takes_over(now) ? share_of_takeover * of.terms.for_takeover : 0.0);
-        of.level = std::min(of.level, std::max(most - of.unknown - outstanding_sum(of), 0.0));
+        of.level = std::min(of.level, std::max(most - of.unknown - of.outstanding_total, 0.0));
     }
 
     bool knows_window(steady_time now) const { return !lease_begun || now - *lease_begun >= bounds.window; }
@@ -151,14 +143,21 @@
     // Credit of an instance that asks no more may have been spent.
     void drop_expired(steady_time now, bucket& of) const
     {
+        if (now < of.next_expiry)
+        {
+            return;
+        }
+        of.next_expiry = steady_time::max();
         for (auto each = of.outstanding.begin(); each != of.outstanding.end();)
         {
             if (now < each->second.expires)
             {
+                of.next_expiry = std::min(of.next_expiry, each->second.expires);
                 ++each;
                 continue;
             }
             note_used(now, of, each->second.held);
+            of.outstanding_total -= each->second.held;
             each = of.outstanding.erase(each);
         }
     }
@@ -201,7 +200,7 @@
     // adds to the level in it: the level is never held back for what was issued beyond it before.
     double room_beyond_level(steady_time now, bucket const& of) const
     {
-        double const available = of.level + outstanding_sum(of);
+        double const available = of.level + of.outstanding_total;
         // Of the windows that end from now on, those that have just lost a part are less full.
         double most = available + of.quota.per_second * std::chrono::duration<double>(bounds.window).count();
         double used = 0.0;
@@ -282,6 +281,8 @@
         outstanding_credit& credit = of.outstanding[question.instance];
         credit.held += static_cast<double>(grant.granted);
         credit.expires = now + held_credit_lifetime;
+        of.outstanding_total += static_cast<double>(grant.granted);
+        of.next_expiry = std::min(of.next_expiry, credit.expires);
         return grant;
     }
 
@@ -305,6 +306,7 @@
         unused = is_first || credit.start == question.start ? unspent : std::min(returned, unspent);
         taken_off = std::max(returned - unspent, 0.0);
         note_used(now, of, spent + unspent - unused);
+        of.outstanding_total += held - credit.held;
         credit.held = held;
         credit.start = question.start;
         credit.expires = steady_time::max(); // Set once the grant is known.
@@ -420,6 +422,8 @@
     for (auto& [name, of] : impl_->buckets)
     {
         of.outstanding.clear();
+        of.outstanding_total = 0.0;
+        of.next_expiry = steady_time::max();
         of.used.clear();
         of.extra = 0.0;
         of.level = 0.0;
@@ -464,7 +468,7 @@
         {
             of.told_over = over;
             changes.push_back(
-                {name, of.quota.per_second, of.level, outstanding_sum(of), of.terms.capacity, of.use, over});
+                {name, of.quota.per_second, of.level, of.outstanding_total, of.terms.capacity, of.use, over});
         }
     }
     return changes;
