--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -60,6 +60,8 @@
 constexpr double own_read_share = 0.4;
 // The other instances read the lease record each second and report to a new holder at once, with the version
 // that they have in force.
+// Of a store that names eras and has not been restored.
+constexpr std::uint64_t first_era = 1;
 constexpr duration first_reports_time = milliseconds{1500};
 // Longer than any time without a lease holder, of which the store's operators allow a few seconds.
 constexpr duration max_wait_for_peers = seconds{10};
@@ -387,7 +389,9 @@
     bool awaits_peers() const
     {
         steady_time const now = boot_now();
-        bool const needed = settings.proof_limit && config && config->organisations;
+        // A store that has never come back from an older copy shows no older copy to an instance that starts.
+        bool const was_restored = store.era() > first_era;
+        bool const needed = was_restored && settings.proof_limit && config && config->organisations;
         bool const holds_long = holds && now - holds_since >= first_reports_time;
         return needed && !heard_from_peer && !holds_long && now - started_at < max_wait_for_peers;
     }
--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -33,6 +33,9 @@
 // The clocks of the instances may run 1 % slower than that of the holder.
 constexpr duration held_credit_lifetime = credit_lifetime * 101 / 100;
 constexpr duration held_share_lifetime = share_lifetime * 101 / 100;
+// Shares of silent instances are taken off the level this often: a look at each of hundreds of instances with
+// each question would take as much time as all else.
+constexpr duration silence_check_interval = milliseconds{200};
 // An organisation counts as over its limit for this long after a request was refused.
 constexpr duration over_limit_time = seconds{1};
 
@@ -68,9 +71,8 @@
     double held = 0.0;
     steady_time expires;
     std::uint64_t start = 0; ///< Of the instance.
-    double use = 0.0;        ///< Units a second, by this instance.
-    steady_time use_at;
-    double share = 0.0; ///< Of the rate, that the instance may spend without a holder.
+    double use = 0.0;        ///< Units a second, by this instance, when it last asked.
+    double share = 0.0;      ///< Of the rate, that the instance may spend without a holder.
     steady_time asked_at;
     steady_time counted_until; ///< The share was taken off the level up to here.
 };
@@ -83,12 +85,16 @@
     steady_time filled_at;
     double unknown = 0.0; ///< Credit of an earlier holder that no instance has reported yet.
     std::unordered_map<std::string, outstanding_credit> outstanding; ///< By instance.
+    double outstanding_total = 0.0;
+    steady_time next_expiry = steady_time::max(); ///< No credit expires before.
     /// What was used in the last window, the oldest part first.
     std::deque<used_part> used;
     double returns_left = 0.0; ///< Accepted while the windows before the lease are not known.
     double extra = 0.0;        ///< Saved up of what a window allows beyond the rate.
-    double backlog = 0.0;      ///< Cost of requests that were told to come back.
-    double use = 0.0;          ///< Units a second.
+    double told_shares = 0.0;  ///< Of the rate, by all instances.
+    steady_time next_silence_check;
+    double backlog = 0.0; ///< Cost of requests that were told to come back.
+    double use = 0.0;     ///< Units a second.
     steady_time use_at;
     std::optional<steady_time> refused_at;
     bool told_over = false; ///< By take_changes().
@@ -99,16 +105,6 @@
     return of.quota.per_second > 0.0;
 }
 
-double outstanding_sum(bucket const& of)
-{
-    double sum = 0.0;
-    for (auto const& [instance, credit] : of.outstanding)
-    {
-        sum += credit.held;
-    }
-    return sum;
-}
-
 void note_use(steady_time now, bucket& of, double cost)
 {
     double const earlier = of.use * std::exp(-seconds_between(of.use_at, now) / use_time_s);
@@ -143,6 +139,11 @@
     // while.
     static double take_silent_shares(steady_time now, bucket& of)
     {
+        if (now < of.next_silence_check)
+        {
+            return 0.0;
+        }
+        of.next_silence_check = now + silence_check_interval;
         double sum = 0.0;
         for (auto& [instance, credit] : of.outstanding)
         {
@@ -164,30 +165,18 @@
     }
 
     // Divides the rate for a time without a holder, as it was used of late.
-    double share_of(steady_time now, bucket const& of, outstanding_credit const& credit) const
+    static double share_of(bucket const& of, outstanding_credit const& credit)
     {
-        double use = 0.0;
-        double told = 0.0;
-        for (auto const& [instance, each] : of.outstanding)
-        {
-            use += use_of(now, each);
-            bool const is_other = &each != &credit;
-            told += is_other && now < each.asked_at + held_share_lifetime ? each.share : 0.0;
-        }
-        double const part = use > 0.0 ? use_of(now, credit) / use : 0.0;
-        return std::max(std::min(part * of.quota.per_second, of.quota.per_second - told), 0.0);
-    }
-
-    static double use_of(steady_time now, outstanding_credit const& credit)
-    {
-        return credit.use * std::exp(-seconds_between(credit.use_at, now) / use_time_s);
+        double const part = of.use > 0.0 ? credit.use / of.use : 0.0;
+        double const left = of.quota.per_second - (of.told_shares - credit.share);
+        return std::max(std::min(part * of.quota.per_second, left), 0.0);
     }
 
     void limit_level(steady_time now, bucket& of) const
     {
         double const most =
             of.terms.capacity + (takes_over(now) ? share_of_takeover * of.terms.for_takeover : 0.0);
-        of.level = std::min(of.level, std::max(most - of.unknown - outstanding_sum(of), 0.0));
+        of.level = std::min(of.level, std::max(most - of.unknown - of.outstanding_total, 0.0));
     }
 
     bool knows_window(steady_time now) const { return !lease_begun || now - *lease_begun >= bounds.window; }
@@ -201,16 +190,29 @@
     // Credit of an instance that asks no more may have been spent.
     void drop_expired(steady_time now, bucket& of) const
     {
+        if (now < of.next_expiry)
+        {
+            return;
+        }
+        of.next_expiry = steady_time::max();
         for (auto each = of.outstanding.begin(); each != of.outstanding.end();)
         {
             outstanding_credit& credit = each->second;
             if (now >= credit.expires && credit.held > 0.0)
             {
                 note_used(now, of, credit.held);
+                of.outstanding_total -= credit.held;
                 credit.held = 0.0;
             }
-            bool const ended = now >= credit.expires && now >= credit.asked_at + held_share_lifetime;
-            each = ended ? of.outstanding.erase(each) : std::next(each);
+            steady_time const share_ends = credit.asked_at + held_share_lifetime;
+            if (credit.held <= 0.0 && now >= share_ends)
+            {
+                of.told_shares -= credit.share;
+                each = of.outstanding.erase(each);
+                continue;
+            }
+            of.next_expiry = std::min(of.next_expiry, credit.held > 0.0 ? credit.expires : share_ends);
+            ++each;
         }
     }
 
@@ -252,7 +254,7 @@
     // adds to the level in it: the level is never held back for what was issued beyond it before.
     double room_beyond_level(steady_time now, bucket const& of) const
     {
-        double const available = of.level + outstanding_sum(of);
+        double const available = of.level + of.outstanding_total;
         // Of the windows that end from now on, those that have just lost a part are less full.
         double most = available + of.quota.per_second * std::chrono::duration<double>(bounds.window).count();
         double used = 0.0;
@@ -333,11 +335,15 @@
         outstanding_credit& credit = of.outstanding[question.instance];
         credit.held += static_cast<double>(grant.granted);
         credit.expires = now + held_credit_lifetime;
-        credit.use = use_of(now, credit) + (static_cast<double>(need.spent) - taken_off) / use_time_s;
-        credit.use_at = now;
+        credit.use = credit.use * std::exp(-seconds_between(credit.asked_at, now) / use_time_s) +
+                     (static_cast<double>(need.spent) - taken_off) / use_time_s;
         credit.asked_at = now;
-        credit.share = share_of(now, of, credit);
-        grant.share_per_s = static_cast<std::uint64_t>(credit.share);
+        double const share = share_of(of, credit);
+        of.told_shares += share - credit.share;
+        credit.share = share;
+        grant.share_per_s = static_cast<std::uint64_t>(share);
+        of.outstanding_total += static_cast<double>(grant.granted);
+        of.next_expiry = std::min(of.next_expiry, credit.expires);
         return grant;
     }
 
@@ -361,6 +367,7 @@
         unused = is_first || credit.start == question.start ? unspent : std::min(returned, unspent);
         taken_off = std::max(returned - unspent, 0.0);
         note_used(now, of, spent + unspent - unused);
+        of.outstanding_total += held - credit.held;
         credit.held = held;
         credit.start = question.start;
         credit.expires = steady_time::max(); // Set once the grant is known.
@@ -481,6 +488,9 @@
     for (auto& [name, of] : impl_->buckets)
     {
         of.outstanding.clear();
+        of.outstanding_total = 0.0;
+        of.told_shares = 0.0;
+        of.next_expiry = steady_time::max();
         of.used.clear();
         of.extra = 0.0;
         of.level = share_of_takeover * of.terms.for_takeover;
@@ -532,7 +542,7 @@
         {
             of.told_over = over;
             changes.push_back(
-                {name, of.quota.per_second, of.level, outstanding_sum(of), of.terms.capacity, of.use, over});
+                {name, of.quota.per_second, of.level, of.outstanding_total, of.terms.capacity, of.use, over});
         }
     }
     return changes;
