--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -58,10 +58,10 @@
 // From this share of the bound on, an instance whose peers prove nothing, as those of older builds, reads the
 // configuration from the store itself.
 constexpr double own_read_share = 0.4;
-// The other instances read the lease record each second and report to a new holder at once, with the version
-// that they have in force.
 // Of a store that names eras and has not been restored.
 constexpr std::uint64_t first_era = 1;
+// The other instances read the lease record each second and report to a new holder at once, with the version
+// that they have in force.
 constexpr duration first_reports_time = milliseconds{1500};
 // Longer than any time without a lease holder, of which the store's operators allow a few seconds.
 constexpr duration max_wait_for_peers = seconds{10};
