Give servers that have just started or failed work as they answer it

Cause: each instance sees a server that has just appeared, or that works again, as idle.

Change: decision/server_pace keeps a window for such servers at each instance, which answers in time double and slow answers, errors and refusals halve. The dispatcher prefers other servers when the window is used up; when no other can take the request, the server is used as before. It is off unless the new setting servers.slow_start is true. The dispatcher learns the time of first events, the latency objective, and whether a server was heard of after the start of the instance.

--- a/adapters/edge_settings.cpp
+++ b/adapters/edge_settings.cpp
@@ -118,6 +118,10 @@
 
     read_organisations(root, settings, errors);
 
+    yaml_map servers(root.find("servers"), "servers", errors);
+    settings.slow_start = servers.one_of("slow_start", {"true", "false"}, "false") == "true";
+    servers.finish();
+
     yaml_map log(root.find("log"), "log", errors);
     settings.log_level = log.one_of("level", {"debug", "info", "warning", "error"}, "info");
     log.finish();
@@ -135,7 +139,8 @@
         return std::tie(s.name, s.data_centre, s.region, s.region_of, s.caller_address, s.readiness_address,
                         s.peer_address, s.store_address, s.leaving_time, s.change_time, s.retry_ratio,
                         s.retry_window, s.spare_retries, s.holder_gap, s.load_window_s, s.stop_time,
-                        s.descriptors, s.cpu_share, s.memory_mb, s.log_level, s.revocation_time, s.quotas);
+                        s.descriptors, s.cpu_share, s.memory_mb, s.log_level, s.revocation_time, s.quotas,
+                        s.slow_start);
     };
     return fields(a) == fields(b);
 }
--- a/adapters/edge_settings.hpp
+++ b/adapters/edge_settings.hpp
@@ -40,6 +40,8 @@
     /// were taken away may work while an instance cannot know.
     std::optional<duration> revocation_time;
     quota_bounds quotas;
+    /// Servers that have just started or failed get work as they answer it, see server_pace.
+    bool slow_start = false;
 };
 
 bool operator==(edge_settings const& a, edge_settings const& b);
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -169,7 +169,7 @@
         : settings(std::move(settings_in)), reload(std::move(reload_in)),
           log(log_in, log_lines_per_second, boot_now), metrics(metrics_in), signals(loop), stop_timer(loop),
           pool(loop), store(settings.store_address, pool, metrics, log),
-          requests({settings.data_centre, settings.region_of, random_number()}),
+          requests({settings.data_centre, settings.region_of, random_number(), settings.slow_start}),
           retries(limits_of(settings, assumed_instances)), relays(settings.data_centre),
           crash_reports(loop, pool, store, crashes, log, metrics, [this] { return placement.holds_lease(); }),
           access(
@@ -464,7 +464,7 @@
 
     void on_backend(backend_entry const& entry)
     {
-        requests.on_backend(entry);
+        requests.on_backend(entry, state.servers_known() ? std::optional(boot_now()) : std::nullopt);
         streams.on_backend(boot_now(), entry);
         placement.on_backend(entry);
         service.run_dispatcher();
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -773,6 +773,7 @@
         request.priority = open->route.priority;
         request.arrived = open->caller->arrived();
         request.deadline = open->deadline;
+        request.latency_objective = open->route.latency_objective;
         request.prompt = open->request.prompt;
         request.failed_servers = open->failed_servers;
         request.versions = usable_versions(*open);
@@ -1400,7 +1401,7 @@
         if (open.last_event_at <= attempt.begun_at)
         {
             attempt.first_event_at = now;
-            requests.on_first_event(attempt.number);
+            requests.on_first_event(now, attempt.number);
             return;
         }
         if (!attempt.counted_as_answered && now - attempt.first_event_at >= sound_answer_time)
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -393,7 +393,6 @@
     void apply_update(backend_update const& update)
     {
         holder_position = update.position;
-        servers_known = servers_known || update.complete;
         backend_update const effect = directory.merge(update);
         for (revised_backend const& each : effect.changed)
         {
@@ -406,6 +405,8 @@
             backend_watch.mark_deleted(name);
             on_backend_gone(name, "told_by_holder");
         }
+        // Not before: the servers of the first complete list are not new.
+        servers_known = servers_known || update.complete;
     }
 
     // The lease holder logs each change. On the other instances, changes of one interval share a line: a line
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "decision/backend_state_table.hpp"
 #include "decision/refusal_limiter.hpp"
 #include "decision/send_limiter.hpp"
+#include "decision/server_pace.hpp"
 
 #include <algorithm>
 #include <list>
@@ -80,6 +81,10 @@
 
 using demand_key = std::tuple<std::string, std::string, std::string>;
 
+// The server failed this request, it is held back by its pace, and its cost in milliseconds. Compared in this
+// order.
+using choice_cost = std::tuple<bool, bool, double>;
+
 demand_key key_of(dispatch_request const& request)
 {
     return {request.service, request.model, request.adapter};
@@ -103,6 +108,10 @@
     explicit implementation(dispatcher_settings settings_in)
         : settings(std::move(settings_in)), limiter(settings.seed), random(settings.seed)
     {
+        if (settings.slow_start)
+        {
+            pace.emplace(settings.seed);
+        }
     }
 
     double distance_ms(std::string const& data_centre) const
@@ -153,8 +162,9 @@
         return backend_state_table::in_use(now, backend) < backend.entry.places + allowed_queue;
     }
 
-    // Returns the server with the lowest cost; one that failed this request only when there is no other. A
-    // server that has just failed is not used for a while, even if it is the only one: it would only fail
+    // Returns the server with the lowest cost; one that failed this request only when there is no other, and
+    // one that is to get no more work at its pace only when no other can take the request. A server that has
+    // just failed is not used for a while, even if it is the only one: it would only fail
     // again.
     known_backend* choose(steady_time now, dispatch_request const& request, dispatch_basis& basis)
     {
@@ -165,9 +175,9 @@
                     found.end());
         basis.candidates = static_cast<unsigned>(found.size());
         known_backend* best = nullptr;
-        std::pair<bool, double> best_cost{true, 0.0};
+        choice_cost best_cost{true, true, 0.0};
         known_backend const* best_limited = nullptr;
-        std::pair<bool, double> best_limited_cost{true, 0.0};
+        choice_cost best_limited_cost{true, true, 0.0};
         for (known_backend* const backend : found)
         {
             if (backend->entry.name == request.running_at || now < backend->avoid_until ||
@@ -182,7 +192,9 @@
                 ++basis.limited;
                 continue;
             }
-            std::pair<bool, double> const cost{avoided, cost_ms(now, request, *backend)};
+            bool const held_back = pace && !pace->may_send(now, backend->entry.name, backend->own_requests,
+                                                           backend_state_table::in_use(now, *backend));
+            choice_cost const cost{avoided, held_back, cost_ms(now, request, *backend)};
             if (!limiter.may_send(now, backend->entry.name))
             {
                 ++basis.limited;
@@ -227,6 +239,12 @@
         basis.waited = now - waiting.since;
         ++backend.own_requests;
         limiter.on_sent(now, backend.entry.name);
+        if (pace)
+        {
+            basis.on_trial = pace->on_trial(now, backend.entry.name);
+            pace->on_sent(now, backend.entry.name);
+            unanswered[waiting.request.number] = {backend.entry.name, now};
+        }
         double const unread = unread_tokens(waiting.request, backend.entry.name);
         backend.unread_tokens += unread;
         unread_by_request[waiting.request.number] = {backend.entry.name, unread};
@@ -326,6 +344,70 @@
         unread_by_request.erase(found);
     }
 
+    // Tells the pace that the first event or the answer of a request has arrived.
+    void note_answer(steady_time now, request_number number, dispatch_request const& request,
+                     bool server_error)
+    {
+        auto const found = unanswered.find(number);
+        if (found == unanswered.end())
+        {
+            return;
+        }
+        auto const& [backend, sent_at] = found->second;
+        known_backend const* const known = table.find(backend);
+        if (server_error)
+        {
+            pace->on_error(now, backend, now - sent_at);
+        }
+        else
+        {
+            pace->on_answer(now, backend, {request.service, request.model}, now - sent_at,
+                            request.latency_objective,
+                            known == nullptr ? 0 : backend_state_table::in_use(now, *known));
+        }
+        unanswered.erase(found);
+    }
+
+    // Tells the pace how an attempt ended that brought no event before.
+    void note_attempt_end(steady_time now, dispatch_request const& request, attempt_report const& report,
+                          known_backend const& backend)
+    {
+        if (!pace)
+        {
+            return;
+        }
+        switch (report.result)
+        {
+        case attempt_result::answered:
+            note_answer(now, report.number, request, report.server_error);
+            break;
+        case attempt_result::refused_not_run:
+            // A server that does not hold the model does not lack room.
+            if (!report.model_absent)
+            {
+                pace->on_refused(now, report.backend, report.took);
+            }
+            break;
+        case attempt_result::caller_gone:
+            break;
+        case attempt_result::bad_answer:
+            pace->on_error(now, report.backend, report.took);
+            break;
+        case attempt_result::not_sent:
+        case attempt_result::connection_lost:
+        case attempt_result::silent:
+            pace->on_failed(now, report.backend, paced(backend.entry));
+            break;
+        }
+        unanswered.erase(report.number);
+    }
+
+    static paced_server paced(backend_entry const& entry) { return {entry.places, entry.is_engine}; }
+
+    // The servers and times of assigned requests without an answer or event yet. Empty without a pace.
+    std::map<request_number, std::pair<backend_name, steady_time>> unanswered;
+    std::optional<server_pace> pace; ///< Only where the settings ask for it.
+
     // The server of each assigned request and the prompt tokens to be read there, until its first event.
     std::map<request_number, std::pair<backend_name, double>> unread_by_request;
     std::map<std::string, backend_name> last_server_of_part;
@@ -347,8 +429,16 @@
     impl_->config = std::move(config);
 }
 
-void dispatcher::on_backend(backend_entry const& entry)
+void dispatcher::on_backend(backend_entry const& entry, std::optional<steady_time> heard_at)
 {
+    if (impl_->pace && heard_at)
+    {
+        impl_->pace->on_started(*heard_at, entry.name, entry.started_at, implementation::paced(entry));
+    }
+    else if (impl_->pace)
+    {
+        impl_->pace->on_known(entry.name, entry.started_at);
+    }
     known_backend const* const known = impl_->table.find(entry.name);
     if (known != nullptr && known->entry.started_at != entry.started_at)
     {
@@ -365,6 +455,10 @@
 {
     impl_->limiter.forget(name);
     impl_->refusals.forget(name);
+    if (impl_->pace)
+    {
+        impl_->pace->forget(name);
+    }
     impl_->table.on_backend_gone(name);
 }
 
@@ -373,6 +467,22 @@
     impl_->limiter.on_grants(now, placement.grants, placement.instances);
     impl_->refusals.on_instances(placement.instances);
     impl_->table.on_placements(now, placement);
+    if (!impl_->pace)
+    {
+        return;
+    }
+    impl_->pace->on_instances(placement.instances);
+    if (!placement.running)
+    {
+        return;
+    }
+    for (backend_name const& name : impl_->pace->servers_on_trial(now))
+    {
+        if (known_backend const* const backend = impl_->table.find(name))
+        {
+            impl_->pace->on_load(now, name, backend_state_table::in_use(now, *backend));
+        }
+    }
 }
 
 void dispatcher::submit(steady_time now, dispatch_request request)
@@ -457,8 +567,10 @@
     known_backend* const backend = impl_->table.find(report.backend);
     if (backend == nullptr)
     {
+        impl_->unanswered.erase(report.number);
         return;
     }
+    impl_->note_attempt_end(now, request, report, *backend);
     backend->own_requests -= backend->own_requests > 0 ? 1 : 0;
     placement_key const key{request.model, request.adapter};
     unsigned& running = backend->running[key];
@@ -503,9 +615,14 @@
     }
 }
 
-void dispatcher::on_first_event(request_number number)
+void dispatcher::on_first_event(steady_time now, request_number number)
 {
     impl_->drop_unread_tokens(number);
+    auto const found = impl_->assigned.find(number);
+    if (found != impl_->assigned.end())
+    {
+        impl_->note_answer(now, number, found->second, false);
+    }
 }
 
 void dispatcher::on_silence(steady_time now, backend_name const& backend)
@@ -513,6 +630,10 @@
     if (known_backend* const known = impl_->table.find(backend))
     {
         impl_->table.on_silence(now, *known);
+        if (impl_->pace)
+        {
+            impl_->pace->on_failed(now, backend, implementation::paced(known->entry));
+        }
     }
 }
 
@@ -617,6 +738,10 @@
 void dispatcher::forget_failures()
 {
     impl_->table.forget_failures();
+    if (impl_->pace)
+    {
+        impl_->pace->forget_failures();
+    }
 }
 
 std::string dispatcher::any_address(std::uint64_t draw,
--- a/decision/dispatcher.hpp
+++ b/decision/dispatcher.hpp
@@ -24,6 +24,7 @@
     std::string data_centre;
     std::map<std::string, std::string> region_of; ///< Region of each data centre.
     std::uint64_t seed = 0;
+    bool slow_start = false; ///< Servers that have just started or failed get work as they answer it.
 };
 
 struct assign_request
@@ -59,7 +60,9 @@
 /// while the lease holder loads the model), failing servers (they are avoided for a while), slow servers
 /// (others are preferred), servers that name a limit for all instances together (others are used), servers
 /// that all want a pause (what cannot wait for the first of them is refused at once, to come back after it),
-/// and services without servers (their requests are refused at once after a short start-up time).
+/// servers that have just started or failed (where the settings ask for it, others are preferred until their
+/// answers show what they bear), and services without servers (their requests are refused at once after a
+/// short start-up time).
 class dispatcher
 {
 public:
@@ -69,7 +72,9 @@
     dispatcher& operator=(dispatcher const&) = delete;
 
     void on_config(std::shared_ptr<serving_config const> config);
-    void on_backend(backend_entry const& entry);
+    /// `heard_at` is the time when this instance heard of the entry; empty while it learns which servers
+    /// there are when it starts, since these are not new.
+    void on_backend(backend_entry const& entry, std::optional<steady_time> heard_at = {});
     void on_backend_gone(backend_name const& name);
     void on_placements(steady_time now, placement_update const& placement);
 
@@ -93,7 +98,7 @@
     void on_attempt_end(steady_time now, attempt_report const& report);
 
     /// Called when the first event of a request's stream has arrived, so its prompt has been read.
-    void on_first_event(request_number number);
+    void on_first_event(steady_time now, request_number number);
     /// A request has waited for the server for longer than its route allows, and goes on waiting. The server
     /// is avoided for a while, as after a failed attempt.
     void on_silence(steady_time now, backend_name const& backend);
--- a/domain/dispatch_request.hpp
+++ b/domain/dispatch_request.hpp
@@ -32,6 +32,8 @@
     steady_time arrived;
     steady_time deadline;
     duration max_wait{0}; ///< How long it may wait for a backend server before it is refused.
+    /// Target time until the answer or its first event; zero when there is none.
+    duration latency_objective{0};
     std::vector<prompt_part> prompt;
     /// Servers that failed this request: chosen only if there is no other.
     std::vector<backend_name> failed_servers;
@@ -56,6 +58,7 @@
 {
     unsigned candidates = 0; ///< Servers that could run the request.
     unsigned limited = 0;    ///< Candidates that were left out because of the limit that they name.
+    bool on_trial = false;   ///< The chosen server has just started or failed, see server_pace.
     unsigned in_use = 0;     ///< Known requests at the chosen server.
     duration load_age{0};    ///< Age of the server's last load report.
     duration waited{0};      ///< Since the request's arrival or its previous attempt.
--- a/tests/adapters/edge_settings_test.cpp
+++ b/tests/adapters/edge_settings_test.cpp
@@ -110,3 +110,15 @@
                       "s.yaml:7: wrong value '-1' for 'orders.holder_gap_ms'; accepted: a number from 0 to "
                       "600000"));
 }
+
+// Guards against deployments whose settings do not name the section and that would be served differently.
+Test(edge_settings, servers_start_slowly_only_when_asked_for)
+{
+    cr_assert(!read(whole).slow_start);
+    cr_assert(!read(whole + "servers: {}\n").slow_start);
+    cr_assert(!read(whole + "servers: { slow_start: false }\n").slow_start);
+    edge_settings const asked = read(whole + "servers: { slow_start: true }\n");
+    cr_assert(asked.slow_start && !(asked == read(whole)));
+    cr_assert(reports(whole + "servers: { slow_start: yes }\n",
+                      "s.yaml:9: wrong value 'yes' for 'servers.slow_start'; accepted: true or false"));
+}
--- a/tests/decision/dispatcher_test.cpp
+++ b/tests/decision/dispatcher_test.cpp
@@ -402,3 +402,164 @@
     refusal const* const refused = rejected(steps, 2);
     cr_assert(refused != nullptr && refused->reason == refusal_reason::no_backend);
 }
+
+namespace
+{
+
+dispatcher_settings paced_settings(std::uint64_t seed = 1)
+{
+    dispatcher_settings made = settings();
+    made.seed = seed;
+    made.slow_start = true;
+    return made;
+}
+
+// The number of `count` requests that are assigned to each server when none of them is answered.
+std::map<std::string, unsigned> assigned_counts(dispatcher& requests, steady_time now, unsigned count)
+{
+    static request_number number = 1000;
+    std::map<std::string, unsigned> counts;
+    for (unsigned i = 0; i < count; ++i)
+    {
+        requests.submit(now, request(++number));
+        ++counts[assigned(requests.step(now), number)];
+    }
+    return counts;
+}
+
+} // namespace
+
+// Guards against a server that all instances fill as soon as it appears, and against deployments that are
+// served differently although their settings do not ask for it.
+Test(dispatcher, new_server_gets_its_first_window_where_the_settings_ask_for_it)
+{
+    for (bool const slow_start : {false, true})
+    {
+        dispatcher requests(slow_start ? paced_settings() : settings());
+        requests.on_placements(at(0), {{}, 1, {}});
+        requests.on_backend(server("old", "far", 16));
+        requests.on_backend(server("new", "here", 16), at(0));
+        auto counts = assigned_counts(requests, at(10), 8);
+        cr_expect_eq(counts["new"], slow_start ? 2 : 8);
+        cr_expect_eq(counts["old"], slow_start ? 6 : 0);
+    }
+}
+
+// Guards against requests that are refused, or wait, because the only server that can take them is on trial:
+// it is used as without a pace, up to its queue.
+Test(dispatcher, server_on_trial_is_used_as_before_when_no_other_can_take_the_request)
+{
+    for (unsigned const instances : {1U, 9U, 65U})
+    {
+        dispatcher requests(paced_settings());
+        requests.on_placements(at(0), {{}, instances, {}});
+        requests.on_backend(server("new", "here", 16), at(0));
+        cr_expect_eq(assigned_counts(requests, at(10), 30)["new"], 20, "16 places and a queue of 4");
+    }
+    dispatcher requests(paced_settings());
+    requests.on_backend(server("old", "here", 2));
+    requests.on_backend(server("new", "far", 16), at(0));
+    auto counts = assigned_counts(requests, at(10), 30);
+    cr_expect(counts["old"] == 6 && counts["new"] == 20, "%u and %u", counts["old"], counts["new"]);
+}
+
+// Guards against a request that goes back to the server that failed it because the other one is on trial.
+Test(dispatcher, server_that_failed_a_request_comes_after_one_on_trial)
+{
+    dispatcher requests(paced_settings());
+    requests.on_placements(at(0), {{}, 65, {}});
+    requests.on_backend(server("old", "here", 16));
+    requests.on_backend(server("new", "far", 16), at(0));
+    dispatch_request failed = request(1);
+    failed.failed_servers = {"old"};
+    requests.submit(at(1), failed);
+    cr_expect_eq(assigned(requests.step(at(1)), 1), "new");
+}
+
+// Guards against known servers that are slowed: at the start of the instance, when another instance is lost,
+// when a model is loaded, and when a model turns out not to be there.
+Test(dispatcher, known_server_is_not_slowed)
+{
+    dispatcher requests(paced_settings());
+    requests.on_placements(at(0), {{}, 65, {}});
+    backend_entry known = engine("known", "m");
+    known.places = 16;
+    requests.on_backend(known);
+    backend_entry other = engine("other", "m");
+    other.data_centre = "far";
+    requests.on_backend(other);
+    requests.on_placements(at(10), {{}, 64, {}});
+    known.models.push_back({"new model", {}});
+    requests.on_backend(known, at(20));
+    requests.submit(at(30), request(1, "new model"));
+    cr_assert_eq(assigned(requests.step(at(30)), 1), "known");
+    requests.on_attempt_end(at(40), {1, "known", attempt_result::refused_not_run, false, true, {}});
+    requests.submit(at(50), request(2, "m"));
+    cr_assert_eq(assigned(requests.step(at(50)), 2), "known");
+    requests.on_attempt_end(at(9000), {2, "known", attempt_result::answered, false, false, seconds{8}});
+    cr_expect_eq(assigned_counts(requests, at(9010), 2)["known"], 2,
+                 "a server on trial would get one of two requests in 65 instances at most");
+}
+
+// Guards against a flood at a server that answers again after lost connections, a silence or a new start, and
+// against an end of the trial that never comes.
+Test(dispatcher, server_is_on_trial_after_failures_and_starts)
+{
+    for (char const* const what : {"lost", "unreached", "silent", "started", "own link"})
+    {
+        dispatcher requests(paced_settings());
+        requests.on_placements(at(0), {{}, 1, {}});
+        backend_entry known = server("known", "here", 16);
+        known.started_at = 1;
+        requests.on_backend(known);
+        requests.on_backend(server("other", "far", 64));
+        std::string const cause = what;
+        requests.submit(at(0), request(1));
+        cr_assert_eq(assigned(requests.step(at(0)), 1), "known");
+        attempt_result const result = cause == "unreached" ? attempt_result::not_sent
+                                      : cause == "silent"  ? attempt_result::silent
+                                      : cause == "started" ? attempt_result::caller_gone
+                                                           : attempt_result::connection_lost;
+        requests.on_attempt_end(at(10), {1, "known", result, false, false, milliseconds{10}});
+        if (cause == "started")
+        {
+            known.started_at = 2;
+            requests.on_backend(known, at(20));
+        }
+        if (cause == "own link")
+        {
+            requests.forget_failures();
+            cr_expect_eq(assigned_counts(requests, at(2000), 8)["known"], 8, "%s", what);
+            continue;
+        }
+        cr_expect_eq(assigned_counts(requests, at(12000), 8)["known"], 2, "%s", what);
+        cr_expect_eq(assigned_counts(requests, at(30100), 8)["known"], 8, "%s", what);
+    }
+}
+
+// Guards against a window that never grows with answers, counts an answer twice (its first event and its
+// end), or grows with answers that come after the objective.
+Test(dispatcher, window_grows_with_first_events_in_time)
+{
+    dispatcher requests(paced_settings());
+    requests.on_placements(at(0), {{}, 1, {}});
+    requests.on_backend(server("other", "far", 64));
+    requests.on_backend(server("new", "here", 32), at(0));
+    dispatch_request timed = request(1);
+    timed.latency_objective = milliseconds{500};
+    requests.submit(at(0), timed);
+    cr_assert_eq(assigned(requests.step(at(0)), 1), "new");
+    requests.on_first_event(at(100), 1);
+    cr_expect_eq(assigned_counts(requests, at(101), 20)["new"], 7, "a window of 8, one of which runs");
+    requests.on_attempt_end(at(200), {1, "new", attempt_result::answered, false, false, milliseconds{200}});
+    cr_expect_eq(assigned_counts(requests, at(201), 20)["new"], 1);
+
+    dispatcher late(paced_settings());
+    late.on_placements(at(0), {{}, 1, {}});
+    late.on_backend(server("other", "far", 64));
+    late.on_backend(server("new", "here", 32), at(0));
+    late.submit(at(0), timed);
+    cr_assert_eq(assigned(late.step(at(0)), 1), "new");
+    late.on_first_event(at(501), 1);
+    cr_expect_eq(assigned_counts(late, at(502), 20)["new"], 3, "a window of 4, one of which runs");
+}
