--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -190,6 +190,7 @@
                  {"limited", std::to_string(step.basis.limited)},
                  {"in_use", std::to_string(step.basis.in_use)},
                  {"load_age_ms", ms_text(step.basis.load_age)},
+                 {"on_trial", step.basis.on_trial ? "true" : ""},
                  {"waited_ms", ms_text(step.basis.waited)},
                  {"send", std::to_string(open.times_sent + 1)},
                  {"via_peer", attempt.via_peer ? "true" : "false"},
--- a/decision/dispatcher.cpp
+++ b/decision/dispatcher.cpp
@@ -164,8 +164,7 @@
 
     // Returns the server with the lowest cost; one that failed this request only when there is no other, and
     // one that is to get no more work at its pace only when no other can take the request. A server that has
-    // just failed is not used for a while, even if it is the only one: it would only fail
-    // again.
+    // just failed is not used for a while, even if it is the only one: it would only fail again.
     known_backend* choose(steady_time now, dispatch_request const& request, dispatch_basis& basis)
     {
         auto found = table.candidates(now, request.service, placement_key{request.model, request.adapter});
--- a/tests/adapters/edge_settings_test.cpp
+++ b/tests/adapters/edge_settings_test.cpp
@@ -120,5 +120,5 @@
     edge_settings const asked = read(whole + "servers: { slow_start: true }\n");
     cr_assert(asked.slow_start && !(asked == read(whole)));
     cr_assert(reports(whole + "servers: { slow_start: yes }\n",
-                      "s.yaml:9: wrong value 'yes' for 'servers.slow_start'; accepted: true or false"));
+                      "s.yaml:9: wrong value 'yes' for 'servers.slow_start'; accepted: true, false"));
 }
--- a/tests/decision/server_pace_test.cpp
+++ b/tests/decision/server_pace_test.cpp
@@ -77,8 +77,8 @@
     bool frozen = false;
     std::list<job> jobs;
     unsigned refused = 0;
-    unsigned refused_on_trial = 0;    ///< To such instances.
-    std::ptrdiff_t most_on_trial = 0; ///< The same of the requests of instances that saw it on trial.
+    unsigned refused_on_trial = 0; ///< To such instances.
+    std::size_t most_on_trial = 0; ///< The same of the requests of instances that saw it on trial.
     std::size_t most = 0; ///< Largest number of requests at the same moment, including those it refused.
 
     static constexpr std::size_t queue = 4;
@@ -341,9 +341,10 @@
         simulated_server::job job{
             instance, requests_[step.number], arrived_[step.number], now_, step.basis.on_trial, {}, false};
         server.most = std::max(server.most, server.jobs.size() + 1);
-        auto const on_trial = std::count_if(server.jobs.begin(), server.jobs.end(),
-                                            [](simulated_server::job const& each) { return each.on_trial; });
-        server.most_on_trial = std::max(server.most_on_trial, on_trial + (step.basis.on_trial ? 1 : 0));
+        auto const on_trial = static_cast<std::size_t>(std::count_if(server.jobs.begin(), server.jobs.end(),
+                                                                     [](simulated_server::job const& each)
+                                                                     { return each.on_trial; }));
+        server.most_on_trial = std::max(server.most_on_trial, on_trial + (step.basis.on_trial ? 1U : 0U));
         bool const full = server.jobs.size() >= server.entry.places + simulated_server::queue;
         if (!server.dead && !full)
         {
@@ -546,6 +547,60 @@
     }
 }
 
+// Guards against a server that is filled while it stands still in the middle of the growth, and against one
+// that is left alone after it goes on and all its answers arrive late and together.
+Test(server_pace, freeze_in_the_middle_of_the_growth)
+{
+    for (auto const& [instances, servers] : deployments)
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed)
+        {
+            simulation sim(instances, true, usual_load * servers, seed);
+            add_known_servers(sim, servers);
+            simulated_server& fresh = sim.add_new("new");
+            sim.run(milliseconds{500});
+            fresh.frozen = true;
+            sim.run(seconds{3});
+            std::size_t const most = fresh.most;
+            fresh.frozen = false;
+            duration const time = sim.time_to_full_share(fresh, seconds{50});
+            cr_log_info("freeze %u instances, %u servers, seed %lu: most %zu, full share within %ld ms",
+                        instances, servers, seed, most, static_cast<long>(time.count() / 1000));
+            cr_expect_leq(most, fresh.entry.places, "%u instances, seed %lu", instances, seed);
+            cr_expect_leq(time.count(), max_trial.count(), "%u instances, seed %lu", instances, seed);
+            cr_expect_eq(sim.refused_by_instances, 0U);
+        }
+    }
+}
+
+// Guards against a server that is filled while it loads a model, so that all wait for the load, and against
+// one that stays slowed although only its first answers were late.
+Test(server_pace, model_load_after_the_start)
+{
+    for (auto const& [instances, servers] : deployments)
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed)
+        {
+            simulation sim(instances, true, usual_load * servers, seed);
+            add_known_servers(sim, servers);
+            simulated_server& fresh = sim.add_new("new");
+            fresh.first_event = milliseconds{2000};
+            fresh.whole = milliseconds{3400};
+            sim.run(seconds{2});
+            std::size_t const most = fresh.most;
+            fresh.first_event = milliseconds{100};
+            fresh.whole = milliseconds{1500};
+            duration const time = sim.time_to_full_share(fresh, seconds{50});
+            cr_log_info("model load %u instances, %u servers, seed %lu: most %zu, full share within %ld ms",
+                        instances, servers, seed, most, static_cast<long>(time.count() / 1000));
+            cr_expect_leq(most, fresh.entry.places / 2, "%u instances, seed %lu", instances, seed);
+            cr_expect_leq(time.count(), max_trial.count(), "%u instances, seed %lu", instances, seed);
+            cr_expect_eq(sim.refused_by_instances, 0U);
+            cr_expect_eq(fresh.refused_on_trial, 0U);
+        }
+    }
+}
+
 // Guards against load figures that end the protection or keep a server idle when they are wrong: a server
 // that always reports the same load is not flooded at first, and callers get what they get without a pace.
 Test(server_pace, wrong_load_figures_do_bounded_harm)
