Keep a server known whose entry expired and came back

Cause: the list of servers whose entries have gone kept those that came back.

Change: server_pace marks runs as gone, and forgets only those.

--- a/decision/server_pace.cpp
+++ b/decision/server_pace.cpp
@@ -59,26 +59,21 @@
 
 server_pace::server_pace(std::uint64_t seed) : random_(seed) {}
 
-void server_pace::remember_run(backend_name const& backend, std::int64_t started_at)
-{
-    runs_[backend] = started_at;
-    gone_.erase(std::remove(gone_.begin(), gone_.end(), backend), gone_.end());
-}
-
 void server_pace::on_known(backend_name const& backend, std::int64_t started_at)
 {
-    remember_run(backend, started_at);
+    runs_[backend] = {started_at, false};
 }
 
 void server_pace::on_started(steady_time now, backend_name const& backend, std::int64_t started_at,
                              paced_server const& server)
 {
     auto const known = runs_.find(backend);
-    if (known != runs_.end() && known->second == started_at)
+    if (known != runs_.end() && known->second.started_at == started_at)
     {
+        known->second.gone = false;
         return;
     }
-    remember_run(backend, started_at);
+    runs_[backend] = {started_at, false};
     trial& each = trials_[backend];
     each = {};
     each.after_start = true;
@@ -236,14 +231,20 @@
 void server_pace::forget(backend_name const& backend)
 {
     trials_.erase(backend);
-    if (runs_.count(backend) == 0)
+    auto const run = runs_.find(backend);
+    if (run == runs_.end() || run->second.gone)
     {
         return;
     }
+    run->second.gone = true;
     gone_.push_back(backend);
     if (gone_.size() > max_gone)
     {
-        runs_.erase(gone_.front());
+        auto const oldest = runs_.find(gone_.front());
+        if (oldest != runs_.end() && oldest->second.gone)
+        {
+            runs_.erase(oldest);
+        }
         gone_.pop_front();
     }
 }
--- a/decision/server_pace.hpp
+++ b/decision/server_pace.hpp
@@ -92,6 +92,11 @@
         steady_time drawn_at;          ///< Of the latest draw.
         bool drawn = false;            ///< The latest draw allowed a request, and none was sent since.
     };
+    struct known_run
+    {
+        std::int64_t started_at = 0;
+        bool gone = false; ///< The server's entry has gone.
+    };
     struct timed_answer
     {
         backend_name backend;
@@ -101,7 +106,6 @@
     trial* find_active(steady_time now, backend_name const& backend);
     trial const* find_active(steady_time now, backend_name const& backend) const;
     void begin(steady_time now, trial& each, paced_server const& server);
-    void remember_run(backend_name const& backend, std::int64_t started_at);
     static void grow(steady_time now, trial& each, double window);
     static void shrink(steady_time now, trial& each, duration took);
     bool in_time(steady_time now, backend_name const& backend, answer_kind const& kind, duration took,
@@ -111,8 +115,8 @@
     // Until the lease holder has told a count.
     unsigned instances_ = 64;
     std::map<backend_name, trial> trials_;
-    std::map<backend_name, std::int64_t> runs_;
-    std::deque<backend_name> gone_; ///< Servers whose run is remembered although their entry has gone.
+    std::map<backend_name, known_run> runs_;
+    std::deque<backend_name> gone_; ///< Servers in the order in which their entries went; some are back.
     std::map<answer_kind, std::deque<timed_answer>> answers_;
 };
 
--- a/tests/decision/server_pace_test.cpp
+++ b/tests/decision/server_pace_test.cpp
@@ -774,6 +774,24 @@
     cr_expect(pace.on_trial(at(9000), "old"));
 }
 
+// Guards against a known server that is slowed because its entry once expired, after many others have gone
+// for good.
+Test(server_pace, server_that_came_back_stays_known)
+{
+    server_pace pace = pace_of(9);
+    pace.on_known("old", 3);
+    pace.forget("old");
+    pace.on_started(at(0), "old", 3, twelve_places);
+    for (int i = 0; i < 5000; ++i)
+    {
+        std::string const name = "s" + std::to_string(i);
+        pace.on_started(at(i), name, i + 10, twelve_places);
+        pace.forget(name);
+    }
+    pace.on_started(at(6000), "old", 3, twelve_places);
+    cr_expect_not(pace.on_trial(at(6000), "old"));
+}
+
 // Guards against servers that are slowed because this instance's own link failed, and against a new server
 // that is flooded after it.
 Test(server_pace, failures_of_the_own_link_are_forgotten)
