--- a/tests/adapters/edge_settings_test.cpp
+++ b/tests/adapters/edge_settings_test.cpp
@@ -154,3 +154,15 @@
         cr_expect_not(read_edge_settings(whole + section + "\n", "s.yaml"), "%s", section.c_str());
     }
 }
+
+// Guards against deployments whose settings do not name the section and that would be served differently.
+Test(edge_settings, servers_start_slowly_only_when_asked_for)
+{
+    cr_assert(!read(whole).slow_start);
+    cr_assert(!read(whole + "servers: {}\n").slow_start);
+    cr_assert(!read(whole + "servers: { slow_start: false }\n").slow_start);
+    edge_settings const asked = read(whole + "servers: { slow_start: true }\n");
+    cr_assert(asked.slow_start && !(asked == read(whole)));
+    cr_assert(reports(whole + "servers: { slow_start: yes }\n",
+                      "s.yaml:9: wrong value 'yes' for 'servers.slow_start'; accepted: true, false"));
+}
