Test the header that states the age of the configuration

Cause: the form of Config-Age, on which proofs between instances rest, had no test. Change: a test of rounding, of a peer without a proof, of one of an older build, and of values that are no age.

--- a/tests/adapters/placement_codec_test.cpp
+++ b/tests/adapters/placement_codec_test.cpp
@@ -127,3 +127,29 @@
     cr_assert(decode_standbys({{"Content-Type", "application/cbor"}}).empty());
     cr_assert(decode_standbys({{"Store-Standbys", ""}}).empty());
 }
+
+// Guards against an age that is rounded down, which makes a configuration newer than it is, and against a
+// peer without a proof, or of an older build, whose reply counts as one.
+Test(placement_codec, age_of_the_configuration_is_never_understated)
+{
+    auto const decoded = [](std::string const& line)
+    {
+        std::size_t const colon = line.find(": ");
+        return decode_config_age({{line.substr(0, colon), line.substr(colon + 2, line.size() - colon - 4)}});
+    };
+    for (duration const age : {duration{0}, duration{microseconds{1}}, duration{microseconds{999}},
+                               duration{milliseconds{833}}, duration{minutes{60}}})
+    {
+        told_config_age const told = decoded(encode_config_age(age));
+        cr_assert(told.stated && told.age.has_value());
+        cr_expect(*told.age >= age && *told.age <= age + milliseconds{1});
+    }
+    told_config_age const none = decoded(encode_config_age(std::nullopt));
+    cr_expect(none.stated && !none.age.has_value());
+    told_config_age const older_build = decode_config_age({{"Content-Type", "application/cbor"}});
+    cr_expect(!older_build.stated && !older_build.age.has_value());
+    for (char const* const value : {"", "-1", "1.5", "x", "99999999999999999999999"})
+    {
+        cr_expect(!decode_config_age({{"config-age", value}}).age.has_value(), "%s", value);
+    }
+}
