Keep the holder while its link to the store is cut, where organisations are configured

Cause: a holder that is cut off from the store tried its lease calls for 1 s each, so that the lease ran out before a peer passed one on. Change: the holder's lease calls are tried again after 300 ms; instances spend their shares at once when they are told that there is no holder, and refuse what the share cannot serve after 2 s only. A lease that comes back adds nothing to its levels for the time between.

--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -61,6 +61,10 @@
 constexpr duration lease_read_spread_per_instance = milliseconds{1};
 // The standbys are chosen again after this time at most.
 constexpr duration standby_choice_interval = seconds{1};
+// With organisations, requests wait for the holder. A lease call without an answer for this time is tried
+// again, and then through a peer, before the lease has run out 1.5 s after the last renewal. A slow store
+// answers within 200 ms.
+constexpr duration urgent_lease_limit = milliseconds{300};
 // Limit for a store call that is made for a peer; a watch is the call that waits longest.
 constexpr duration max_relay_time = seconds{4};
 constexpr char const* key_scheme = "Bearer ";
@@ -179,24 +183,30 @@
 
     void read_lease(bool allow_stale)
     {
-        store.get(platform::lease_kind, platform::lease_name, allow_stale && lease.record() != nullptr,
-                  [self = shared_from_this()](platform::store_answer<platform::store_object> answer)
-                  {
-                      steady_time const now = boot_now();
-                      if (auto const* const object = std::get_if<platform::store_object>(&answer))
-                      {
-                          self->lease.on_read(now, platform::decode_lease_record(object->spec),
-                                              object->revision);
-                      }
-                      else if (std::get<platform::store_failure>(answer) == platform::store_failure::absent)
-                      {
-                          self->lease.on_read(now, std::nullopt, {self->store.era(), 0});
-                      }
-                      else
-                      {
-                          self->lease.on_call_lost(now);
-                      }
-                  });
+        store.get(
+            platform::lease_kind, platform::lease_name, allow_stale && lease.record() != nullptr,
+            [self = shared_from_this()](platform::store_answer<platform::store_object> answer)
+            {
+                steady_time const now = boot_now();
+                if (auto const* const object = std::get_if<platform::store_object>(&answer))
+                {
+                    self->lease.on_read(now, platform::decode_lease_record(object->spec), object->revision);
+                }
+                else if (std::get<platform::store_failure>(answer) == platform::store_failure::absent)
+                {
+                    self->lease.on_read(now, std::nullopt, {self->store.era(), 0});
+                }
+                else
+                {
+                    self->lease.on_call_lost(now);
+                }
+            },
+            lease_call_limit());
+    }
+
+    duration lease_call_limit() const
+    {
+        return has_organisations && lease_held ? urgent_lease_limit : platform::metadata_store::call_limit;
     }
 
     void log_claim(lease_write const& write,
@@ -212,36 +222,38 @@
     void write_lease(lease_write const& write)
     {
         bool const claims = write.record.epoch != lease.epoch();
-        store.put(platform::lease_kind, platform::lease_name, write.revision,
-                  platform::encode_lease_record(write.record),
-                  [self = shared_from_this(), claims, write,
-                   sent_at = boot_now()](platform::store_answer<platform::store_object> answer)
-                  {
-                      steady_time const now = boot_now();
-                      if (claims)
-                      {
-                          self->log_claim(write, answer);
-                      }
-                      if (auto const* const object = std::get_if<platform::store_object>(&answer))
-                      {
-                          self->lease.on_written(now, object->revision);
-                          self->state.on_renewed(object->revision, sent_at);
-                          return;
-                      }
-                      auto const failure = std::get<platform::store_failure>(answer);
-                      switch (failure)
-                      {
-                      case platform::store_failure::unclear:
-                          self->lease.on_call_lost(now);
-                          break;
-                      case platform::store_failure::rejected:
-                          self->lease.on_write_refused(now);
-                          break;
-                      default:
-                          self->lease.on_write_conflict(now);
-                          break;
-                      }
-                  });
+        store.put(
+            platform::lease_kind, platform::lease_name, write.revision,
+            platform::encode_lease_record(write.record),
+            [self = shared_from_this(), claims, write,
+             sent_at = boot_now()](platform::store_answer<platform::store_object> answer)
+            {
+                steady_time const now = boot_now();
+                if (claims)
+                {
+                    self->log_claim(write, answer);
+                }
+                if (auto const* const object = std::get_if<platform::store_object>(&answer))
+                {
+                    self->lease.on_written(now, object->revision);
+                    self->state.on_renewed(object->revision, sent_at);
+                    return;
+                }
+                auto const failure = std::get<platform::store_failure>(answer);
+                switch (failure)
+                {
+                case platform::store_failure::unclear:
+                    self->lease.on_call_lost(now);
+                    break;
+                case platform::store_failure::rejected:
+                    self->lease.on_write_refused(now);
+                    break;
+                default:
+                    self->lease.on_write_conflict(now);
+                    break;
+                }
+            },
+            lease_call_limit());
     }
 
     void update_lease_state(steady_time now)
@@ -264,6 +276,10 @@
                     quota_epoch = lease.epoch();
                     quotas.begin_lease(now);
                 }
+                else
+                {
+                    quotas.resume_lease(now);
+                }
             }
             state.on_lease(holds);
             log.write({holds ? "lease_gained" : "lease_lost", {{"epoch", std::to_string(lease.epoch())}}});
--- a/apps/quota_keeper.cpp
+++ b/apps/quota_keeper.cpp
@@ -120,7 +120,8 @@
     void on_lost(std::string const& why, int status)
     {
         metrics.add("siskin_quota_questions_total", "unanswered", 1);
-        gate.on_no_reply(boot_now());
+        constexpr int no_holder_status = 409;
+        gate.on_no_reply(boot_now(), status == no_holder_status);
         if (!lost)
         {
             log.write({"quota_holder_lost",
--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -30,6 +30,8 @@
 constexpr duration share_interval = milliseconds{800};
 // A share that was not spent is kept for this long.
 constexpr double max_saved_share_s = 1.0;
+// Most times without a holder are shorter; requests wait for its return before the share decides about them.
+constexpr duration short_absence = seconds{2};
 // Waiting requests are looked at this often while a share is spent.
 constexpr duration share_poll = milliseconds{50};
 // Time constant of the measured need of an organisation.
@@ -284,6 +286,10 @@
     // The time since which the instance lives on its shares; none while a holder answers.
     std::optional<steady_time> without_holder_since(steady_time now) const
     {
+        if (nobody_issues_since)
+        {
+            return nobody_issues_since;
+        }
         bool const silent = unanswered_since && now - *unanswered_since >= holder_silence;
         return silent ? std::optional(*unanswered_since + holder_silence) : std::nullopt;
     }
@@ -315,7 +321,8 @@
     // Requests that the share cannot serve in time are refused at once.
     void refuse_unaffordable(steady_time now, account& of, std::vector<quota_step>& steps) const
     {
-        if (!without_holder_since(now) || of.rate_share <= 0.0)
+        auto const since = without_holder_since(now);
+        if (!since || now - *since < short_absence || of.rate_share <= 0.0)
         {
             return;
         }
@@ -440,6 +447,7 @@
     steady_time next_ahead;
     steady_time next_try; ///< After a question without an answer.
     std::optional<steady_time> unanswered_since;
+    std::optional<steady_time> nobody_issues_since;
     unsigned instances = 0;
 };
 
@@ -593,6 +601,7 @@
     steady_time const asked_at = impl_->open->asked_at;
     impl_->open.reset();
     impl_->unanswered_since.reset();
+    impl_->nobody_issues_since.reset();
     impl_->instances = reply.instances;
     for (quota_grant const& grant : reply.grants)
     {
@@ -625,7 +634,7 @@
     impl_->next_try = std::max(asked_at + min_question_interval, lacks ? now + smoothing_interval : now);
 }
 
-void quota_gate::on_no_reply(steady_time now)
+void quota_gate::on_no_reply(steady_time now, bool nobody_issues)
 {
     if (!impl_->open)
     {
@@ -638,6 +647,10 @@
         impl_->accounts[name].spent += spent;
     }
     impl_->unanswered_since = impl_->unanswered_since.value_or(impl_->open->asked_at);
+    if (nobody_issues)
+    {
+        impl_->nobody_issues_since = impl_->nobody_issues_since.value_or(now);
+    }
     impl_->open.reset();
     impl_->next_try = now + retry_interval;
 }
--- a/decision/quota_gate.hpp
+++ b/decision/quota_gate.hpp
@@ -46,8 +46,9 @@
     std::optional<quota_question> next_question(steady_time now);
     /// The holder's answer to the open question; one with another sequence number is ignored.
     void on_reply(steady_time now, quota_reply const& reply);
-    /// The open question got no answer.
-    void on_no_reply(steady_time now);
+    /// The open question got no answer. `nobody_issues` tells that the instance that was taken for the holder
+    /// answered that it is none: the shares for a time without a holder are used at once.
+    void on_no_reply(steady_time now, bool nobody_issues = false);
 
     std::size_t waiting() const;
     /// Use of an organisation by all instances, in units of its limit a second, as the holder last told; none
--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -501,6 +501,19 @@
     }
 }
 
+void quota_issuer::resume_lease(steady_time now)
+{
+    for (auto& [name, of] : impl_->buckets)
+    {
+        // The shares add up to the rate, which is not added to the level for that time.
+        of.filled_at = now;
+        for (auto& [instance, credit] : of.outstanding)
+        {
+            credit.counted_until = std::max(credit.counted_until, now);
+        }
+    }
+}
+
 quota_reply quota_issuer::answer(steady_time now, unsigned instances, quota_question const& question)
 {
     quota_reply reply;
--- a/decision/quota_issuer.hpp
+++ b/decision/quota_issuer.hpp
@@ -31,6 +31,9 @@
     void on_config(steady_time now, std::shared_ptr<serving_config const> config);
     /// This instance has gained the lease; credit of the holder before may be in use for some seconds.
     void begin_lease(steady_time now);
+    /// The lease had lapsed and has come back without another holder in between: instances may have used
+    /// their shares meanwhile.
+    void resume_lease(steady_time now);
     /// `instances` is the number of instances that the holder knows, itself included.
     quota_reply answer(steady_time now, unsigned instances, quota_question const& question);
 
