Refuse answers with an invalid status or a body that it does not allow

Cause: the reader of answers had a lowest status (100) but no highest one, so that both programs passed on 600 to 999 and used the connection again. A 101 counted as an interim answer and held its request until the deadline (504). A 204 or 304 with a body was passed on as a complete answer.

Change: a status is three digits from 100 to 599; 101 and bodies of 204 and 304 end the attempt. The caller gets 502, or another attempt is made, and the connection is closed. siskin-edge logs why=invalid_status or body_not_allowed with the received text, siskin-entry the line invalid_status; both count them.

--- a/adapters/backend_client.cpp
+++ b/adapters/backend_client.cpp
@@ -27,6 +27,8 @@
 // A body of at most this many bytes is written together with the head, which saves a system call.
 constexpr std::size_t joined_body_limit = 16384;
 constexpr unsigned interim_response_limit = 8;
+constexpr int switching_protocols = 101;
+constexpr char const* body_not_allowed = "a body that its status does not allow";
 
 bool is_event_stream(std::string_view content_type)
 {
@@ -150,6 +152,13 @@
         return end_with(result_.server_dead ? attempt_result::connection_lost : attempt_result::bad_answer);
     }
 
+    // `what` tells what the answer has in the place of a valid status, or with one.
+    bool end_as_invalid_status(std::string what)
+    {
+        result_.invalid_status = std::move(what);
+        return end_as_bad_answer();
+    }
+
     bool end_as_caller_gone()
     {
         connection_.reset();
@@ -301,9 +310,14 @@
             auto parsed = parse_response_head(head);
             if (!parsed)
             {
-                return end_as_bad_answer();
+                return end_as_invalid_status(invalid_status_text(head));
             }
             response_ = std::move(*parsed);
+            // A protocol change was not asked for, and what follows it is not HTTP.
+            if (response_.status == switching_protocols)
+            {
+                return end_as_invalid_status(std::to_string(response_.status));
+            }
             if (response_.status >= 200)
             {
                 return check_answer_head();
@@ -321,6 +335,10 @@
         {
             return end_as_bad_answer();
         }
+        if (announces_forbidden_body(response_))
+        {
+            return end_as_invalid_status(body_not_allowed);
+        }
         auto const framing = response_framing(response_, call_.method);
         // Without a length or chunks, a complete answer cannot be told from a truncated one.
         if (!framing || framing->kind == body_kind::until_close)
@@ -365,7 +383,9 @@
 
     void reuse_connection()
     {
-        if (keeps_connection(response_.version, response_.fields))
+        // The body that a 304 announces may follow in spite of its status.
+        bool const body_may_follow = !status_has_body(response_.status) && announces_body(response_.fields);
+        if (!body_may_follow && keeps_connection(response_.version, response_.fields))
         {
             owner_.pool_.give_back(target_.address, std::move(connection_));
         }
@@ -414,6 +434,11 @@
                 relay_part(body, relaying);
             }
         }
+        if (is_forbidden_body(response_, connection_->buffered()))
+        {
+            end_as_invalid_status(body_not_allowed);
+            return;
+        }
         reuse_connection();
         if (proves_not_run(body))
         {
--- a/adapters/engine_poller.cpp
+++ b/adapters/engine_poller.cpp
@@ -86,7 +86,7 @@
         }
         if (outcome.status == 0)
         {
-            count(outcome.refused ? "refused" : "no_answer");
+            count(outcome.refused ? "refused" : outcome.invalid_status ? "invalid_status" : "no_answer");
             return engine_unreachable{job.name, outcome.refused};
         }
         auto report = read_engine_report(outcome.body);
--- a/adapters/http_connection.cpp
+++ b/adapters/http_connection.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t max_body_bytes = 2 << 20; // Twice the largest value of the object store.
 // Servers send one or two (100 Continue, 103 Early Hints).
 constexpr unsigned interim_answer_limit = 8;
+constexpr int switching_protocols = 101;
 
 constexpr char const* timed_out = "the deadline passed";
 constexpr char const* stopped = "the process stops";
@@ -26,6 +27,7 @@
 constexpr char const* not_http = "the answer is not valid HTTP";
 constexpr char const* too_large = "the answer exceeds a limit";
 constexpr char const* open_ended = "the answer has neither a length nor chunks";
+constexpr char const* body_not_allowed = "the answer has a body although its status allows none";
 constexpr char const* bytes_behind = "bytes follow the end of the answer";
 
 char const* reason(head_status status)
@@ -172,6 +174,14 @@
             return stopping_ && status == head_status::timed_out ? stopped : reason(status);
         }
         head = parse_response_head(bytes);
+        // A protocol change was not asked for, and what follows it is not HTTP.
+        bool const switches = head && head->status == switching_protocols;
+        std::string const invalid = switches ? std::to_string(head->status) : invalid_status_text(bytes);
+        if (!invalid.empty())
+        {
+            outcome.invalid_status = true;
+            return "invalid status '" + invalid + "'";
+        }
         if (!head)
         {
             return not_http;
@@ -182,6 +192,11 @@
         }
     }
     auto const framing = response_framing(*head, call.method);
+    if (announces_forbidden_body(*head))
+    {
+        outcome.invalid_status = true;
+        return body_not_allowed;
+    }
     if (!framing)
     {
         return not_http;
@@ -207,11 +222,14 @@
     }
     if (!connection_->buffered().empty())
     {
-        return bytes_behind;
+        outcome.invalid_status = is_forbidden_body(*head, connection_->buffered());
+        return outcome.invalid_status ? body_not_allowed : bytes_behind;
     }
     outcome.status = head->status;
     outcome.etag = head->fields.value("ETag");
-    if (!keeps_connection(head->version, head->fields))
+    // The body that a 304 announces may follow in spite of its status.
+    bool const body_may_follow = !status_has_body(head->status) && announces_body(head->fields);
+    if (body_may_follow || !keeps_connection(head->version, head->fields))
     {
         close();
     }
--- a/adapters/http_connection.hpp
+++ b/adapters/http_connection.hpp
@@ -32,10 +32,11 @@
     /// All headers of the answer, in their order; only outbound_pool fills them in.
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
-    bool refused = false; ///< Nothing listens at the address.
-    bool sent = false;    ///< At least one byte of the call was written.
-    bool reused = false;  ///< The connection had carried an earlier call.
-    std::string why;      ///< Cause when there is no answer, for the log.
+    bool refused = false;        ///< Nothing listens at the address.
+    bool sent = false;           ///< At least one byte of the call was written.
+    bool reused = false;         ///< The connection had carried an earlier call.
+    std::string why;             ///< Cause when there is no answer, for the log.
+    bool invalid_status = false; ///< There was one, but its status is not valid or allows no body.
 };
 
 /// The bytes of a call, head and body.
--- a/adapters/http_front.cpp
+++ b/adapters/http_front.cpp
@@ -720,6 +720,15 @@
             result = owner_.parts.backends.run(where, call, writer);
         }
         attempt_result const outcome = result.result;
+        if (!result.invalid_status.empty())
+        {
+            owner_.parts.metrics.add("siskin_invalid_statuses_total", "", 1);
+            owner_.parts.log.write({"invalid_status",
+                                    {{"request", call.request_id},
+                                     {"attempt", std::to_string(result.attempt)},
+                                     {"address", where.address},
+                                     {"status", result.invalid_status}}});
+        }
         owner_.push_until_accepted(result);
         switch (outcome)
         {
--- a/adapters/http_head.cpp
+++ b/adapters/http_head.cpp
@@ -19,6 +19,7 @@
 using boost::system::error_code;
 
 constexpr int lowest_status = 100;
+constexpr int highest_status = 599;
 
 std::string to_text(string_view text)
 {
@@ -113,13 +114,39 @@
 std::optional<response_head> parse_response_head(std::string_view head)
 {
     head_parser<false> parser;
-    if (!read_head(head, parser) || parser.status < lowest_status)
+    if (!read_head(head, parser) || parser.status < lowest_status || parser.status > highest_status)
     {
         return std::nullopt;
     }
     return response_head{parser.status, parser.version, std::move(parser.fields)};
 }
 
+std::string invalid_status_text(std::string_view head)
+{
+    constexpr std::string_view start = "HTTP/1.";
+    constexpr std::string_view digits = "0123456789";
+    constexpr std::size_t status_size = 3;
+    constexpr std::size_t shown = 8; // Enough to recognise what the server meant.
+    std::string_view line = head.substr(0, head.find("\r\n"));
+    if (line.substr(0, start.size()) != start)
+    {
+        return {};
+    }
+    line.remove_prefix(std::min(line.size(), start.size() + 1)); // With the minor version.
+    line.remove_prefix(!line.empty() && line.front() == ' ' ? 1 : 0);
+    std::string_view const status = line.substr(0, status_size);
+    std::string_view const next = line.substr(std::min(status_size, line.size()), 1);
+    bool const is_valid = status.size() == status_size && status.front() >= '1' && status.front() <= '5' &&
+                          status.find_first_not_of(digits) == std::string_view::npos &&
+                          (next.empty() || next == " ");
+    if (is_valid)
+    {
+        return {};
+    }
+    std::string_view const text = line.substr(0, std::min(shown, line.find(' ', 1)));
+    return text.empty() ? "none" : std::string(text);
+}
+
 bool keeps_connection(http_version version, header_fields const& fields)
 {
     auto const options = fields.tokens("Connection");
--- a/adapters/http_message.cpp
+++ b/adapters/http_message.cpp
@@ -78,6 +78,25 @@
     return status != 204 && status != 304;
 }
 
+bool announces_body(header_fields const& fields)
+{
+    return fields.has("Transfer-Encoding") ||
+           (fields.has("Content-Length") && fields.value("Content-Length") != "0");
+}
+
+bool announces_forbidden_body(response_head const& response)
+{
+    return response.status == 204 && announces_body(response.fields);
+}
+
+bool is_forbidden_body(response_head const& response, std::string_view bytes_behind)
+{
+    constexpr std::string_view next_answer = "HTTP/";
+    std::string_view const start = bytes_behind.substr(0, next_answer.size());
+    return !status_has_body(response.status) && !start.empty() &&
+           start != next_answer.substr(0, start.size());
+}
+
 std::optional<body_framing> request_framing(request_head const& request)
 {
     bool announced = false;
--- a/adapters/http_message.hpp
+++ b/adapters/http_message.hpp
@@ -31,6 +31,17 @@
 /// False for the statuses whose answers have no body, whatever the request: 204 and 304.
 bool status_has_body(int status);
 
+/// True when the headers of an answer announce a body. A 304 may state the length of the body that it leaves
+/// out.
+bool announces_body(header_fields const& fields);
+
+/// True when the headers of an answer announce a body although its status allows none. Where the answer ends
+/// is then unknown, and what follows may be taken for the next answer.
+bool announces_forbidden_body(response_head const& response);
+
+/// True for the bytes behind the head of an answer without a body, unless they begin another answer.
+bool is_forbidden_body(response_head const& response, std::string_view bytes_behind);
+
 /// Framing of a request body; empty when the headers contradict each other, which would let two servers see
 /// different message ends.
 std::optional<body_framing> request_framing(request_head const& request);
--- a/adapters/instance_list_client.cpp
+++ b/adapters/instance_list_client.cpp
@@ -50,7 +50,9 @@
     http_outcome const outcome = connection.exchange(call, steady_now() + settings_.call_limit);
     if (outcome.status != 200)
     {
-        return outcome.status == 0 ? "no_answer" : "status_" + std::to_string(outcome.status);
+        return outcome.invalid_status ? "invalid_status"
+               : outcome.status == 0  ? "no_answer"
+                                      : "status_" + std::to_string(outcome.status);
     }
     auto servers = read_instance_list(outcome.body);
     if (!servers)
--- a/adapters/object_store_client.cpp
+++ b/adapters/object_store_client.cpp
@@ -175,7 +175,9 @@
     if (outcome.status == 0 || outcome.status >= 500)
     {
         gate_.on_failure(steady_now());
-        return fail(outcome.status == 0 ? "no_answer" : "server_error");
+        return fail(outcome.invalid_status ? "invalid_status"
+                    : outcome.status == 0  ? "no_answer"
+                                           : "server_error");
     }
     gate_.on_answer();
     return interpret(call.request, outcome);
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -29,6 +29,7 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr std::size_t answer_head_limit = 65536;
+constexpr int switching_protocols = 101;
 // Interim answers before the final one. Servers send one or two (100 Continue, 103 Early Hints).
 constexpr unsigned interim_answer_limit = 8;
 // Answers to earlier requests of the connection that are skipped before the exchange's own answer, and the
@@ -146,6 +147,10 @@
         return "lost";
     case exchange_end::malformed:
         return "malformed";
+    case exchange_end::invalid_status:
+        return "invalid_status";
+    case exchange_end::body_not_allowed:
+        return "body_not_allowed";
     case exchange_end::too_large:
         return "answer_too_large";
     case exchange_end::timed_out:
@@ -285,6 +290,8 @@
 
     std::size_t bytes_behind() const override { return bytes_behind_; }
 
+    std::string const& invalid_status() const override { return invalid_status_; }
+
     void set_kept_bytes(std::size_t bytes) override { kept_by_user_ = bytes; }
 
 private:
@@ -440,6 +447,11 @@
         {
             return true;
         }
+        if (status == decode_status::complete && is_forbidden_body(*head_received_, in_))
+        {
+            finish(exchange_end::body_not_allowed);
+            return false;
+        }
         finish(status == decode_status::complete ? exchange_end::complete : exchange_end::malformed);
         return false;
     }
@@ -465,15 +477,29 @@
     // False when the exchange is over.
     bool parse_head(std::size_t size)
     {
-        auto const head = parse_response_head(std::string_view(in_).substr(0, size));
+        std::string_view const bytes = std::string_view(in_).substr(0, size);
+        auto const head = parse_response_head(bytes);
+        // A protocol change was not asked for, and what follows it is not HTTP.
+        bool const switches = head && head->status == switching_protocols;
+        invalid_status_ = switches ? std::to_string(head->status) : invalid_status_text(bytes);
         in_.erase(0, size);
         searched_ = 0;
+        if (!invalid_status_.empty())
+        {
+            finish(exchange_end::invalid_status);
+            return false;
+        }
         auto const framing = head ? response_framing(*head, request_.method) : std::nullopt;
         if (!framing)
         {
             finish(exchange_end::malformed);
             return false;
         }
+        if (announces_forbidden_body(*head))
+        {
+            finish(exchange_end::body_not_allowed);
+            return false;
+        }
         if (head->status < 200)
         {
             if (++interim_answers_ > interim_answer_limit)
@@ -483,7 +509,7 @@
             }
             return true; // An interim answer; the final one follows.
         }
-        head_received_.emplace();
+        head_received_ = *head;
         decoder_.emplace(*framing);
         skipping_ = framing->kind != body_kind::until_close && skipped_answers_ < skipped_answer_limit &&
                     answers_earlier_request(*head);
@@ -497,7 +523,10 @@
             }
             return !ended_;
         }
-        keep_alive_ = framing->kind != body_kind::until_close && head->version == http_version::http_1_1 &&
+        // The body that a 304 announces may follow in spite of its status.
+        bool const body_may_follow = !status_has_body(head->status) && announces_body(head->fields);
+        keep_alive_ = framing->kind != body_kind::until_close && !body_may_follow &&
+                      head->version == http_version::http_1_1 &&
                       keeps_connection(head->version, head->fields);
         reuse_time_ = reuse_time(head->fields);
         auto const handlers = handlers_;
@@ -580,9 +609,9 @@
     boost::asio::steady_timer skip_timer_; ///< Runs while the body of an answer is skipped.
     std::array<char, 16384> chunk_{};
     std::string in_;
-    std::size_t searched_ = 0; ///< Bytes of in_ that contain no end of a head.
-    std::optional<char>
-        head_received_; ///< Set once the head of an answer has been parsed that is not interim.
+    std::size_t searched_ = 0;                   ///< Bytes of in_ that contain no end of a head.
+    std::optional<response_head> head_received_; ///< Of an answer that is not interim.
+    std::string invalid_status_;
     std::optional<body_decoder> decoder_;
     unsigned interim_answers_ = 0;
     bool skipping_ = false; ///< The answer whose head was received last belongs to an earlier request.
@@ -662,6 +691,8 @@
         {
             state->outcome.status = 0;
             state->outcome.why = to_string(end);
+            state->outcome.invalid_status =
+                end == exchange_end::invalid_status || end == exchange_end::body_not_allowed;
         }
         state->exchange.reset();
         done(std::move(state->outcome));
--- a/adapters/outbound_pool.hpp
+++ b/adapters/outbound_pool.hpp
@@ -21,13 +21,15 @@
 /// How an outbound exchange ended.
 enum class exchange_end
 {
-    complete,  ///< The whole answer was received.
-    refused,   ///< Nothing listens at the address; nothing was sent.
-    not_sent,  ///< No connection in time; nothing was sent.
-    lost,      ///< The connection ended after the first byte may have been written.
-    malformed, ///< The answer is not valid HTTP.
-    too_large, ///< The answer exceeds a limit, or all answers together do and this one holds most.
-    timed_out, ///< The deadline passed after the first byte may have been written.
+    complete,         ///< The whole answer was received.
+    refused,          ///< Nothing listens at the address; nothing was sent.
+    not_sent,         ///< No connection in time; nothing was sent.
+    lost,             ///< The connection ended after the first byte may have been written.
+    malformed,        ///< The answer is not valid HTTP.
+    invalid_status,   ///< The status of the answer is not valid, or an answer that was not asked for.
+    body_not_allowed, ///< The answer has a body although its status allows none.
+    too_large,        ///< The answer exceeds a limit, or all answers together do and this one holds most.
+    timed_out,        ///< The deadline passed after the first byte may have been written.
 };
 
 /// Name for logs and metrics, for example "timed_out".
@@ -98,6 +100,8 @@
     virtual unsigned skipped_answers() const = 0;
     /// Bytes that had arrived behind the complete answer when the exchange ended; they belong to no request.
     virtual std::size_t bytes_behind() const = 0;
+    /// What the answer had in the place of its status, after invalid_status; empty otherwise.
+    virtual std::string const& invalid_status() const = 0;
     /// Bytes of the answer that the user still keeps. Without this call all bytes that on_body has received
     /// count as kept, and an answer that keeps too many ends as too_large.
     virtual void set_kept_bytes(std::size_t bytes) = 0;
--- a/apps/ctl_http.cpp
+++ b/apps/ctl_http.cpp
@@ -24,6 +24,8 @@
 {
 
 constexpr int call_limit_seconds = 5;
+constexpr int lowest_status = 100;
+constexpr int highest_status = 599;
 /// Room for a configuration of 1 MB, whose length JSON escapes at most double, or for an instance list of
 /// about 2,000 servers.
 constexpr std::size_t max_answer_bytes = 4U << 20U;
@@ -91,6 +93,11 @@
         result.answer.body = has_no_body ? std::string() : read_body(in, response);
         result.etag = response.get("ETag", "");
         result.answer.status = static_cast<int>(response.getStatus());
+        if (result.answer.status < lowest_status || result.answer.status > highest_status)
+        {
+            throw Poco::IOException("the answer has the invalid status " +
+                                    std::to_string(result.answer.status));
+        }
     }
     catch (Poco::Exception const& e)
     {
--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -36,6 +36,7 @@
     bool via_peer = false;        ///< Sent to another instance, which passes it on to a server.
     unsigned servers_lent = 0;    ///< How many servers the peer may let run it; 0 for a server.
     std::uint64_t connection = 0; ///< Its number in this process.
+    std::string invalid_status;   ///< What its answer had in the place of a status; empty for none.
     std::string withdrawn;        ///< Why it was not sent, for a reason that says nothing about the server.
 };
 
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -623,6 +623,7 @@
                 steady_time const now = boot_now();
                 engine_order_result const result = platform::decode_order_outcome(outcome);
                 self->metrics.add("siskin_orders_total", to_string(result), 1);
+                self->count_invalid_status(outcome, "order");
                 self->log.write(
                     {"order",
                      {{"engine", order.engine},
@@ -634,6 +635,7 @@
                       {"epoch", std::to_string(epoch)},
                       {"result", to_string(result)},
                       {"status", std::to_string(outcome.status)},
+                      {"why", outcome.why},
                       {"took_ms",
                        std::to_string(std::chrono::duration_cast<milliseconds>(now - sent_at).count())}}});
                 self->planner.on_order_result(now, order, result);
@@ -652,6 +654,7 @@
                   [self = shared_from_this(), engine = inquiry.engine](http_outcome const& outcome)
                   {
                       steady_time const now = boot_now();
+                      self->count_invalid_status(outcome, "report");
                       auto const report = outcome.status == 200
                                               ? platform::decode_engine_report(engine, outcome.body)
                                               : std::nullopt;
@@ -672,6 +675,14 @@
                   });
     }
 
+    void count_invalid_status(http_outcome const& outcome, char const* call)
+    {
+        if (outcome.invalid_status)
+        {
+            metrics.add("siskin_invalid_statuses_total", call, 1);
+        }
+    }
+
     std::optional<quota_reply> answer_quotas(quota_question const& question)
     {
         steady_time const now = boot_now();
--- a/apps/request_log.cpp
+++ b/apps/request_log.cpp
@@ -213,7 +213,7 @@
                  {"backend", attempt.target.backend},
                  {"why", why},
                  {"ended_by", to_string(ender)},
-                 {"answer_status", answered ? std::to_string(attempt.facts->status) : ""},
+                 {"answer_status", answered ? std::to_string(attempt.facts->status) : attempt.invalid_status},
                  {"answer_names", answered ? named_by(*attempt.facts) : ""},
                  {"connection", std::to_string(attempt.connection)},
                  {"after_ms", ms_text(now - attempt.begun_at)},
--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -94,6 +94,8 @@
     case exchange_end::lost:
         return attempt_result::connection_lost;
     case exchange_end::malformed:
+    case exchange_end::invalid_status:
+    case exchange_end::body_not_allowed:
     case exchange_end::too_large:
         return attempt_result::bad_answer;
     case exchange_end::timed_out:
@@ -1059,7 +1061,8 @@
     // The replacement ends before it has become the current attempt.
     void on_replacement_end(open_pointer const& open, exchange_end end)
     {
-        server_attempt const& attempt = *open->replacement;
+        server_attempt& attempt = *open->replacement;
+        attempt.invalid_status = attempt.exchange->invalid_status();
         if (end == exchange_end::complete)
         {
             take_over(open); // on_end() tells of bytes behind the answer.
@@ -1466,6 +1469,7 @@
         }
         if (end != exchange_end::complete)
         {
+            open->current->invalid_status = open->current->exchange->invalid_status();
             std::string().swap(open->current->body); // A part of an answer is of no use, and it may be large.
             end_attempt(open, result_of(end, open->current->facts), to_string(end));
             return;
--- a/domain/event.hpp
+++ b/domain/event.hpp
@@ -50,6 +50,8 @@
     int status = 0;                ///< Of the answer to record, for calls with an idempotency key.
     std::string content_type;
     std::string body; ///< Only for calls with an idempotency key.
+    /// Why the status of the answer is not valid; empty when it is, or there was no answer.
+    std::string invalid_status;
 };
 
 /// The first byte of an answer was passed on to the caller. A request's deadline is the time by which this
--- a/tests/adapters/http_head_test.cpp
+++ b/tests/adapters/http_head_test.cpp
@@ -1,4 +1,5 @@
 #include "adapters/http_head.hpp"
+#include "tests/support/invalid_answers.hpp"
 
 #include <criterion/criterion.h>
 
@@ -87,3 +88,24 @@
     cr_expect_eq(reason_phrase(503), "Service Unavailable");
     cr_expect_eq(reason_phrase(299), "");
 }
+
+// Guards against a status outside 100 to 599, or one that is not written as three digits between single
+// spaces, that is taken for an answer.
+Test(http_head, valid_statuses_are_three_digits_from_100_to_599)
+{
+    for (int status = 0; status <= 999; ++status)
+    {
+        std::string text = std::to_string(status);
+        text.insert(0, 3 - text.size(), '0');
+        auto const head = parse_response_head("HTTP/1.1 " + text + " X\r\n\r\n");
+        bool const valid = status >= 100 && status <= 599;
+        cr_expect_eq(head.has_value(), valid, "%s", text.c_str());
+        cr_expect(!head || head->status == status, "%s", text.c_str());
+    }
+    for (invalid_answer const& answer : invalid_status_lines())
+    {
+        cr_expect_not(parse_response_head(answer.text("")).has_value(), "%s", answer.status_line.c_str());
+    }
+    cr_expect(parse_response_head("HTTP/1.1 200 \r\n\r\n").has_value());
+    cr_expect(parse_response_head("HTTP/1.1 200  two spaces\r\n\r\n").has_value());
+}
--- a/tests/platform/copied_refusal_at_peer_test.cpp
+++ b/tests/platform/copied_refusal_at_peer_test.cpp
@@ -1,7 +1,6 @@
-#include "adapters/placement_codec.hpp"
-#include "platform/lease_record_codec.hpp"
 #include "tests/wire/request_checks.hpp"
 #include "tests/wire/scripted_fleet.hpp"
+#include "tests/wire/scripted_peer.hpp"
 
 #include <criterion/criterion.h>
 
@@ -28,7 +27,6 @@
 
 constexpr std::size_t script_count = 100;
 constexpr unsigned request_count = 4;
-constexpr milliseconds report_interval{200};
 
 // An answer that names the request, unless `id` is empty.
 std::string answer_text(std::string const& status_line, std::string const& id,
@@ -159,27 +157,6 @@
     connection.send(success(id));
 }
 
-nlohmann::json lease_record(scripted_fleet& fleet)
-{
-    nlohmann::json record;
-    cr_assert(eventually(
-        [&]
-        {
-            record = fleet.store().spec_of(platform::lease_kind, platform::lease_name);
-            return record.is_object() && record.contains("peer_key");
-        }));
-    return record;
-}
-
-// Makes a call as a peer of the instance does.
-std::optional<http_answer> call_as_peer(scripted_fleet& fleet, std::string const& path,
-                                        std::string const& body, std::map<std::string, std::string> headers)
-{
-    nlohmann::json const record = lease_record(fleet);
-    headers["Authorization"] = "Bearer " + record["peer_key"].get<std::string>();
-    return http_call(record["peer_address"].get<std::string>(), "POST", path, body, headers);
-}
-
 // Passes a call that must run once on to the instance.
 std::optional<http_answer> pass_on(scripted_fleet& fleet, std::string const& id)
 {
@@ -193,68 +170,6 @@
     return fleet.edge().call("POST", "/once/1", id, {{"Deadline-Ms", "1000"}});
 }
 
-int status_of(std::optional<http_answer> const& answer)
-{
-    return answer ? answer->status : 0;
-}
-
-// A peer of a script, and an instance that holds the lease and reaches no server. The peer reports to the
-// instance, so that the instance passes requests on to it.
-class scripted_peer
-{
-public:
-    explicit scripted_peer(watching_server& script) : peer_(script.scripts())
-    {
-        fleet_.add_entry("p1", "plain", dead_address());
-        (void)fleet_.edge();
-        reporting_ = std::thread([this] { report(); });
-    }
-
-    ~scripted_peer()
-    {
-        ends_ = true;
-        reporting_.join();
-    }
-
-    scripted_peer(scripted_peer const&) = delete;
-    scripted_peer& operator=(scripted_peer const&) = delete;
-
-    scripted_fleet& fleet() { return fleet_; }
-
-    /// Sends requests until one was served by the peer.
-    void await_use()
-    {
-        unsigned sent = 0;
-        cr_assert(eventually(
-                      [&]
-                      {
-                          std::string const id = "first" + std::to_string(++sent);
-                          return status_of(fleet_.edge().call("GET", "/again/1", id)) == 200;
-                      }),
-                  "%s", fleet_.edge().log_text().c_str());
-    }
-
-private:
-    void report()
-    {
-        demand_report own;
-        own.instance = "peer";
-        own.peer_address = peer_.address();
-        own.data_centre = "here";
-        std::string const body = encode_demand(own);
-        while (!ends_)
-        {
-            (void)call_as_peer(fleet_, demand_path, body, {{"Content-Type", "application/cbor"}});
-            std::this_thread::sleep_for(report_interval);
-        }
-    }
-
-    fault_server peer_;
-    scripted_fleet fleet_;
-    std::atomic<bool> ends_{false};
-    std::thread reporting_;
-};
-
 // Begins a stream whose events count from one up, behind those that the request names.
 void begin_events(fault_connection const& connection, std::string const& id, unsigned last)
 {
@@ -360,7 +275,7 @@
             run_well(script, connection, id);
             return true;
         });
-    scripted_peer peer(script);
+    scripted_peer peer(script.scripts());
     peer.await_use();
     for (unsigned i = 0; i < request_count; ++i)
     {
