--- a/apps/quota_keeper.cpp
+++ b/apps/quota_keeper.cpp
@@ -175,10 +175,10 @@
 
 quota_keeper::~quota_keeper() = default;
 
-void quota_keeper::on_config(std::shared_ptr<serving_config const> config)
+void quota_keeper::on_config(std::shared_ptr<serving_config const> const& config)
 {
     bool const is_used = config->organisations.has_value();
-    impl_->gate.on_config(std::move(config));
+    impl_->gate.on_config(config);
     if (is_used)
     {
         impl_->run();
--- a/apps/quota_keeper.hpp
+++ b/apps/quota_keeper.hpp
@@ -47,7 +47,7 @@
     quota_keeper(quota_keeper const&) = delete;
     quota_keeper& operator=(quota_keeper const&) = delete;
 
-    void on_config(std::shared_ptr<serving_config const> config);
+    void on_config(std::shared_ptr<serving_config const> const& config);
     /// Sets the function that is called for each request that may go on, or is refused. It may be called
     /// within submit().
     void on_step(step_handler handler);
--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -32,6 +32,8 @@
 constexpr double max_saved_share_s = 1.0;
 // Waiting requests are looked at this often while a share is spent.
 constexpr duration share_poll = milliseconds{50};
+// An account with something to tell is looked at no more often than this.
+constexpr duration news_poll = milliseconds{100};
 // Time constant of the measured need of an organisation.
 constexpr double need_time_s = 2.0;
 constexpr double mean_cost_weight = 0.2;
@@ -450,7 +452,7 @@
 
 quota_gate::~quota_gate() = default;
 
-void quota_gate::on_config(std::shared_ptr<serving_config const> config)
+void quota_gate::on_config(std::shared_ptr<serving_config const> const& config)
 {
     impl_->limits.clear();
     if (!config->organisations)
@@ -543,7 +545,7 @@
             !of.lots.empty() || !of.returned.empty() || of.spent > 0 || implementation::ahead_of(now, of) > 0;
         if (is_used && impl_->limit_of(name) != nullptr && !impl_->open)
         {
-            at(std::max({impl_->next_ahead, impl_->next_try, now + retry_interval}));
+            at(std::max({impl_->next_ahead, impl_->next_try, now + news_poll}));
         }
     }
     return due;
--- a/decision/quota_gate.hpp
+++ b/decision/quota_gate.hpp
@@ -30,7 +30,7 @@
     quota_gate(quota_gate const&) = delete;
     quota_gate& operator=(quota_gate const&) = delete;
 
-    void on_config(std::shared_ptr<serving_config const> config);
+    void on_config(std::shared_ptr<serving_config const> const& config);
     /// A request of any organisation; one without a limit is admitted by the next step().
     void submit(steady_time now, quota_request request);
     /// Removes a request that waits. Does nothing when it does not wait.
--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -449,7 +449,7 @@
 
 quota_issuer::~quota_issuer() = default;
 
-void quota_issuer::on_config(steady_time now, std::shared_ptr<serving_config const> config)
+void quota_issuer::on_config(steady_time now, std::shared_ptr<serving_config const> const& config)
 {
     std::unordered_map<std::string, bucket> kept;
     if (config->organisations)
--- a/decision/quota_issuer.hpp
+++ b/decision/quota_issuer.hpp
@@ -28,7 +28,7 @@
     quota_issuer(quota_issuer const&) = delete;
     quota_issuer& operator=(quota_issuer const&) = delete;
 
-    void on_config(steady_time now, std::shared_ptr<serving_config const> config);
+    void on_config(steady_time now, std::shared_ptr<serving_config const> const& config);
     /// This instance has gained the lease; credit of the holder before may be in use for some seconds.
     void begin_lease(steady_time now);
     /// `instances` is the number of instances that the holder knows, itself included.
