--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -6,8 +6,10 @@
 #include "adapters/metrics_registry.hpp"
 #include "adapters/outbound_pool.hpp"
 #include "adapters/ports.hpp"
+#include "apps/caller_access.hpp"
 #include "apps/crash_reporter.hpp"
 #include "apps/placement_service.hpp"
+#include "apps/quota_keeper.hpp"
 #include "apps/reach_keeper.hpp"
 #include "apps/request_service.hpp"
 #include "apps/state_follower.hpp"
@@ -117,6 +119,8 @@
     auto const spread = stable_hash(settings.peer_address) % static_cast<std::uint64_t>(claim_delay.count());
     result.lease.claim_delay = claim_delay + duration{static_cast<duration::rep>(spread)};
     result.rotation.window_s = settings.load_window_s;
+    result.quotas = settings.quotas;
+    result.suits_as_holder = settings.cpu_share >= reference_cpu_share;
     return result;
 }
 
@@ -126,6 +130,7 @@
     result.source = settings.name + "-" + std::to_string(random_number());
     result.leaving_time = settings.leaving_time;
     result.change_time = settings.change_time;
+    result.proof_limit = settings.revocation_time;
     return result;
 }
 
@@ -165,11 +170,21 @@
         : settings(std::move(settings_in)), reload(std::move(reload_in)),
           log(log_in, log_lines_per_second, boot_now), metrics(metrics_in), signals(loop), stop_timer(loop),
           pool(loop), store(settings.store_address, pool, metrics, log),
-          requests({settings.data_centre, settings.region_of, random_number()}),
+          requests({settings.data_centre, settings.region_of, random_number(), settings.slow_start}),
           retries(limits_of(settings, assumed_instances)), relays(settings.data_centre),
           crash_reports(loop, pool, store, crashes, log, metrics, [this] { return placement.holds_lease(); }),
-          service(loop, pool, requests, retries, crash_reports, streams, reach, relays, log, metrics, metrics,
-                  random_number()),
+          access(
+              {settings.revocation_time, settings.change_time},
+              [this] {
+                  return config_currency{state.config_current_at(), state.config_behind()};
+              },
+              random_number()),
+          quotas(
+              loop, pool, log, metrics, settings.quotas, settings.name, random_number(),
+              [this](quota_question const& question) { return placement.answer_quotas(question); },
+              [this] { return quota_holder_now(); }),
+          service(loop, pool, requests, retries, crash_reports, streams, reach, relays, access, quotas, log,
+                  metrics, metrics, random_number()),
           server_watch(loop, pool, requests, reach, log, metrics, random_number(),
                        [this] { on_reach_change(); }),
           state(loop, store, log, metrics, crashes, follower_settings(settings), make_state_handlers()),
@@ -207,6 +222,13 @@
           peers(loop, server_settings(settings.peer_address, 512),
                 [this](std::shared_ptr<caller_exchange> const& exchange) { on_peer(exchange); })
     {
+        requests.on_fleet_use([this](std::string const& name) { return fleet_use_of(name); });
+    }
+
+    quota_holder quota_holder_now() const
+    {
+        auto const holder = placement.holder();
+        return holder ? quota_holder{holder->address, placement.peer_authorization()} : quota_holder{};
     }
 
     // An instance that reaches no server knows nothing about any of them.
@@ -238,6 +260,7 @@
     {
         callers.on_no_memory([this](request_head const& head, memory_refusal const& facts)
                              { return refuse_without_memory(head, facts); });
+        callers.check_heads([this](request_head const& head) { return service.refuse_by_head(head); });
         service.on_missing_model([this] { placement.report_soon(); });
         crash_reports.on_blocked([this] { service.on_blocked(); });
         service.on_authorization([this] { return placement.peer_authorization(); });
@@ -270,6 +293,8 @@
         metrics.set_gauge("siskin_open_requests", [this] { return service.open_requests(); });
         metrics.set_gauge("siskin_request_bytes", [this] { return memory->held(); });
         metrics.set_gauge("siskin_backends", [this] { return requests.backends(); });
+        metrics.set_gauge("siskin_quota_waiting", [this] { return quotas.waiting(); });
+        metrics.set_gauge("siskin_config_proof_age_ms", [this] { return proof_age_ms(); });
         metrics.set_gauge("siskin_blocked_suspects", [this] { return crashes.blocked_suspects(boot_now()); });
         state.start();
         crash_reports.start();
@@ -290,6 +315,12 @@
         return {};
     }
 
+    std::uint64_t proof_age_ms() const
+    {
+        return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(access.proof_age(boot_now())).count());
+    }
+
     void wait_for_signal()
     {
         signals.async_wait(
@@ -379,7 +410,8 @@
     bool ready() const
     {
         bool const depends_on_others = reach.cut_off_for(boot_now()) >= unready_after && !relays.empty();
-        return !stopping && service.has_config() && state.servers_known() && !depends_on_others;
+        return !stopping && service.has_config() && state.servers_known() && !state.awaits_peers() &&
+               !depends_on_others;
     }
 
     // Returns the header lines of the refusal.
@@ -420,6 +452,17 @@
         placement.on_peer_call(exchange);
     }
 
+    std::optional<fleet_use> fleet_use_of(std::string const& name) const
+    {
+        std::optional<double> const use = quotas.fleet_use(name);
+        organisation const* const known = access.find(name);
+        if (!use || known == nullptr)
+        {
+            return std::nullopt;
+        }
+        return fleet_use{*use, known->quota.unit == quota_unit::requests};
+    }
+
     void on_config(std::shared_ptr<serving_config const> const& fresh)
     {
         config = fresh;
@@ -435,7 +478,7 @@
 
     void on_backend(backend_entry const& entry)
     {
-        requests.on_backend(entry);
+        requests.on_backend(entry, state.servers_known() ? std::optional(boot_now()) : std::nullopt);
         streams.on_backend(boot_now(), entry);
         placement.on_backend(entry);
         service.run_dispatcher();
@@ -475,6 +518,8 @@
     server_reach reach;
     relay_directory relays;
     crash_reporter crash_reports;
+    caller_access access;
+    quota_keeper quotas;
     request_service service;
     reach_keeper server_watch;
     state_follower state;
--- a/apps/open_exchange_impl.hpp
+++ b/apps/open_exchange_impl.hpp
@@ -36,6 +36,7 @@
     bool via_peer = false;        ///< Sent to another instance, which passes it on to a server.
     unsigned servers_lent = 0;    ///< How many servers the peer may let run it; 0 for a server.
     std::uint64_t connection = 0; ///< Its number in this process.
+    std::string invalid_status;   ///< What its answer had in the place of a status; empty for none.
     std::string withdrawn;        ///< Why it was not sent, for a reason that says nothing about the server.
 };
 
@@ -56,9 +57,17 @@
     std::uint64_t config_version = 0; ///< Of the configuration that the route was taken from.
     /// Passed on by another instance, which answers the caller: it is not passed on again.
     bool forwarded = false;
-    std::string passed_on_by;   ///< Address of that instance; empty for none.
-    bool tries_servers = false; ///< Sent to see whether servers are reached again.
-    bool began_at_peer = false; ///< The stream; its software version is not known here.
+    /// Identified and charged by the instance that passed it on.
+    bool caller_checked = false;
+    /// Identified here. It stays so when a later configuration has no organisations.
+    bool identified = false;
+    std::uint64_t quota_cost = 0; ///< In units of the limit of its organisation.
+    std::uint64_t work = 0;       ///< Its tokens, for the division of scarce room among organisations.
+    bool awaits_credit = false;   ///< Of its organisation; it has not been passed on yet.
+    bool charged = false;         ///< Its organisation has paid for it.
+    std::string passed_on_by;     ///< Address of that instance; empty for none.
+    bool tries_servers = false;   ///< Sent to see whether servers are reached again.
+    bool began_at_peer = false;   ///< The stream; its software version is not known here.
     std::string service;
     suspect_names suspects; ///< Of the request, should a server crash on it.
     bool on_trial = false;  ///< Blocked, and sent to see whether it still crashes servers.
--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -5,6 +5,7 @@
 #include "adapters/outbound_pool.hpp"
 #include "adapters/placement_codec.hpp"
 #include "adapters/ports.hpp"
+#include "adapters/quota_codec.hpp"
 #include "apps/forwarded_call.hpp"
 #include "apps/state_follower.hpp"
 #include "core/hash.hpp"
@@ -60,6 +61,10 @@
 constexpr duration lease_read_spread_per_instance = milliseconds{1};
 // The standbys are chosen again after this time at most.
 constexpr duration standby_choice_interval = seconds{1};
+// With organisations, requests wait for the holder. A lease call without an answer for this time is tried
+// again, and then through a peer, before the lease has run out 1.5 s after the last renewal. A slow store
+// answers within 200 ms.
+constexpr duration urgent_lease_limit = milliseconds{300};
 // Limit for a store call that is made for a peer; a watch is the call that waits longest.
 constexpr duration max_relay_time = seconds{4};
 constexpr char const* key_scheme = "Bearer ";
@@ -116,7 +121,7 @@
           on_placement_update(std::move(on_placement_update_in)), on_streams(std::move(on_streams_in)),
           timer(loop),
           lease(settings.name, settings.peer_address, settings.proposed_peer_key, settings.lease),
-          planner(settings.rotation)
+          planner(settings.rotation), quotas(settings.quotas)
     {
     }
 
@@ -145,6 +150,10 @@
         {
             plan(now);
         }
+        if (has_organisations && lease_held)
+        {
+            log_quota_changes(now);
+        }
         timer.expires_after(tick_interval);
         timer.async_wait(
             [weak = weak_from_this()](boost::system::error_code error)
@@ -174,24 +183,30 @@
 
     void read_lease(bool allow_stale)
     {
-        store.get(platform::lease_kind, platform::lease_name, allow_stale && lease.record() != nullptr,
-                  [self = shared_from_this()](platform::store_answer<platform::store_object> answer)
-                  {
-                      steady_time const now = boot_now();
-                      if (auto const* const object = std::get_if<platform::store_object>(&answer))
-                      {
-                          self->lease.on_read(now, platform::decode_lease_record(object->spec),
-                                              object->revision);
-                      }
-                      else if (std::get<platform::store_failure>(answer) == platform::store_failure::absent)
-                      {
-                          self->lease.on_read(now, std::nullopt, {self->store.era(), 0});
-                      }
-                      else
-                      {
-                          self->lease.on_call_lost(now);
-                      }
-                  });
+        store.get(
+            platform::lease_kind, platform::lease_name, allow_stale && lease.record() != nullptr,
+            [self = shared_from_this()](platform::store_answer<platform::store_object> answer)
+            {
+                steady_time const now = boot_now();
+                if (auto const* const object = std::get_if<platform::store_object>(&answer))
+                {
+                    self->lease.on_read(now, platform::decode_lease_record(object->spec), object->revision);
+                }
+                else if (std::get<platform::store_failure>(answer) == platform::store_failure::absent)
+                {
+                    self->lease.on_read(now, std::nullopt, {self->store.era(), 0});
+                }
+                else
+                {
+                    self->lease.on_call_lost(now);
+                }
+            },
+            lease_call_limit());
+    }
+
+    duration lease_call_limit() const
+    {
+        return has_organisations && lease_held ? urgent_lease_limit : platform::metadata_store::call_limit;
     }
 
     void log_claim(lease_write const& write,
@@ -207,36 +222,38 @@
     void write_lease(lease_write const& write)
     {
         bool const claims = write.record.epoch != lease.epoch();
-        store.put(platform::lease_kind, platform::lease_name, write.revision,
-                  platform::encode_lease_record(write.record),
-                  [self = shared_from_this(), claims, write,
-                   sent_at = boot_now()](platform::store_answer<platform::store_object> answer)
-                  {
-                      steady_time const now = boot_now();
-                      if (claims)
-                      {
-                          self->log_claim(write, answer);
-                      }
-                      if (auto const* const object = std::get_if<platform::store_object>(&answer))
-                      {
-                          self->lease.on_written(now, object->revision);
-                          self->state.on_renewed(object->revision, sent_at);
-                          return;
-                      }
-                      auto const failure = std::get<platform::store_failure>(answer);
-                      switch (failure)
-                      {
-                      case platform::store_failure::unclear:
-                          self->lease.on_call_lost(now);
-                          break;
-                      case platform::store_failure::rejected:
-                          self->lease.on_write_refused(now);
-                          break;
-                      default:
-                          self->lease.on_write_conflict(now);
-                          break;
-                      }
-                  });
+        store.put(
+            platform::lease_kind, platform::lease_name, write.revision,
+            platform::encode_lease_record(write.record),
+            [self = shared_from_this(), claims, write,
+             sent_at = boot_now()](platform::store_answer<platform::store_object> answer)
+            {
+                steady_time const now = boot_now();
+                if (claims)
+                {
+                    self->log_claim(write, answer);
+                }
+                if (auto const* const object = std::get_if<platform::store_object>(&answer))
+                {
+                    self->lease.on_written(now, object->revision);
+                    self->state.on_renewed(object->revision, sent_at);
+                    return;
+                }
+                auto const failure = std::get<platform::store_failure>(answer);
+                switch (failure)
+                {
+                case platform::store_failure::unclear:
+                    self->lease.on_call_lost(now);
+                    break;
+                case platform::store_failure::rejected:
+                    self->lease.on_write_refused(now);
+                    break;
+                default:
+                    self->lease.on_write_conflict(now);
+                    break;
+                }
+            },
+            lease_call_limit());
     }
 
     void update_lease_state(steady_time now)
@@ -253,6 +270,16 @@
             if (holds)
             {
                 planner.begin_lease();
+                // A lease that lapsed and was renewed by the same record had no other holder in between.
+                if (quota_epoch != lease.epoch())
+                {
+                    quota_epoch = lease.epoch();
+                    quotas.begin_lease(now);
+                }
+                else
+                {
+                    quotas.resume_lease(now);
+                }
             }
             state.on_lease(holds);
             log.write({holds ? "lease_gained" : "lease_lost", {{"epoch", std::to_string(lease.epoch())}}});
@@ -331,7 +358,7 @@
                 streams.on_recorded(boot_now(), each, true);
             }
             streams.on_confirmed(asked_at);
-            state.on_reply(*reply);
+            state.on_reply(*reply, told_by(outcome, asked_at));
             if (!state.wants_standby())
             {
                 lease.on_holder_reply(boot_now());
@@ -371,7 +398,7 @@
         bool const knows_others = standbys.size() > (is_standby ? 1U : 0U);
         next_standby = 0;
         state.on_standbys(is_standby, knows_others);
-        lease.defer_claims(!is_standby && knows_others);
+        set_claim_order();
         std::string names;
         for (std::string const& each : standbys)
         {
@@ -380,6 +407,16 @@
         log.write({"standbys", {{"addresses", names}, {"self", is_standby ? "true" : "false"}}});
     }
 
+    // With organisations, requests wait for the holder: an instance with little processor and a narrow link
+    // leaves the reports of a fleet unanswered after it has become the holder.
+    void set_claim_order()
+    {
+        bool const is_standby = !standbys.empty() && standbys.front() == settings.peer_address;
+        bool const knows_others = standbys.size() > (is_standby ? 1U : 0U);
+        bool const goes_first = has_organisations ? settings.suits_as_holder : is_standby;
+        lease.defer_claims(knows_others && !goes_first);
+    }
+
     // A question is a report without demand: the standby needs to know only what this instance knows.
     void ask_standby(steady_time now)
     {
@@ -406,11 +443,20 @@
         asking_standby = true;
         metrics.add("siskin_standby_questions_total", "", 1);
         pool.call(address, call, report_time_limit,
-                  [self = shared_from_this(), address](http_outcome const& outcome)
-                  { self->on_standby_answer(address, outcome); });
+                  [self = shared_from_this(), address, asked_at = boot_now()](http_outcome const& outcome)
+                  { self->on_standby_answer(address, outcome, asked_at); });
     }
 
-    void on_standby_answer(std::string const& address, http_outcome const& outcome)
+    // What a reply to a question that was sent at `asked_at` proves. The reply may have waited, at an
+    // instance that stood still, for any time since then. Replies of older builds prove nothing: their age of
+    // the state counts from when they were told it, not from when they asked.
+    static told_currency told_by(http_outcome const& outcome, steady_time asked_at)
+    {
+        auto const told = decode_config_age(outcome.headers);
+        return {told.age ? asked_at - *told.age : steady_time{}, told.stated && !told.age};
+    }
+
+    void on_standby_answer(std::string const& address, http_outcome const& outcome, steady_time asked_at)
     {
         asking_standby = false;
         auto const reply = outcome.status == 200 ? decode_reply(outcome.body) : std::nullopt;
@@ -426,7 +472,7 @@
         }
         standby_config = reply->config;
         standby_config.text.clear();
-        state.on_standby_reply(*reply);
+        state.on_standby_reply(*reply, told_by(outcome, asked_at));
     }
 
     // Answers a question for the state. Its age tells whether it is of use.
@@ -438,12 +484,21 @@
             return;
         }
         auto const crashes = state.crashes_since(report.crash_marks_digest);
-        call.answer(200, "Content-Type: application/cbor\r\n",
+        call.answer(200, "Content-Type: application/cbor\r\n" + encoded_config_age(),
                     encode_reply(encode_placement_update({}), encoded_update(boot_now(), report),
                                  crashes ? encode_crash_marks(*crashes) : std::string(), {},
                                  state.config_for(report.config), {}, {}, state.age()));
     }
 
+    // Only organisations need it.
+    std::string encoded_config_age() const
+    {
+        steady_time const current_at = state.config_current_at();
+        auto const age =
+            current_at == steady_time{} ? std::nullopt : std::optional<duration>(boot_now() - current_at);
+        return has_organisations ? encode_config_age(age) : std::string();
+    }
+
     std::string encoded_standbys(steady_time now, demand_report const& report)
     {
         if (now - standbys_chosen_at >= standby_choice_interval)
@@ -598,6 +653,7 @@
                 steady_time const now = boot_now();
                 engine_order_result const result = platform::decode_order_outcome(outcome);
                 self->metrics.add("siskin_orders_total", to_string(result), 1);
+                self->count_invalid_status(outcome, "order");
                 self->log.write(
                     {"order",
                      {{"engine", order.engine},
@@ -609,6 +665,7 @@
                       {"epoch", std::to_string(epoch)},
                       {"result", to_string(result)},
                       {"status", std::to_string(outcome.status)},
+                      {"why", outcome.why},
                       {"took_ms",
                        std::to_string(std::chrono::duration_cast<milliseconds>(now - sent_at).count())}}});
                 self->planner.on_order_result(now, order, result);
@@ -627,6 +684,7 @@
                   [self = shared_from_this(), engine = inquiry.engine](http_outcome const& outcome)
                   {
                       steady_time const now = boot_now();
+                      self->count_invalid_status(outcome, "report");
                       auto const report = outcome.status == 200
                                               ? platform::decode_engine_report(engine, outcome.body)
                                               : std::nullopt;
@@ -647,6 +705,60 @@
                   });
     }
 
+    void count_invalid_status(http_outcome const& outcome, char const* call)
+    {
+        if (outcome.invalid_status)
+        {
+            metrics.add("siskin_invalid_statuses_total", call, 1);
+        }
+    }
+
+    std::optional<quota_reply> answer_quotas(quota_question const& question)
+    {
+        steady_time const now = boot_now();
+        if (!lease.may_send_orders(now))
+        {
+            return std::nullopt;
+        }
+        auto const reporting =
+            std::count_if(peers.begin(), peers.end(),
+                          [now](auto const& each) { return now - each.second.reported_at < relay_lifetime; });
+        return quotas.answer(now, static_cast<unsigned>(reporting) + 1, question);
+    }
+
+    void log_quota_changes(steady_time now)
+    {
+        auto const whole = [](double value) { return std::to_string(static_cast<std::int64_t>(value)); };
+        for (quota_issuer::standing const& each : quotas.take_changes(now))
+        {
+            log.write({"quota",
+                       {{"organisation", each.organisation},
+                        {"state", each.over_limit ? "over" : "within"},
+                        {"per_second", whole(each.per_second)},
+                        {"spent_per_s", whole(each.spent_per_s)},
+                        {"level", whole(each.level)},
+                        {"outstanding", whole(each.outstanding)},
+                        {"capacity", whole(each.capacity)}}});
+        }
+    }
+
+    void answer_quota_question(caller_exchange& call)
+    {
+        auto const question = decode_quota_question(call.body());
+        if (!question)
+        {
+            call.answer(400, "", "");
+            return;
+        }
+        auto const reply = answer_quotas(*question);
+        if (!reply)
+        {
+            call.answer(409, "", ""); // Another instance may hold the lease.
+            return;
+        }
+        call.answer(200, "Content-Type: application/cbor\r\n", encode_quota_reply(*reply));
+    }
+
     void on_peer_call(std::shared_ptr<caller_exchange> const& call)
     {
         order_lease_record const* const record = lease.record();
@@ -667,6 +779,11 @@
             answer_stream_question(*call);
             return;
         }
+        if (call->head().target == quota_path)
+        {
+            answer_quota_question(*call);
+            return;
+        }
         if (call->head().target == forward_path && on_forwarded)
         {
             on_forwarded(call);
@@ -709,8 +826,9 @@
         {
             plan(now);
         }
-        call->answer(200, "Content-Type: application/cbor\r\n" + encoded_standbys(now, *report),
-                     encoded_reply(now, *report));
+        call->answer(
+            200, "Content-Type: application/cbor\r\n" + encoded_standbys(now, *report) + encoded_config_age(),
+            encoded_reply(now, *report));
     }
 
     // Makes a store call for a peer that cannot reach the store.
@@ -774,6 +892,9 @@
     load_planner planner;
     fleet_load load;
     fleet_limits limits;
+    quota_issuer quotas;
+    std::optional<std::uint64_t> quota_epoch; ///< Of the lease under which credit was issued last.
+    bool has_organisations = false;
     steady_time next_report;
     steady_time next_full_report;
     steady_time streams_reported_at;
@@ -822,6 +943,9 @@
 
 void placement_service::on_config(std::shared_ptr<serving_config const> config)
 {
+    impl_->has_organisations = config->organisations.has_value();
+    impl_->set_claim_order();
+    impl_->quotas.on_config(boot_now(), config);
     impl_->planner.on_config(std::move(config));
 }
 
@@ -835,6 +959,11 @@
     impl_->planner.on_backend_gone(name);
 }
 
+std::optional<quota_reply> placement_service::answer_quotas(quota_question const& question)
+{
+    return impl_->answer_quotas(question);
+}
+
 void placement_service::report_soon()
 {
     impl_->next_report = {};
--- a/domain/dispatch_request.hpp
+++ b/domain/dispatch_request.hpp
@@ -24,12 +24,16 @@
 {
     request_number number = 0;
     std::string service;
-    std::string model;   ///< Empty for plain services.
-    std::string adapter; ///< Empty when none is asked for.
+    std::string model;        ///< Empty for plain services.
+    std::string adapter;      ///< Empty when none is asked for.
+    std::string organisation; ///< Of the caller; empty when callers are not told apart.
+    std::uint64_t cost = 0;   ///< What the request counts in the division of scarce room among organisations.
     unsigned priority = 0;
     steady_time arrived;
     steady_time deadline;
     duration max_wait{0}; ///< How long it may wait for a backend server before it is refused.
+    /// Target time until the answer or its first event; zero when there is none.
+    duration latency_objective{0};
     std::vector<prompt_part> prompt;
     /// Servers that failed this request: chosen only if there is no other.
     std::vector<backend_name> failed_servers;
@@ -54,6 +58,7 @@
 {
     unsigned candidates = 0; ///< Servers that could run the request.
     unsigned limited = 0;    ///< Candidates that were left out because of the limit that they name.
+    bool on_trial = false;   ///< The chosen server has just started or failed, see server_pace.
     unsigned in_use = 0;     ///< Known requests at the chosen server.
     duration load_age{0};    ///< Age of the server's last load report.
     duration waited{0};      ///< Since the request's arrival or its previous attempt.
