--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -20,8 +20,12 @@
 constexpr double wanted_credit_s = 1.5;
 // Interval of questions for credit ahead of need, and of those that only tell what was returned or spent.
 constexpr duration ahead_interval = milliseconds{250};
-// After a question without an answer, the next one waits this long: the holder may be changing.
+// After a question without an answer, the next one waits this long: the holder may be changing, or have a
+// slow link.
 constexpr duration retry_interval = milliseconds{250};
+// The first ones wait for less: a request with a limit of 1 s was refused after two late replies.
+constexpr duration first_retry_interval = milliseconds{100};
+constexpr unsigned first_retries = 2;
 // Questions of an instance are at least this far apart: the holder may have a link of 10 Mbit/s for the
 // questions of all instances.
 constexpr duration min_question_interval = milliseconds{40};
@@ -317,7 +321,9 @@
     // Requests that the share cannot serve in time are refused at once.
     void refuse_unaffordable(steady_time now, account& of, std::vector<quota_step>& steps) const
     {
-        if (!without_holder_since(now) || of.rate_share <= 0.0)
+        // Two replies may have been late; the next question is answered within the request's time.
+        bool const is_lost = without_holder_since(now) && unanswered > first_retries;
+        if (!is_lost || of.rate_share <= 0.0)
         {
             return;
         }
@@ -442,6 +448,7 @@
     steady_time next_ahead;
     steady_time next_try; ///< After a question without an answer.
     std::optional<steady_time> unanswered_since;
+    unsigned unanswered = 0; ///< Questions since then.
     unsigned instances = 0;
 };
 
@@ -595,6 +602,7 @@
     steady_time const asked_at = impl_->open->asked_at;
     impl_->open.reset();
     impl_->unanswered_since.reset();
+    impl_->unanswered = 0;
     impl_->instances = reply.instances;
     for (quota_grant const& grant : reply.grants)
     {
@@ -641,7 +649,8 @@
     }
     impl_->unanswered_since = impl_->unanswered_since.value_or(impl_->open->asked_at);
     impl_->open.reset();
-    impl_->next_try = now + retry_interval;
+    ++impl_->unanswered;
+    impl_->next_try = now + (impl_->unanswered <= first_retries ? first_retry_interval : retry_interval);
 }
 
 std::size_t quota_gate::waiting() const
--- a/decision/quota_issuer.cpp
+++ b/decision/quota_issuer.cpp
@@ -30,6 +30,10 @@
 // A new holder uses this share of the tolerance for it for its level, and the same for credit that is
 // returned: it does not know whether that is in a window that is still open.
 constexpr double share_of_takeover = 0.5;
+// A share is at most this multiple of what its instance used of late: an organisation at half of its limit
+// keeps its rate. A new holder that gave the whole rate to the first instance that spent anything refused all
+// others for 8 s when that instance was cut off (quota_random, seed 13).
+constexpr double max_share_of_use = 2.0;
 // The clocks of the instances may run 1 % slower than that of the holder.
 constexpr duration held_credit_lifetime = credit_lifetime * 101 / 100;
 constexpr duration held_share_lifetime = share_lifetime * 101 / 100;
@@ -75,6 +79,7 @@
     double share = 0.0;      ///< Of the rate, that the instance may spend without a holder.
     steady_time asked_at;
     steady_time counted_until; ///< The share was taken off the level up to here.
+    double counted = 0.0;      ///< What was taken off since the instance last asked.
 };
 
 struct bucket
@@ -136,8 +141,8 @@
     }
 
     // What instances may have spent of their shares since the last call: those that have asked nothing for a
-    // while.
-    static double take_silent_shares(steady_time now, bucket& of)
+    // while. It counts as used, or has_extra() would allow it to be issued again.
+    double take_silent_shares(steady_time now, bucket& of) const
     {
         if (now < of.next_silence_check)
         {
@@ -147,14 +152,26 @@
         double sum = 0.0;
         for (auto& [instance, credit] : of.outstanding)
         {
-            steady_time const begin = std::max(credit.asked_at + holder_silence, credit.counted_until);
-            steady_time const end = std::min(now, credit.asked_at + held_share_lifetime);
-            sum += credit.share * seconds_between(begin, end);
-            credit.counted_until = std::max(credit.counted_until, end);
+            double const part = silent_share(credit, now);
+            credit.counted += part;
+            sum += part;
+            credit.counted_until =
+                std::max(credit.counted_until, std::min(now, credit.asked_at + held_share_lifetime));
+        }
+        if (sum > 0.0)
+        {
+            note_used(now, of, sum);
         }
         return sum;
     }
 
+    // What an instance may have spent of its share that was not counted yet.
+    static double silent_share(outstanding_credit const& credit, steady_time now)
+    {
+        steady_time const begin = std::max(credit.asked_at + holder_silence, credit.counted_until);
+        return credit.share * seconds_between(begin, std::min(now, credit.asked_at + held_share_lifetime));
+    }
+
     // The part of the rate that is not shared among instances that this holder may not know of. A new holder
     // counts with those that the holder before told of and that do not report to it.
     double known_part() const
@@ -169,7 +186,7 @@
     {
         double const part = of.use > 0.0 ? credit.use / of.use : 0.0;
         double const left = of.quota.per_second - (of.told_shares - credit.share);
-        return std::max(std::min(part * of.quota.per_second, left), 0.0);
+        return std::max(std::min({part * of.quota.per_second, max_share_of_use * credit.use, left}), 0.0);
     }
 
     void limit_level(steady_time now, bucket& of) const
@@ -207,6 +224,10 @@
             steady_time const share_ends = credit.asked_at + held_share_lifetime;
             if (credit.held <= 0.0 && now >= share_ends)
             {
+                // What the checks of silent shares have not seen yet.
+                double const rest = silent_share(credit, now);
+                of.level -= rest;
+                note_used(now, of, rest);
                 of.told_shares -= credit.share;
                 each = of.outstanding.erase(each);
                 continue;
@@ -366,7 +387,10 @@
         double const unspent = std::max(credit.held - held - spent, 0.0);
         unused = is_first || credit.start == question.start ? unspent : std::min(returned, unspent);
         taken_off = std::max(returned - unspent, 0.0);
-        note_used(now, of, spent + unspent - unused);
+        // Spent of a share, and counted as used before it was told.
+        double const known = std::min(credit.counted, std::max(spent - credit.held, 0.0));
+        credit.counted = 0.0;
+        note_used(now, of, spent - known + unspent - unused);
         of.outstanding_total += held - credit.held;
         credit.held = held;
         credit.start = question.start;
