Let the model of quotas tell the number of instances that a holder knows

Cause: each holder of the model knew all instances at once, so that a new holder never held back the part of the rate whose shares instances might still spend. Change: instances report each 0.5 s, unless they or the holder are cut off or stand still, and are known for 1.5 s; a new holder begins with none.

--- a/tests/decision/quota_random_test.cpp
+++ b/tests/decision/quota_random_test.cpp
@@ -111,6 +111,9 @@
 {
 public:
     static constexpr duration question_time_limit = milliseconds{300}; // As in apps/quota_keeper.
+    // As in apps/placement_service: instances report each 0.5 s and are known to the holder for 1.5 s.
+    static constexpr duration report_interval = milliseconds{500};
+    static constexpr duration report_lifetime = milliseconds{1500};
 
     struct node
     {
@@ -126,7 +129,8 @@
         std::vector<std::function<void()>> on_wake;
         std::uint64_t timer = 0;
         std::uint64_t open_question = 0;
-        std::size_t version = 0; ///< Of the configuration.
+        std::size_t version = 0;              ///< Of the configuration.
+        std::optional<true_time> reported_at; ///< To the present holder.
     };
 
     quota_world(std::uint64_t seed, unsigned instances, quota_bounds bounds_in)
@@ -165,6 +169,8 @@
         added.clock_rate = draw_clock_rate(random);
         added.clock_offset = seconds{1000 + static_cast<int>(random.below(100000))};
         restart(nodes.size() - 1);
+        events.at(events.now + microseconds{random.below(500000)},
+                  [this, i = nodes.size() - 1] { report(i); });
     }
 
     void restart(std::size_t i)
@@ -229,6 +235,10 @@
         last_holder_ = i ? i : last_holder_;
         if (i)
         {
+            for (node& each : nodes)
+            {
+                each.reported_at.reset();
+            }
             nodes[*i].issuer->begin_lease(local(*i));
         }
     }
@@ -564,7 +574,28 @@
 
     quota_reply answer(std::size_t h, quota_question const& question)
     {
-        return nodes[h].issuer->answer(local(h), static_cast<unsigned>(nodes.size()), question);
+        return nodes[h].issuer->answer(local(h), known_instances(h), question);
+    }
+
+    // Instances that the holder knows: itself, and those that have reported to it of late.
+    unsigned known_instances(std::size_t h) const
+    {
+        unsigned known = 1;
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+        {
+            auto const& reported_at = nodes[i].reported_at;
+            known += i != h && reported_at && events.now - *reported_at < report_lifetime ? 1 : 0;
+        }
+        return known;
+    }
+
+    void report(std::size_t i)
+    {
+        if (holder && !nodes[i].frozen && !nodes[*holder].frozen && !is_lost(i))
+        {
+            nodes[i].reported_at = events.now;
+        }
+        events.at(events.now + report_interval, [this, i] { report(i); });
     }
 
     void close_question(std::size_t i, std::uint64_t sequence, quota_reply const* reply)
