Save up the share of a rate for two requests, and test callers in a time without a holder

Cause: no test played a time without a holder. An instance whose share is below a request a second saved up one mean cost at most, so that half of the requests never fitted. Change: two mean costs are saved up; what is spent is still the share times the time. The model plays 20 times of 6.5 s without a holder for callers at half of their limit, with 1, 9 and 65 instances; half of the cost sent must be admitted, and no window may exceed its bound.

--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -32,8 +32,10 @@
 // An instance that has a share of a rate tells the holder at least this often that it needs no share any
 // more, or that it is there: the holder counts with a silent instance spending it.
 constexpr duration share_interval = milliseconds{800};
-// A share that was not spent is kept for this long.
+// A share that was not spent is kept for this long, or up to the cost of this many requests: with one,
+// requests above the mean cost were never served.
 constexpr double max_saved_share_s = 1.0;
+constexpr double max_saved_requests = 2.0;
 // Waiting requests are looked at this often while a share is spent.
 constexpr duration share_poll = milliseconds{50};
 // An account with something to tell is looked at no more often than this.
@@ -304,7 +306,7 @@
         }
         steady_time const until = std::min(now, of.rate_share_until);
         bool const begins = of.saved_at < *since;
-        double const most = std::max(of.rate_share * max_saved_share_s, of.mean_cost);
+        double const most = std::max(of.rate_share * max_saved_share_s, max_saved_requests * of.mean_cost);
         of.saved_share = std::min((begins ? 0.0 : of.saved_share) +
                                       of.rate_share * seconds_between(begins ? *since : of.saved_at, until),
                                   most);
--- a/tests/decision/quota_random_test.cpp
+++ b/tests/decision/quota_random_test.cpp
@@ -329,6 +329,22 @@
         return sums;
     }
 
+    /// Share of the cost sent from `begin` to `end` that was admitted.
+    double admitted_share(std::string const& organisation, true_time begin, true_time end) const
+    {
+        double sent_cost = 0.0;
+        double admitted_cost = 0.0;
+        for (sent_request const& each : requests_)
+        {
+            if (each.organisation == organisation && each.sent_at >= begin && each.sent_at < end)
+            {
+                sent_cost += static_cast<double>(each.cost);
+                admitted_cost += each.admitted_at > duration{0} ? static_cast<double>(each.cost) : 0.0;
+            }
+        }
+        return sent_cost > 0.0 ? admitted_cost / sent_cost : 0.0;
+    }
+
     /// The first window of an organisation that exceeds its bound; empty when there is none. `by_sending`
     /// places each request at the time at which it was sent rather than at which it got its credit.
     std::string find_exceeded(std::string const& organisation, bool by_sending)
@@ -976,6 +992,78 @@
                          {"one instance, 5 times", 5.0, 1, 1}});
 }
 
+namespace
+{
+
+/// Share of the cost sent in a time without a holder of 6.5 s that is admitted, for callers at half of
+/// `rate`, over 20 such times.
+double admitted_without_holder(unsigned instances, double rate, double burst, double mean_cost)
+{
+    double sum = 0.0;
+    constexpr int times = 20;
+    for (int time = 0; time < times; ++time)
+    {
+        quota_world world(static_cast<std::uint64_t>(time) + 1, instances, page_bounds());
+        world.set_config({organisation_of("o", rate, burst)}, duration{0});
+        world.events.run_until(milliseconds{1});
+        world.give_lease(0);
+        caller_load load;
+        load.organisation = "o";
+        load.intensity = 0.5;
+        load.mean_cost = mean_cost;
+        load.steady = true;
+        world.send_load(load, rate, seconds{40});
+        world.events.run_until(seconds{20});
+        world.give_lease(std::nullopt);
+        world.events.run_until(milliseconds{26500});
+        world.give_lease(instances - 1);
+        world.events.run_until(seconds{40});
+        std::string const exceeded = world.find_exceeded("o", false);
+        cr_expect(exceeded.empty(), "%s", exceeded.c_str());
+        sum += world.admitted_share("o", seconds{20}, milliseconds{26500});
+    }
+    return sum / times;
+}
+
+} // namespace
+
+namespace
+{
+
+void expect_small_served_without_holder(unsigned instances)
+{
+    double const share = admitted_without_holder(instances, fault_run::small_rate, 0.0, 1100.0);
+    cr_log_info("%u instances: small %.3f of the cost admitted", instances, share);
+    cr_expect(share >= 0.5, "%u instances: small %.3f", instances, share);
+}
+
+void expect_large_served_without_holder(unsigned instances)
+{
+    double const share =
+        admitted_without_holder(instances, fault_run::large_rate, fault_run::large_rate, 9000.0);
+    cr_log_info("%u instances: large %.3f of the cost admitted", instances, share);
+    cr_expect(share >= 0.5, "%u instances: large %.3f", instances, share);
+}
+
+} // namespace
+
+// Guards against an organisation within its limit that is refused while a lost holder is replaced, where its
+// limit is several requests a second for each instance.
+Test(quota_random, callers_within_their_limit_are_served_without_a_holder)
+{
+    expect_small_served_without_holder(1);
+    expect_large_served_without_holder(1);
+    expect_large_served_without_holder(9);
+}
+
+// Guards against the same where the limit is less than a request a second for each instance.
+Test(quota_random, callers_with_small_shares_are_served_without_a_holder)
+{
+    expect_small_served_without_holder(9);
+    expect_small_served_without_holder(65);
+    expect_large_served_without_holder(65);
+}
+
 // Guards against times for a return that let the level stand at its capacity while callers wait.
 Test(quota_random, callers_at_one_instant_are_served_the_limit)
 {
