--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -20,16 +20,22 @@
 constexpr double wanted_credit_s = 1.5;
 // Interval of questions for credit ahead of need, and of those that only tell what was returned or spent.
 constexpr duration ahead_interval = milliseconds{250};
-// After a question without an answer, the next one waits this long: the holder may be changing.
+// After a question without an answer, the next one waits this long: the holder may be changing, or have a
+// slow link.
 constexpr duration retry_interval = milliseconds{250};
+// The first ones wait for less: a request with a limit of 1 s was refused after two late replies.
+constexpr duration first_retry_interval = milliseconds{100};
+constexpr unsigned first_retries = 2;
 // Questions of an instance are at least this far apart: the holder may have a link of 10 Mbit/s for the
 // questions of all instances.
 constexpr duration min_question_interval = milliseconds{40};
 // An instance that has a share of a rate tells the holder at least this often that it needs no share any
 // more, or that it is there: the holder counts with a silent instance spending it.
 constexpr duration share_interval = milliseconds{800};
-// A share that was not spent is kept for this long.
+// A share that was not spent is kept for this long, or up to the cost of this many requests: with one,
+// requests above the mean cost were never served.
 constexpr double max_saved_share_s = 1.0;
+constexpr double max_saved_requests = 2.0;
 // Most times without a holder are shorter; requests wait for its return before the share decides about them.
 constexpr duration short_absence = seconds{2};
 // Waiting requests are looked at this often while a share is spent.
@@ -306,7 +312,7 @@
         }
         steady_time const until = std::min(now, of.rate_share_until);
         bool const begins = of.saved_at < *since;
-        double const most = std::max(of.rate_share * max_saved_share_s, of.mean_cost);
+        double const most = std::max(of.rate_share * max_saved_share_s, max_saved_requests * of.mean_cost);
         of.saved_share = std::min((begins ? 0.0 : of.saved_share) +
                                       of.rate_share * seconds_between(begins ? *since : of.saved_at, until),
                                   most);
@@ -323,8 +329,10 @@
     // Requests that the share cannot serve in time are refused at once.
     void refuse_unaffordable(steady_time now, account& of, std::vector<quota_step>& steps) const
     {
+        // Two replies may have been late; the next question is answered within the request's time.
         auto const since = without_holder_since(now);
-        if (!since || now - *since < short_absence || of.rate_share <= 0.0)
+        bool const is_lost = since && now - *since >= short_absence && unanswered > first_retries;
+        if (!is_lost || of.rate_share <= 0.0)
         {
             return;
         }
@@ -450,6 +458,7 @@
     steady_time next_try; ///< After a question without an answer.
     std::optional<steady_time> unanswered_since;
     std::optional<steady_time> nobody_issues_since;
+    unsigned unanswered = 0; ///< Questions since then.
     unsigned instances = 0;
 };
 
@@ -604,6 +613,7 @@
     impl_->open.reset();
     impl_->unanswered_since.reset();
     impl_->nobody_issues_since.reset();
+    impl_->unanswered = 0;
     impl_->instances = reply.instances;
     for (quota_grant const& grant : reply.grants)
     {
@@ -654,7 +664,8 @@
         impl_->nobody_issues_since = impl_->nobody_issues_since.value_or(now);
     }
     impl_->open.reset();
-    impl_->next_try = now + retry_interval;
+    ++impl_->unanswered;
+    impl_->next_try = now + (impl_->unanswered <= first_retries ? first_retry_interval : retry_interval);
 }
 
 std::size_t quota_gate::waiting() const
