Run organisations, keys and limits under faults in test_edge_soak

Keys, revocation and quotas were tested with single faults only; no test combined them with kills, suspensions, outages of the store and cut links.

Callers use keys in force, keys taken away lately, an unknown key and none, and send a Tenant header that must be dropped. organisation_judge checks on what the servers received: the organisation is that of the key; nothing runs that was sent later than revoke_ms after the key was taken away, or with a key that no version has held; and each window of quota_window_s stays within its bound. No key reaches a server or a log. 401 is accepted only where a version that the instance can have does not hold the key.

--- a/tests/edge_soak/answer_judge.cpp
+++ b/tests/edge_soak/answer_judge.cpp
@@ -145,7 +145,11 @@
     }
     // 500 is the complete answer of a server with the fault server_error; judge_version checks 404.
     static std::set<int> const complete{200, 404, 500, 503};
-    if (answer.sent && (!answer.whole || complete.count(answer.status) == 0) && !is_excused(record))
+    // judge_version checks 401, too.
+    bool const refused_for_organisation =
+        record.organisations && (answer.status == 401 || answer.status == 429);
+    bool const is_complete = complete.count(answer.status) > 0 || refused_for_organisation;
+    if (answer.sent && (!answer.whole || !is_complete) && !is_excused(record))
     {
         report(record, answer.whole ? "neither answered nor refused" : "broken off");
     }
@@ -220,7 +224,9 @@
 {
     std::string const service = configs_.service_of(record.prefix, version);
     auto const server = service_of_.find(record.answer.server);
+    bool const needs_key = record.organisations && !configs_.is_public(record.prefix);
     return (record.answer.status != 404 || service.empty()) &&
+           (record.answer.status != 401 || (needs_key && !configs_.holds_key(record.key, version))) &&
            (server == service_of_.end() || service == server->second);
 }
 
--- a/tests/edge_soak/answer_judge.hpp
+++ b/tests/edge_soak/answer_judge.hpp
@@ -21,7 +21,10 @@
     /// Id of the first attempt at what the caller wants done; equal to `id` for that attempt.
     std::string first_id;
     std::size_t instance = 0;
-    std::string prefix; ///< Path prefix of the route.
+    std::string prefix;         ///< Path prefix of the route.
+    bool organisations = false; ///< The configuration has organisations.
+    std::string key;            ///< Empty for none.
+    unsigned cost = 0;          ///< In tokens.
     bool at_most_once = false;
     bool stream = false;
     std::chrono::milliseconds time_allowed{0}; ///< The deadline that the caller sent.
--- a/tests/edge_soak/soak_main.cpp
+++ b/tests/edge_soak/soak_main.cpp
@@ -3,6 +3,7 @@
 // requests.
 #include "core/random_source.hpp"
 #include "tests/edge_soak/answer_judge.hpp"
+#include "tests/edge_soak/organisation_judge.hpp"
 #include "tests/wire/fault_spans.hpp"
 #include "tests/wire/faulty_backend.hpp"
 #include "tests/wire/faulty_edge.hpp"
@@ -16,6 +17,7 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -36,6 +38,8 @@
             "lets callers repeat what must run once after an answer or a reset that says it has not run, "
             "sometimes under the same id, and servers answer 503 to what they have run, write copies of "
             "earlier answers, and start again under another name at the same address");
+DEFINE_bool(organisations, false,
+            "configures organisations with keys and limits, which change in the course of the run");
 DEFINE_string(logs, "", "folder for the logs of all processes of a seed that fails; empty to drop them");
 
 namespace siskinusher::standins
@@ -66,7 +70,7 @@
 public:
     explicit soak_run(std::uint64_t seed)
         : seed_(seed), random_(seed), restoration_random_(seed), repetition_random_(seed), name_random_(seed),
-          same_id_random_(seed), configs_(store_, seed)
+          same_id_random_(seed), configs_(store_, seed, FLAGS_organisations)
     {
         add_backend("p1", "plain", {});
         add_backend("p2", "plain", {});
@@ -77,7 +81,9 @@
         }
         for (unsigned i = 0; i < FLAGS_instances; ++i)
         {
-            instances_.push_back(std::make_unique<faulty_edge>(i, store_.address(), holder_gap_ms, faults_));
+            instances_.push_back(std::make_unique<faulty_edge>(i, store_.address(), holder_gap_ms, faults_,
+                                                               FLAGS_organisations ? revoke_time.count() : 0,
+                                                               quota_settings()));
         }
     }
 
@@ -333,6 +339,7 @@
     void change_configs_and_load()
     {
         random_source random(seed_ * 1000 + 999);
+        random_source organisation_random(seed_ * 1000 + 998);
         while (!healing_)
         {
             if (random.below(3) == 0)
@@ -343,6 +350,10 @@
                     std::this_thread::sleep_for(milliseconds{random.below(400)});
                 }
             }
+            if (FLAGS_organisations && organisation_random.below(3) == 0)
+            {
+                configs_.write_next_organisations();
+            }
             backends_[random.below(backends_.size())]->set_load(random);
             std::this_thread::sleep_for(milliseconds{50 + random.below(700)});
         }
@@ -376,7 +387,8 @@
                 int status = 0;
                 while (status != 200 && fault_clock::now() < limit)
                 {
-                    status = send(caller, i, prefix, 3, milliseconds{4000});
+                    status =
+                        send(caller, i, prefix, 3, milliseconds{4000}, operator_standin::steady_key(), 1);
                 }
                 check(status == 200, std::string(prefix) + " was not served after the faults ended");
             }
@@ -387,6 +399,7 @@
     void send_requests(unsigned number)
     {
         random_source random(seed_ * 1000 + number);
+        random_source organisation_random(seed_ * 1000 + 500 + number);
         wire_caller caller(number % 2 == 0);
         std::size_t instance = 0;
         while (!stopping_)
@@ -396,16 +409,18 @@
                 "/once/",   "/again/",       "/moved/", configs_.added_prefix(random.next()),
                 "/stream/", "/stream-once/", "/stream/"};
             (void)send(caller, instance, prefixes[random.below(7)], random.below(6),
-                       milliseconds{2000 + random.below(2000)});
+                       milliseconds{2000 + random.below(2000)},
+                       FLAGS_organisations ? configs_.some_key(organisation_random.next()) : std::string(),
+                       20 + static_cast<unsigned>(organisation_random.below(180)));
             std::this_thread::sleep_for(milliseconds{random.below(30)});
         }
     }
 
     // Returns the status of the last attempt; 0 when no answer arrived.
     int send(wire_caller& caller, std::size_t instance, std::string const& prefix, std::uint64_t model,
-             milliseconds time_allowed)
+             milliseconds time_allowed, std::string const& key, unsigned cost)
     {
-        request_record last = send_once(caller, instance, prefix, model, time_allowed, {}, {});
+        request_record last = send_once(caller, instance, prefix, model, time_allowed, {}, {}, key, cost);
         std::string const first_id = last.id;
         for (unsigned attempt = 1; FLAGS_repetitions && attempt < attempts_of_caller && last.at_most_once &&
                                    looks_unread(last.answer);
@@ -416,7 +431,7 @@
             std::size_t const distance = same_id ? same_id_below(2) * attempt : attempt;
             std::size_t const next = (instance + distance) % instances_.size();
             last = send_once(other, next, prefix, model, time_allowed, same_id ? last.id : std::string(),
-                             first_id);
+                             first_id, key, cost);
             sent_with_same_id_ += same_id ? 1 : 0;
         }
         return last.answer.status;
@@ -431,7 +446,7 @@
     // A new id is taken for an empty `id`, and for an empty `first_id` that of the request.
     request_record send_once(wire_caller& caller, std::size_t instance, std::string const& prefix,
                              std::uint64_t model, milliseconds time_allowed, std::string const& id,
-                             std::string const& first_id)
+                             std::string const& first_id, std::string const& key, unsigned cost)
     {
         request_record record;
         record.id = id.empty() ? "s" + std::to_string(seed_) + "-" + std::to_string(++next_id_) : id;
@@ -447,6 +462,18 @@
         {
             headers["Model"] = "m" + std::to_string(model);
         }
+        if (FLAGS_organisations)
+        {
+            record.organisations = true;
+            record.key = key;
+            record.cost = cost;
+            headers["Tenant"] = "forged"; // Must be dropped.
+            headers["Token-Usage"] = std::to_string(cost / 2) + "," + std::to_string(cost - cost / 2);
+            if (!key.empty())
+            {
+                headers["Authorization"] = "Bearer " + key;
+            }
+        }
         record.open.begin = fault_clock::now();
         record.answer =
             caller.send(instances_[instance]->edge().caller_address(),
@@ -471,6 +498,10 @@
             check(false, each.what);
             print_log_of(each.request);
         }
+        if (FLAGS_organisations)
+        {
+            check_organisations();
+        }
         if (!ok_)
         {
             std::printf("seed %lu: faults %s\n", seed_, fault_history_.c_str());
@@ -479,6 +510,38 @@
         check(served_ > 0, "no request was served");
     }
 
+    void check_organisations()
+    {
+        organisation_judge judge(configs_, backends_);
+        for (broken_guarantee const& each : judge.judge(records_))
+        {
+            check(false, each.what);
+            print_log_of(each.request);
+        }
+        for (auto const& backend : backends_)
+        {
+            check(!backend->server().received_key(), "a key reached " + backend->server().name());
+        }
+        for (auto const& instance : instances_)
+        {
+            std::string const log = instance->edge().log_text();
+            for (std::string const& key : configs_.all_keys())
+            {
+                check(log.find(key) == std::string::npos, "an instance logged the key " + key);
+            }
+        }
+        std::map<int, unsigned> statuses;
+        for (request_record const& record : records_)
+        {
+            ++statuses[record.answer.status];
+        }
+        // Without refusals, a run would show nothing about keys and limits.
+        check(statuses[401] > 0, "no request was refused for its key");
+        check(statuses[429] > 0, "no request was refused for a limit");
+        std::printf("seed %lu: %u answers 401, %u 429, %u 503, fullest window %.2f of its bound\n", seed_,
+                    statuses[401], statuses[429], statuses[503], judge.fullest_window());
+    }
+
     // Prints the lines of the instance's log that lead to the cause.
     void print_log_of(request_record const& request) const
     {
--- a/tests/wire/backend_standin.cpp
+++ b/tests/wire/backend_standin.cpp
@@ -180,6 +180,12 @@
     return run_times_;
 }
 
+std::map<std::string, std::set<std::string>> backend_standin::organisations()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return organisations_;
+}
+
 unsigned backend_standin::total_runs()
 {
     unsigned sum = 0;
@@ -236,6 +242,8 @@
     {
         last_headers_[header] = exchange.header(header);
     }
+    organisations_[id].insert(exchange.header("Tenant"));
+    received_key_ = received_key_ || !exchange.header("Authorization").empty();
     bool const absent = !model.empty() && models_.count(model) == 0;
     bool const misdirected = exchange.header("Expect-Instance") != entry_name_;
     std::string const entry_name = entry_name_;
--- a/tests/wire/backend_standin.hpp
+++ b/tests/wire/backend_standin.hpp
@@ -109,6 +109,10 @@
     std::map<std::string, unsigned> runs();
     /// When each request id has begun to run here, in the order of time.
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> run_times();
+    /// The values of Tenant that arrived with each request id, whether it ran or not.
+    std::map<std::string, std::set<std::string>> organisations();
+    /// True once a request has arrived with the header Authorization.
+    bool received_key() const { return received_key_; }
     unsigned total_runs();
     unsigned cancelled() const { return cancelled_; }
     std::set<std::string> models();
@@ -145,6 +149,8 @@
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> run_times_;
     std::vector<received_order> orders_;
     std::map<std::string, std::string> last_headers_;
+    std::map<std::string, std::set<std::string>> organisations_;
+    std::atomic<bool> received_key_{false};
     std::string limit_;
     std::vector<std::chrono::steady_clock::time_point> arrival_times_;
     std::uint64_t sequence_ = 0;
--- a/tests/wire/edge_child.cpp
+++ b/tests/wire/edge_child.cpp
@@ -35,7 +35,8 @@
 } // namespace
 
 edge_child::edge_child(std::string name, std::string const& store_address, unsigned holder_gap_ms,
-                       unsigned retry_slack, unsigned memory_mb, unsigned revoke_ms)
+                       unsigned retry_slack, unsigned memory_mb, unsigned revoke_ms,
+                       std::string const& quota_settings)
     : name_(std::move(name)),
       directory_(make_temporary_directory()), ports_{reserve_port(), reserve_port(), reserve_port()}
 {
@@ -52,7 +53,7 @@
              << "limits: { stop_s: 8, descriptors: 2000"
              << (memory_mb > 0 ? ", memory_mb: " + std::to_string(memory_mb) : "") << " }\n"
              << (revoke_ms > 0 ? "organisations: { revoke_fail_closed: true, revoke_ms: " +
-                                     std::to_string(revoke_ms) + " }\n"
+                                     std::to_string(revoke_ms) + quota_settings + " }\n"
                                : "");
     settings.close();
     start();
--- a/tests/wire/edge_child.hpp
+++ b/tests/wire/edge_child.hpp
@@ -22,9 +22,10 @@
     /// Writes settings with the store's address and starts the process. `holder_gap_ms` is the time between
     /// the last order of one lease holder and the first order of the next, `retry_slack` the retries of all
     /// instances beyond the ratio. The settings name the memory unless `memory_mb` is 0, and the bound on
-    /// revoked keys unless `revoke_ms` is 0.
+    /// revoked keys unless `revoke_ms` is 0, followed there by the settings of quotas in `quota_settings`.
     edge_child(std::string name, std::string const& store_address, unsigned holder_gap_ms = 300,
-               unsigned retry_slack = 640, unsigned memory_mb = 0, unsigned revoke_ms = 0);
+               unsigned retry_slack = 640, unsigned memory_mb = 0, unsigned revoke_ms = 0,
+               std::string const& quota_settings = {});
     ~edge_child();
     edge_child(edge_child const&) = delete;
     edge_child& operator=(edge_child const&) = delete;
--- a/tests/wire/faulty_edge.cpp
+++ b/tests/wire/faulty_edge.cpp
@@ -22,9 +22,10 @@
 } // namespace
 
 faulty_edge::faulty_edge(std::size_t number, std::string const& store_address, unsigned holder_gap_ms,
-                         fault_spans& spans)
+                         fault_spans& spans, unsigned revoke_ms, std::string const& quota_settings)
     : number_(number), spans_(spans), store_link_(span_name("store link"), store_address, spans),
-      edge_("edge-" + std::to_string(number), store_link_.address(), holder_gap_ms)
+      edge_("edge-" + std::to_string(number), store_link_.address(), holder_gap_ms, 640, 0, revoke_ms,
+            quota_settings)
 {
 }
 
--- a/tests/wire/faulty_edge.hpp
+++ b/tests/wire/faulty_edge.hpp
@@ -19,8 +19,9 @@
 class faulty_edge
 {
 public:
+    /// `revoke_ms` and `quota_settings` as for edge_child.
     faulty_edge(std::size_t number, std::string const& store_address, unsigned holder_gap_ms,
-                fault_spans& spans);
+                fault_spans& spans, unsigned revoke_ms = 0, std::string const& quota_settings = {});
 
     edge_child const& edge() const { return edge_; }
     faulty_link& store_link() { return store_link_; }
