Check a configuration before it is sent with siskinctl check

Cause: a configuration with entries that never match, or with limits that contradict each other, was noticed only when callers met it, and the effect of a new version on callers was not visible before it was in force.

Change: siskinctl check FILE [--against FILE] [--json]. Exit codes: 0 clean, 1 findings, 2 usage or unreadable file. normalized_host of the route table is public now, so that both find the same routes.

--- a/apps/ctl_main.cpp
+++ b/apps/ctl_main.cpp
@@ -1,5 +1,6 @@
 #include "adapters/settings_reader.hpp"
 #include "adapters/yaml_tree.hpp"
+#include "apps/ctl_check.hpp"
 #include "apps/ctl_commands.hpp"
 #include "apps/ctl_http.hpp"
 
@@ -17,6 +18,8 @@
 DEFINE_string(request, "", "explain: id of a request");
 DEFINE_string(model, "", "explain: name of a model");
 DEFINE_bool(time, false, "validate: print how long the checks took");
+DEFINE_string(against, "", "check: file with the version in force, to compare with");
+DEFINE_bool(json, false, "check: print JSON");
 DECLARE_bool(help);
 DECLARE_bool(version);
 
@@ -46,9 +49,12 @@
   drain INSTANCE            let an instance, by name or address, finish its requests and leave
   explain --request ID      show what was decided about a request
   explain --model NAME      show what was decided about a model
+  check FILE [--against FILE] [--json]
+                            check a configuration of siskin-edge, and compare it with the version in force
 
 The operator key is read from the environment variable SISKIN_OPERATOR_KEY or from the settings file.
 Exit codes: 0 done, 1 refused, 2 wrong usage, 3 store or instance unreachable.
+Exit codes of check: 0 clean, 1 findings, 2 wrong usage or a file that cannot be read.
 )";
 
 exit_code wrong_usage(std::string const& message)
@@ -104,7 +110,8 @@
         return wrong_usage("a command is missing");
     }
     std::string const& command = arguments.front();
-    bool const takes_file = command == "validate" || command == "diff" || command == "apply";
+    bool const takes_file =
+        command == "validate" || command == "diff" || command == "apply" || command == "check";
     bool const takes_argument = takes_file || command == "drain";
     if (!takes_argument && command != "status" && command != "explain")
     {
@@ -118,6 +125,10 @@
     {
         return wrong_usage("'explain' takes one of --request and --model");
     }
+    if (command == "check")
+    {
+        return check_serving_config({arguments[1], FLAGS_against, FLAGS_json}, std::cout, std::cerr);
+    }
     operator_settings settings;
     if (!load_settings(settings))
     {
--- a/decision/route_table.cpp
+++ b/decision/route_table.cpp
@@ -10,9 +10,6 @@
 namespace siskinusher
 {
 
-namespace
-{
-
 std::string normalized_host(std::string_view host)
 {
     std::string text(host.substr(0, host.find(':')));
@@ -21,8 +18,6 @@
     return text;
 }
 
-} // namespace
-
 class route_table::implementation
 {
 public:
--- a/decision/route_table.hpp
+++ b/decision/route_table.hpp
@@ -30,6 +30,9 @@
     std::unique_ptr<implementation> impl_;
 };
 
+/// The host by which routes are found: without its port, in small letters.
+std::string normalized_host(std::string_view host);
+
 /// Chooses the service for one request of a route in proportion to the weights. `random_value` is uniformly
 /// distributed over all 64-bit values. Empty when no target of the route has a positive weight.
 std::string choose_target(route_rule const& route, std::uint64_t random_value);
--- a/tests/platform/invalid_status_test.cpp
+++ b/tests/platform/invalid_status_test.cpp
@@ -321,7 +321,8 @@
          {"000 Zero", "600 High", "999 High", "+200 Sign", "2000 Four", "101 Other"})
     {
         failing_server server({});
-        std::string const invalid = "HTTP/1.1 " + status + "\r\n" + framing;
+        std::string invalid = "HTTP/1.1 ";
+        invalid.append(status).append("\r\n").append(framing);
         server.set_control(invalid, invalid);
         scripted_fleet fleet;
         fleet.add("e1", "llm", server.scripts());
