Test the statuses next to the invalid ones

Change: two tests over the clients of both programs. The 304 is passed on and its connection is not used again; the 100 is silence, not an answer.

--- a/tests/adapters/invalid_status_test.cpp
+++ b/tests/adapters/invalid_status_test.cpp
@@ -269,3 +269,55 @@
                   answer.name.c_str());
     }
 }
+
+// Guards against refusing a 304 that states the length of the body which it leaves out, as HTTP allows, and
+// against the use of its connection, on which the body may follow.
+Test(invalid_status, length_of_a_304_is_valid)
+{
+    invalid_answer const answer{"304", "HTTP/1.1 304 Not Modified", "Content-Length: 4\r\n", "", false, ""};
+    answering_server const server(answer, 8);
+    std::atomic<bool> const stopping{false};
+    http_connection connection(server.address(), stopping);
+    http_call call;
+    call.path = "/";
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    backend_client client("key", {});
+    for (unsigned i = 0; i < 2; ++i)
+    {
+        cr_expect_eq(connection.exchange(call, steady_now() + seconds{2}).status, 304);
+        std::optional<http_outcome> result;
+        pool.call(server.address(), call, seconds{2},
+                  [&result](http_outcome outcome) { result = std::move(outcome); });
+        loop.restart();
+        loop.run();
+        cr_expect(result && result->status == 304);
+        backend_call attempt = plain_call("i-1");
+        recording_sink sink;
+        auto const ended =
+            client.run(dispatch{1, 0, "server", server.address(), seconds{2}, 0}, attempt, sink);
+        cr_expect(ended.result == attempt_result::answered);
+        cr_expect_eq(sink.status, 304);
+    }
+    cr_expect_eq(server.behind_invalid(), 0);
+}
+
+// Guards against an interim answer that ends a request whose final answer may still come, or counts as one.
+Test(invalid_status, interim_answer_alone_is_silence)
+{
+    answering_server const server({"100, open", "HTTP/1.1 100 Continue", "", "", false, ""}, 4);
+    http_outcome const outcome = exchange_over_pool(server.address());
+    cr_expect_eq(outcome.status, 0);
+    cr_expect_eq(outcome.why, "timed_out", "%s", outcome.why.c_str());
+    std::atomic<bool> const stopping{false};
+    http_connection connection(server.address(), stopping);
+    http_call call;
+    call.path = "/";
+    cr_expect_eq(connection.exchange(call, steady_now() + seconds{1}).status, 0);
+    backend_client client("key", {});
+    backend_call attempt = plain_call("i-1");
+    recording_sink sink;
+    auto const ended = client.run(dispatch{1, 0, "server", server.address(), seconds{1}, 0}, attempt, sink);
+    cr_expect(ended.result == attempt_result::silent, "result %d", static_cast<int>(ended.result));
+    cr_expect_eq(sink.status, 0);
+}
