Move the review of configurations to the folder that translates

Cause: decision/config_review names fields of the platform's configuration in its findings, and a member of organisation_quota had the name of a field; names of the wire belong to platform/. Change: the module and its test move to platform/; the member is default_tokens. Texts of findings and errors stay as they are.

--- a/apps/ctl_check.hpp
+++ b/apps/ctl_check.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "apps/ctl_commands.hpp"
-#include "decision/config_review.hpp"
 #include "domain/serving_config.hpp"
+#include "platform/config_review.hpp"
 
 #include <iosfwd>
 #include <optional>
--- a/decision/organisation_directory.cpp
+++ b/decision/organisation_directory.cpp
@@ -106,7 +106,7 @@
 std::uint64_t work_of(organisation_quota const& quota, std::optional<std::uint64_t> tokens)
 {
     constexpr double max_cost = 1e15; // Above any limit; keeps the conversion in range.
-    double const cost = tokens ? static_cast<double>(*tokens) : quota.plain_tokens;
+    double const cost = tokens ? static_cast<double>(*tokens) : quota.default_tokens;
     return static_cast<std::uint64_t>(std::ceil(std::min(cost, max_cost)));
 }
 
--- a/domain/organisation.cpp
+++ b/domain/organisation.cpp
@@ -7,8 +7,8 @@
 
 bool operator==(organisation_quota const& a, organisation_quota const& b)
 {
-    return std::tie(a.unit, a.per_second, a.burst, a.plain_tokens) ==
-           std::tie(b.unit, b.per_second, b.burst, b.plain_tokens);
+    return std::tie(a.unit, a.per_second, a.burst, a.default_tokens) ==
+           std::tie(b.unit, b.per_second, b.burst, b.default_tokens);
 }
 
 bool operator==(organisation const& a, organisation const& b)
--- a/domain/organisation.hpp
+++ b/domain/organisation.hpp
@@ -18,9 +18,9 @@
 struct organisation_quota
 {
     quota_unit unit{quota_unit::requests};
-    double per_second = 0.0;   ///< Units a second; zero for no limit.
-    double burst = 0.0;        ///< Units that may be used at once on top of the rate.
-    double plain_tokens = 1.0; ///< Tokens of a request that does not state its own.
+    double per_second = 0.0;     ///< Units a second; zero for no limit.
+    double burst = 0.0;          ///< Units that may be used at once on top of the rate.
+    double default_tokens = 1.0; ///< Tokens of a request that does not state its own.
 };
 
 /// A group of callers that share keys, a priority and a limit.
--- a/tests/decision/organisation_directory_test.cpp
+++ b/tests/decision/organisation_directory_test.cpp
@@ -183,9 +183,9 @@
     cr_assert_eq(quota_cost(quota, 900), 1);
     cr_assert_eq(quota_cost(quota, {}), 1);
     quota.unit = quota_unit::tokens;
-    quota.plain_tokens = 200.2;
+    quota.default_tokens = 200.2;
     cr_assert_eq(quota_cost(quota, 900), 900);
     cr_assert_eq(quota_cost(quota, {}), 201);
-    quota.plain_tokens = 1e300;
+    quota.default_tokens = 1e300;
     cr_assert_eq(quota_cost(quota, {}), 1000000000000000U);
 }
--- a/tests/decision/config_review_test.cpp
+++ b/tests/platform/config_review_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/config_review.hpp"
+#include "platform/config_review.hpp"
 
 #include <criterion/criterion.h>
 
@@ -288,7 +288,8 @@
              c.organisations->front().quota = {quota_unit::tokens, 0.0, 0.0, 200.0};
          },
          "limits of organisations that are raised | organisation 'lab' | 4200 tokens a second -> no limit\n"},
-        {"requests cost more", [](serving_config& c) { c.organisations->front().quota.plain_tokens = 300.0; },
+        {"requests cost more",
+         [](serving_config& c) { c.organisations->front().quota.default_tokens = 300.0; },
          "limits of organisations that are lowered | organisation 'lab' | plain_tokens 200 -> 300\n"},
         {"model",
          [](serving_config& c)
