--- a/decision/quota_gate.cpp
+++ b/decision/quota_gate.cpp
@@ -58,8 +58,8 @@
 constexpr std::uint64_t max_smoothing_ms = 150;
 // Then it asks again.
 constexpr duration smoothing_interval = milliseconds{150};
-// An organisation without room is not asked for again for this time at least: 65 instances that ask for each
-// request of a flood would take a tenth of a core of the holder.
+// An organisation without room is not asked for again for this time at least: otherwise all instances would
+// ask the holder for each request of a flood.
 constexpr std::uint64_t min_refusal_ms = 200;
 // Requests whose cost is stated in one question for one organisation; the others wait for the next one.
 constexpr std::size_t max_stated_requests = 64;
