--- a/review/7/lifted.cpp
+++ b/review/7/lifted.cpp
@@ -93,7 +93,9 @@
             std::string const id = "s" + std::to_string(++next);
             client_answer const answer = ask(*each, id, key);
             served += answer.status == 200 ? 1 : 0;
-            record.line(id + " with " + key + " at " + each->name() + ": " + std::to_string(answer.status));
+            std::string line = id;
+            line.append(" with ").append(key).append(" at ").append(each->name()).append(": ");
+            record.line(line.append(std::to_string(answer.status)));
         }
         return served;
     };
