--- a/review/7/lifted.cpp
+++ b/review/7/lifted.cpp
@@ -2,6 +2,7 @@
 // the store has acknowledged it, no request with that key may run.
 #include "review/fleet2/world.hpp"
 
+#include <csignal>
 #include <memory>
 
 namespace
@@ -120,6 +121,16 @@
     }
     (void)ask_all("key-alba-1");
     (void)ask_all("key-brera-2");
+    // Only recorded: whether an instance that starts now takes the configuration that is in force.
+    edges.front()->send(SIGTERM);
+    while (edges.front()->running())
+    {
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+    edges.front()->start();
+    bool const starts = edges.front()->wait_ready(milliseconds{10000});
+    record.line(edges.front()->name() +
+                (starts ? " is ready after a restart" : " is not ready 10 s after a restart"));
     unsigned broken = 0;
     for (plain_server* const server : {&first, &second})
     {
