Add review case 8: a configuration late at an instance in touch

The lease holder is suspended for 6.0 s, the store cuts off the waiting watches once and a route moves.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,6 +7,6 @@
 mkdir -p "$out"
 compile="${CXX:-g++} -std=c++17 -O1 -Wall -Wextra -pthread -I."
 $compile -c review/fleet2/world.cpp -o "$out/world.o"
-for source in review/6/leave.cpp review/7/lifted.cpp; do
+for source in review/6/leave.cpp review/7/lifted.cpp review/8/moved.cpp; do
     $compile "$source" "$out/world.o" -o "$out/$(basename "$source" .cpp)"
 done
