Keep removed servers removed when an older list arrives

Cause: backend_directory remembered nothing of a removed server, so that an entry of an older revision counted as new. A lease holder that stood still sends the list that it had before, and withholds removals for 2 s after its watch has failed. Change: the directory remembers the revision at which a server was absent and takes only later entries. A removal in an update counts only up to the revision that the sender has followed; otherwise the next update is asked for whole. A list that proves no absence still tells which servers leave. Marks of crashes are replaced only by those that are at most 1 s older. The form of messages is unchanged.

--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -218,7 +218,7 @@
     {
         platform::object_watch_handlers result;
         result.on_object = [this](platform::store_object const& object) { on_config(object); };
-        result.on_deleted = [this](std::string const& name) {
+        result.on_deleted = [this](std::string const& name, store_revision const&) {
             log.write({"config_deleted", {{"name", name}, {"outcome", "kept"}}});
         };
         return result;
@@ -228,7 +228,11 @@
     {
         platform::object_watch_handlers result;
         result.on_object = [this](platform::store_object const& object) { on_backend_object(object); };
-        result.on_deleted = [this](std::string const& name) { on_backend_gone(name, "entry_gone"); };
+        result.on_deleted = [this](std::string const& name, store_revision const& absent_at)
+        {
+            directory.remove(name, absent_at);
+            on_backend_gone(name, "entry_gone");
+        };
         result.on_listed = [this]
         {
             servers_known = true;
@@ -252,9 +256,13 @@
             log.write(
                 {"crash_mark_ignored", {{"name", object.name}, {"revision", to_string(object.revision)}}});
         };
-        result.on_deleted = [this](std::string const& name) { crashes.remove(name); };
+        result.on_deleted = [this](std::string const& name, store_revision const&) { crashes.remove(name); };
         result.on_lost = [this](std::string const& name) { crashes.on_lost(name); };
-        result.on_listed = [this] { crashes_known = true; };
+        result.on_listed = [this]
+        {
+            crashes_known = true;
+            crashes.on_listed(crash_watch.read_at());
+        };
         return result;
     }
 
@@ -355,7 +363,6 @@
 
     void on_backend_gone(backend_name const& name, char const* reason)
     {
-        directory.remove(name);
         log.write({"backend_gone", {{"backend", name}, {"reason", reason}, {"source", to_string(source)}}});
         handlers.on_backend_gone(name);
     }
@@ -421,15 +428,10 @@
 
     void take_over(holder_reply const& reply, told_currency const& currency)
     {
-        // While expired entries may still appear again, a list without them does not prove that they are
-        // gone.
-        if (!reply.servers.complete || backend_watch.proves_absence() || !servers_known)
-        {
-            apply_update(reply.servers);
-        }
+        apply_update(reply.servers);
         if (reply.crash_marks)
         {
-            apply_crashes(*reply.crash_marks);
+            apply_crashes(*reply.crash_marks, boot_now() - reply.store_state_age);
         }
         on_peer_config(reply.config);
         on_told_current(reply.config, currency.current_at);
@@ -446,8 +448,14 @@
 
     void apply_update(backend_update const& update)
     {
-        holder_position = update.position;
-        backend_update const effect = directory.merge(update);
+        // While expired entries may still appear again, a list without them does not prove that they are
+        // gone. What it says of the listed servers holds all the same.
+        bool const proves_absence = backend_watch.proves_absence() || !servers_known;
+        merge_result const effect =
+            directory.merge(update, proves_absence ? unlisted_servers::gone : unlisted_servers::kept);
+        holder_position = effect.whole ? update.position : update_position{};
+        told_servers_through =
+            effect.whole ? std::max(told_servers_through, update.followed) : told_servers_through;
         for (revised_backend const& each : effect.changed)
         {
             backend_watch.mark_known(each.entry.name, each.revision);
@@ -499,13 +507,20 @@
         noted_names.clear();
     }
 
-    void apply_crashes(std::vector<crash_mark> const& told)
+    // `known_at` is a time at which the marks were those of the store, as far as the peer knows.
+    void apply_crashes(std::vector<crash_mark> const& told, steady_time known_at)
     {
-        for (crash_mark const& each : crashes.crashes())
+        std::vector<crash_mark> const before = crashes.crashes();
+        if (!crashes.replace_by_told(boot_now(), told, known_at))
+        {
+            log.write({"crash_marks_ignored",
+                       {{"reason", "older than those known"}, {"marks", std::to_string(told.size())}}});
+            return;
+        }
+        for (crash_mark const& each : before)
         {
             crash_watch.mark_deleted(id_of(each));
         }
-        crashes.replace(boot_now(), told);
         crashes_known = true;
         for (crash_mark const& each : crashes.crashes())
         {
@@ -611,6 +626,7 @@
     steady_time
         next_config_read;       ///< Limits how often a peer's news make this instance read the configuration.
     bool crashes_known = false; ///< All marks have been read once, from the store or from a holder.
+    store_revision told_servers_through; ///< Peers have told all changes of servers up to this revision.
     boost::asio::steady_timer timer;
     platform::object_watch config_watch;
     platform::object_watch backend_watch;
@@ -722,7 +738,8 @@
 
 backend_update state_follower::servers_since(update_position const& known) const
 {
-    return impl_->directory.changes_since(known, impl_->backend_watch.revision());
+    store_revision const followed = std::max(impl_->backend_watch.revision(), impl_->told_servers_through);
+    return impl_->directory.changes_since(known, followed);
 }
 
 std::uint64_t state_follower::crashes_digest() const
--- a/decision/backend_directory.cpp
+++ b/decision/backend_directory.cpp
@@ -14,8 +14,9 @@
 // Number of removals that are kept for peers that are a little behind. A peer that is further behind gets a
 // complete update.
 constexpr std::size_t max_kept_removals = 512;
-// Servers that have left and whose starts are remembered; twice as many at most.
-constexpr std::size_t max_kept_ends = 512;
+// Servers whose removal is remembered; twice as many at most. All of the target's 1,400 servers may be
+// replaced in one release.
+constexpr std::size_t max_remembered_removals = 2048;
 
 // The part of an entry that is sent to peers.
 backend_entry without_copies(backend_entry entry)
@@ -36,6 +37,13 @@
         std::uint64_t sequence = 0; ///< Of its last change that is sent to peers.
     };
 
+    struct removed_server
+    {
+        store_revision absent_at;     ///< The server was not in the store's state of this revision.
+        std::int64_t ended_start = 0; ///< The start that had announced its end; zero when none had.
+        std::uint64_t ended_era = 0;  ///< The store's era at that announcement.
+    };
+
     void record_change(backend_name const& name, std::uint64_t previous)
     {
         changes.erase(previous);
@@ -54,32 +62,48 @@
         }
     }
 
-    void record_end(revised_backend const& server)
+    // Null when none is remembered.
+    removed_server const* find_removal(backend_name const& name) const
     {
-        backend_entry const& entry = server.entry;
-        if (!entry.leaving || entry.started_at == 0)
+        for (auto const* const each : {&removed, &removed_earlier})
         {
-            return;
-        }
-        if (ended.size() >= max_kept_ends)
-        {
-            ended_earlier = std::exchange(ended, {});
+            auto const found = each->find(name);
+            if (found != each->end())
+            {
+                return &found->second;
+            }
         }
-        ended[entry.name] = {entry.started_at, server.revision.era};
+        return nullptr;
     }
 
-    bool has_ended(backend_entry const& entry, store_revision const& revision) const
+    void remember_removal(backend_name const& name, store_revision const& absent_at,
+                          known_server const* server)
     {
-        for (auto const* const each : {&ended, &ended_earlier})
+        removed_server const* const earlier = find_removal(name);
+        removed_server removal = earlier == nullptr ? removed_server{} : *earlier;
+        removal.absent_at = std::max(removal.absent_at, absent_at);
+        if (server != nullptr)
         {
-            auto const found = each->find(entry.name);
-            if (found != each->end() && found->second.first == entry.started_at &&
-                found->second.second < revision.era)
+            backend_entry const& entry = server->value.entry;
+            removal.absent_at = std::max(removal.absent_at, server->value.revision);
+            if (entry.leaving && entry.started_at != 0)
             {
-                return true;
+                removal.ended_start = entry.started_at;
+                removal.ended_era = server->value.revision.era;
             }
         }
-        return false;
+        if (removed.size() >= max_remembered_removals && removed.count(name) == 0)
+        {
+            removed_earlier = std::exchange(removed, {});
+        }
+        removed[name] = removal;
+    }
+
+    bool has_ended(backend_entry const& entry, store_revision const& revision) const
+    {
+        removed_server const* const removal = find_removal(entry.name);
+        return removal != nullptr && removal->ended_start == entry.started_at &&
+               removal->ended_era < revision.era;
     }
 
     update_position position;
@@ -87,10 +111,9 @@
     std::map<backend_name, known_server> servers;
     std::map<std::uint64_t, backend_name> changes;  ///< The last change of each server, by sequence.
     std::map<std::uint64_t, backend_name> removals; ///< Those of `changes` that are removals.
-    // The start that had announced its end, and the store's era then, by name of a server that has left. When
-    // the first map is full, it replaces the second one.
-    std::map<backend_name, std::pair<std::int64_t, std::uint64_t>> ended;
-    std::map<backend_name, std::pair<std::int64_t, std::uint64_t>> ended_earlier;
+    // When the first map is full, it replaces the second one.
+    std::map<backend_name, removed_server> removed;
+    std::map<backend_name, removed_server> removed_earlier;
 };
 
 backend_directory::backend_directory(std::string source) : impl_(std::make_unique<implementation>())
@@ -102,12 +125,15 @@
 
 directory_change backend_directory::put(backend_entry const& entry, store_revision const& revision)
 {
-    auto const [found, is_new] = impl_->servers.try_emplace(entry.name);
-    implementation::known_server& server = found->second;
-    if (!is_new && revision < server.value.revision)
+    auto const known = impl_->servers.find(entry.name);
+    bool const is_new = known == impl_->servers.end();
+    auto const* const removal = is_new ? impl_->find_removal(entry.name) : nullptr;
+    if (is_new ? removal != nullptr && revision <= removal->absent_at
+               : revision < known->second.value.revision)
     {
         return directory_change::outdated;
     }
+    implementation::known_server& server = impl_->servers[entry.name];
     backend_entry shared = without_copies(entry);
     server.value.revision = revision;
     if (!is_new && server.value.entry == shared)
@@ -138,14 +164,15 @@
     return entry;
 }
 
-bool backend_directory::remove(backend_name const& name)
+bool backend_directory::remove(backend_name const& name, store_revision const& absent_at)
 {
     auto const found = impl_->servers.find(name);
-    if (found == impl_->servers.end())
+    bool const is_known = found != impl_->servers.end();
+    impl_->remember_removal(name, absent_at, is_known ? &found->second : nullptr);
+    if (!is_known)
     {
         return false;
     }
-    impl_->record_end(found->second.value);
     impl_->record_removal(name, found->second.sequence);
     impl_->servers.erase(found);
     return true;
@@ -176,9 +203,9 @@
     return update;
 }
 
-backend_update backend_directory::merge(backend_update const& update)
+merge_result backend_directory::merge(backend_update const& update, unlisted_servers unlisted)
 {
-    backend_update effect;
+    merge_result result;
     std::set<backend_name> listed;
     for (revised_backend const& each : update.changed)
     {
@@ -186,11 +213,11 @@
         backend_entry const entry = settled(each.entry, each.revision);
         if (put(entry, each.revision) == directory_change::changed)
         {
-            effect.changed.push_back({entry, each.revision});
+            result.changed.push_back({entry, each.revision});
         }
     }
-    effect.removed = update.removed;
-    if (update.complete)
+    std::vector<backend_name> gone = update.removed;
+    if (update.complete && unlisted == unlisted_servers::gone)
     {
         for (auto const& [name, server] : impl_->servers)
         {
@@ -198,14 +225,25 @@
             // state is older.
             if (listed.count(name) == 0 && server.value.revision <= update.followed)
             {
-                effect.removed.push_back(name);
+                gone.push_back(name);
             }
         }
     }
-    effect.removed.erase(std::remove_if(effect.removed.begin(), effect.removed.end(),
-                                        [this](backend_name const& name) { return !remove(name); }),
-                         effect.removed.end());
-    return effect;
+    result.whole = !update.complete || unlisted == unlisted_servers::gone;
+    for (backend_name const& name : gone)
+    {
+        auto const found = impl_->servers.find(name);
+        if (found != impl_->servers.end() && found->second.value.revision > update.followed)
+        {
+            // The server is back, or the sender does not say how much of the store it knows.
+            result.whole = false;
+        }
+        else if (remove(name, update.followed))
+        {
+            result.removed.push_back(name);
+        }
+    }
+    return result;
 }
 
 } // namespace siskinusher
--- a/decision/crash_ledger.cpp
+++ b/decision/crash_ledger.cpp
@@ -42,6 +42,9 @@
 constexpr duration trial_retry_after = seconds{1};
 // Limit of all marks, because callers choose the parts.
 constexpr std::size_t max_marks = 512;
+// Marks that a peer tells may be this much older than those that they replace: instances follow the store
+// with different delays.
+constexpr duration max_told_lag = seconds{1};
 constexpr std::size_t max_suspects = 8;
 // Time until a change of this instance has reached the lease holder and is in its replies.
 constexpr duration change_spread_time = seconds{2};
@@ -237,6 +240,7 @@
     }
 
     std::map<std::string, mark> marks; ///< By id.
+    steady_time all_known_at;          ///< When the marks were those of the store or of a peer.
     // Marks that were dropped lately: a reply of an instance that still has one does not bring it back.
     std::map<std::string, steady_time> dropped_until;
     std::map<std::string, blocked_suspect> blocked;
@@ -436,6 +440,22 @@
     impl_->find_blocked();
 }
 
+bool crash_ledger::replace_by_told(steady_time now, std::vector<crash_mark> const& told, steady_time known_at)
+{
+    if (known_at + max_told_lag < impl_->all_known_at)
+    {
+        return false;
+    }
+    impl_->all_known_at = std::max(impl_->all_known_at, known_at);
+    replace(now, told);
+    return true;
+}
+
+void crash_ledger::on_listed(steady_time read_at)
+{
+    impl_->all_known_at = std::max(impl_->all_known_at, read_at);
+}
+
 std::vector<crash_mark> crash_ledger::expire(steady_time now)
 {
     std::vector<crash_mark> expired;
--- a/decision/crash_ledger.hpp
+++ b/decision/crash_ledger.hpp
@@ -89,6 +89,11 @@
     std::vector<crash_mark> take_lost();
     /// Replaces all marks by those of another instance, except recent changes that it may not know yet.
     void replace(steady_time now, std::vector<crash_mark> const& crashes);
+    /// Replaces all marks by those that a peer knew at `known_at`. False, without effect, when this instance
+    /// knows the marks of a later time: a peer that stood still tells those that it had before.
+    bool replace_by_told(steady_time now, std::vector<crash_mark> const& told, steady_time known_at);
+    /// All marks were read from the store by a call that was sent at `read_at`.
+    void on_listed(steady_time read_at);
     /// Drops the marks that are too old. Returns them, for removal from the store. To be called on the lease
     /// holder only: the other instances take over its marks.
     std::vector<crash_mark> expire(steady_time now);
--- a/tests/decision/backend_directory_test.cpp
+++ b/tests/decision/backend_directory_test.cpp
@@ -29,7 +29,8 @@
     return {1, number};
 }
 
-std::vector<std::string> changed_names(backend_update const& update)
+template <typename Update>
+std::vector<std::string> changed_names(Update const& update)
 {
     std::vector<std::string> names;
     for (revised_backend const& each : update.changed)
@@ -59,7 +60,7 @@
     holder.remove("e1");
     backend_update const second = holder.changes_since(first.position, at(9));
     cr_assert_not(second.complete);
-    backend_update const effect = peer.merge(second);
+    merge_result const effect = peer.merge(second);
     cr_assert_eq(changed_names(effect), (names{"e2"}));
     cr_assert_eq(effect.removed, (names{"e1"}));
     backend_update const third = holder.changes_since(second.position, at(9));
@@ -86,7 +87,7 @@
     peer.put(server("e2"), at(21));
     backend_directory holder("h2");
     holder.put(server("e1"), at(10));
-    backend_update const effect = peer.merge(holder.changes_since({}, at(15)));
+    merge_result const effect = peer.merge(holder.changes_since({}, at(15)));
     cr_assert(effect.changed.empty(), "the peer has e1 as leaving since revision 20");
     cr_assert(effect.removed.empty(), "e2 was written after the holder's state");
 }
@@ -102,6 +103,64 @@
     cr_assert_eq(peer.merge(holder.changes_since({"h0", 7}, at(9))).removed, (names{"e1"}));
 }
 
+// Guards against a server that has left and gets requests again: a lease holder that stood still sends the
+// list that it had before.
+Test(backend_directory, removed_server_is_not_added_again_by_an_older_list)
+{
+    backend_directory holder("h1");
+    holder.put(server("e1"), at(5));
+    holder.put(server("e2"), at(9));
+    backend_update const older = holder.changes_since({}, at(10));
+    backend_directory watching("p1");
+    watching.merge(older);
+    cr_assert(watching.remove("e1", at(20)));
+    cr_assert(watching.merge(older).changed.empty(), "removed by the own watch");
+    backend_directory told("p2");
+    told.merge(older);
+    update_position const position = watching.changes_since({}, at(10)).position;
+    watching.remove("e2", at(21));
+    backend_update const removal = watching.changes_since(position, at(22));
+    cr_assert_eq(told.merge(removal).removed, (names{"e2"}));
+    cr_assert_eq(told.merge(watching.changes_since({}, at(23))).removed, (names{"e1"}));
+    cr_assert(told.merge(older).changed.empty(), "removed by a standby's updates");
+    backend_directory later("h2");
+    later.put(server("e1"), at(15));
+    cr_assert(told.merge(later.changes_since({}, at(16))).changed.empty(), "changed before it was removed");
+    later.put(server("e1"), at(30));
+    cr_assert_eq(changed_names(told.merge(later.changes_since({}, at(30)))), (names{"e1"}), "it is back");
+}
+
+// Guards against a server in use that is dropped because a peer tells late that it had been gone, and against
+// a removal that is then missed for good.
+Test(backend_directory, server_that_is_back_is_not_removed_by_an_older_removal)
+{
+    backend_directory sender("h1");
+    sender.put(server("e1"), at(5));
+    update_position const position = sender.changes_since({}, at(5)).position;
+    sender.remove("e1", at(7));
+    backend_directory peer("p1");
+    peer.put(server("e1"), at(9));
+    merge_result const result = peer.merge(sender.changes_since(position, at(7)));
+    cr_assert(result.removed.empty());
+    cr_assert_not(result.whole, "the next update must be complete");
+    cr_assert_eq(peer.merge(sender.changes_since({}, at(12))).removed, (names{"e1"}));
+}
+
+// Guards against a leaving server that gets requests while lapsed entries may come back: the list said that
+// it leaves, and was left out as a whole.
+Test(backend_directory, list_that_proves_no_absence_still_tells_which_servers_leave)
+{
+    backend_directory peer("p1");
+    peer.put(server("e1"), at(3));
+    peer.put(server("e2"), at(4));
+    backend_directory holder("h1");
+    holder.put(server("e1", true), at(8));
+    merge_result const result = peer.merge(holder.changes_since({}, at(9)), unlisted_servers::kept);
+    cr_assert_eq(changed_names(result), (names{"e1"}));
+    cr_assert(result.removed.empty());
+    cr_assert_not(result.whole, "the next update must be complete");
+}
+
 // Guards against memory that grows with each replaced server, and against a peer that is far behind and
 // misses a removal that is no longer kept.
 Test(backend_directory, peer_that_is_far_behind_gets_a_complete_update)
@@ -169,6 +228,6 @@
     cr_assert_not(directory.settled(started_again, {2, 11}).leaving);
     backend_directory holder("h2");
     holder.put(ready, {2, 10});
-    backend_update const effect = directory.merge(holder.changes_since({}, {2, 10}));
+    merge_result const effect = directory.merge(holder.changes_since({}, {2, 10}));
     cr_assert(effect.changed.size() == 1 && effect.changed[0].entry.leaving, "also when a peer reports it");
 }
--- a/tests/decision/crash_ledger_test.cpp
+++ b/tests/decision/crash_ledger_test.cpp
@@ -58,6 +58,22 @@
 
 } // namespace
 
+// Guards against a request that crashes servers and is sent again: a lease holder that stood still tells the
+// marks that it had before.
+Test(crash_ledger, older_marks_of_a_peer_do_not_replace_later_ones)
+{
+    crash_ledger ledger;
+    crash_mark const mark = crash_of("p", 1);
+    ledger.add(at(1000), mark);
+    ledger.on_listed(at(5000));
+    cr_assert_not(ledger.replace_by_told(at(20000), {}, at(1500)));
+    cr_assert_eq(ledger.crashes().size(), 1);
+    cr_assert(ledger.replace_by_told(at(20000), {mark}, at(4500)), "peers follow the store with delays");
+    cr_assert(ledger.replace_by_told(at(20000), {}, at(19000)));
+    cr_assert_eq(ledger.crashes().size(), 0);
+    cr_assert_not(ledger.replace_by_told(at(20100), {mark}, at(5000)));
+}
+
 // Guards against a part that is never recognised, and against one that is blocked after a coincidence.
 Test(crash_ledger, three_crashes_block_a_part)
 {
--- a/tests/platform/object_watch_test.cpp
+++ b/tests/platform/object_watch_test.cpp
@@ -10,6 +10,7 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <map>
 #include <string>
 #include <thread>
 
@@ -40,7 +41,7 @@
     bool listed = false;
     platform::object_watch_handlers handlers;
     handlers.on_object = [](platform::store_object const&) {};
-    handlers.on_deleted = [](std::string const&) {};
+    handlers.on_deleted = [](std::string const&, store_revision const&) {};
     handlers.on_listed = [&listed] { listed = true; };
     platform::object_watch watch(loop, client, ports, settings, handlers);
     watch.set_pace(batch_delay, settings.wait);
@@ -61,6 +62,46 @@
     cr_expect(watch.proves_absence());
 }
 
+// Guards against a server that is created again and then ignored, because the revision at which it is known
+// to be absent is later than its entry.
+Test(object_watch, object_that_is_created_again_is_absent_only_at_its_deletion)
+{
+    standins::store_standin store;
+    store.write("servers", "p1", {{"service", "plain"}});
+    store.write("servers", "p2", {{"service", "plain"}});
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    recording_ports ports;
+    platform::metadata_store client(store.address(), pool, ports, ports);
+    platform::object_watch_settings settings;
+    settings.kind = "servers";
+    std::map<std::string, store_revision> written;
+    std::map<std::string, store_revision> absent;
+    platform::object_watch_handlers handlers;
+    handlers.on_object = [&written](platform::store_object const& each)
+    { written[each.name] = each.revision; };
+    handlers.on_deleted = [&absent](std::string const& name, store_revision const& at) { absent[name] = at; };
+    platform::object_watch watch(loop, client, ports, settings, handlers);
+    watch.set_pace(batch_delay, settings.wait);
+    watch.start();
+    while (written.size() < 2)
+    {
+        loop.run_one();
+    }
+    // Within the batch delay, so that one answer tells all three changes.
+    store.remove("servers", "p1");
+    store.remove("servers", "p2");
+    store.write("servers", "p1", {{"service", "other"}});
+    while (absent.size() < 2)
+    {
+        loop.run_one();
+    }
+    cr_expect(absent["p1"] < written["p1"]);
+    cr_expect(absent["p2"] == watch.revision());
+    watch.pause();
+    loop.run_for(time_of_calls);
+}
+
 // Guards against a proof that rests on a wait which the store has not used up: a process that stood still
 // reads an answer late that the store gave early, and a configuration may have been accepted in between.
 Test(object_watch, proof_does_not_count_the_wait_of_a_call)
@@ -76,7 +117,7 @@
     bool listed = false;
     platform::object_watch_handlers handlers;
     handlers.on_object = [](platform::store_object const&) {};
-    handlers.on_deleted = [](std::string const&) {};
+    handlers.on_deleted = [](std::string const&, store_revision const&) {};
     handlers.on_listed = [&listed] { listed = true; };
     platform::object_watch watch(loop, client, ports, settings, handlers);
     steady_time const before = boot_now();
