Take no configuration that was not understood for a proof

Change: a part that cannot be read harms itself alone (read_serving_config()); a text that is of no use as a whole ends the proof at the time before it was read; a peer without a usable text gets that of the version in force; a route without a service refuses at once. decode_serving_config() stays strict and is what siskinctl check uses, which now warns of a burst without a rate.

--- a/apps/request_service.cpp
+++ b/apps/request_service.cpp
@@ -199,6 +199,12 @@
             refuse_unrouted(*open, 503, "no_server_left");
             return;
         }
+        open->service = choose_target(*route, random.next());
+        if (open->service.empty())
+        {
+            refuse_unrouted(*open, 503, "route_without_service");
+            return;
+        }
         duration const allowed =
             std::min(open->request.time_allowed.value_or(route->time_limit), route->time_limit);
         if (must_refuse(*route, allowed))
@@ -217,7 +223,6 @@
             open->route.max_backends = std::min(route->max_backends, servers_lent_to_peer);
         }
         open->config_version = config_version();
-        open->service = choose_target(*route, random.next());
         open->last_event = open->request.resume_after;
         open->suspects = platform::suspects_in(open->request, open->caller->body());
         open->deadline = open->caller->arrived() + allowed;
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -102,6 +102,12 @@
         store_revision through;
         steady_time at;
     };
+    // The text in the store that cannot be used. It proves that the configuration in force is not the newest.
+    struct unusable_config
+    {
+        store_revision revision;
+        steady_time proven_until; ///< Until then the configuration in force is known to have been the newest.
+    };
     struct renewal_to_explain
     {
         store_revision revision;
@@ -273,8 +279,23 @@
             return;
         }
         changes.on_change(object.revision);
+        bool const latest = object.revision >= known.revision;
         known.revision = std::max(known.revision, object.revision);
-        apply_config(object.spec, object.revision);
+        platform::config_reading reading = platform::read_serving_config(object.spec);
+        if (reading.config)
+        {
+            unusable = latest ? std::nullopt : unusable;
+            apply_config(std::move(reading), object.spec, object.revision);
+            return;
+        }
+        // The proof ends before this text was read, also when it is read again.
+        steady_time const proven_until = unusable ? unusable->proven_until : config_proof();
+        unusable = unusable_config{object.revision, proven_until};
+        metrics.add("siskin_configs_unusable_total", "store", 1);
+        log.write({"config_unusable",
+                   {{"revision", to_string(object.revision)},
+                    {"reason", reading.faults.front()},
+                    {"version_in_force", std::to_string(known.version)}}});
     }
 
     void on_peer_config(known_config const& told)
@@ -288,33 +309,37 @@
         {
             return;
         }
-        judged_version = std::max(judged_version, told.version);
         auto const spec = platform::parse_json(told.text);
-        if (!spec)
+        platform::config_reading reading = spec
+                                               ? platform::read_serving_config(*spec)
+                                               : platform::config_reading{{}, {"a peer's text is not valid"}};
+        if (!reading.config)
         {
+            metrics.add("siskin_configs_unusable_total", "peer", 1);
             log.write({"config_ignored",
-                       {{"revision", to_string(told.revision)}, {"reason", "a peer's text is not valid"}}});
+                       {{"revision", to_string(told.revision)}, {"reason", reading.faults.front()}}});
             return;
         }
-        apply_config(*spec, told.revision);
+        apply_config(std::move(reading), *spec, told.revision);
     }
 
-    void apply_config(nlohmann::json const& spec, store_revision const& revision)
+    // `reading` has a configuration.
+    void apply_config(platform::config_reading reading, nlohmann::json const& spec,
+                      store_revision const& revision)
     {
-        std::string why;
-        auto decoded = platform::decode_serving_config(spec, why);
-        if (!decoded || (config && decoded->version < config->version))
+        if (config && reading.config->version < config->version)
         {
-            why = decoded ? "an older version" : why;
-            log.write({"config_ignored", {{"revision", to_string(revision)}, {"reason", why}}});
+            log.write(
+                {"config_ignored", {{"revision", to_string(revision)}, {"reason", "an older version"}}});
             return;
         }
         // Operators may write another text by a version that the store has lost.
-        if (config && *decoded == *config)
+        if (config && *reading.config == *config)
         {
             return;
         }
-        config = std::make_shared<serving_config const>(std::move(*decoded));
+        config = std::make_shared<serving_config const>(std::move(*reading.config));
+        log_faults(reading.faults);
         known.version = config->version;
         known.text = spec.dump();
         log.write({"config_in_force",
@@ -325,6 +350,23 @@
         handlers.on_config(config);
     }
 
+    // Parts of the configuration in force that cannot be read.
+    void log_faults(std::vector<std::string> const& faults)
+    {
+        if (faults.empty())
+        {
+            return;
+        }
+        metrics.add("siskin_config_faults_total", "", faults.size());
+        for (std::size_t i = 0; i < faults.size() && i < max_logged_names; ++i)
+        {
+            log.write({"config_fault",
+                       {{"version", std::to_string(config->version)},
+                        {"fault", faults[i]},
+                        {"faults", std::to_string(faults.size())}}});
+        }
+    }
+
     void on_backend_object(platform::store_object const& object)
     {
         changes.on_change(object.revision);
@@ -378,18 +420,17 @@
     void on_told_current(known_config const& told, steady_time at)
     {
         told_revision = std::max(told_revision, told.revision);
-        if (known.revision >= told.revision && told.version <= std::max(known.version, judged_version))
+        if (known.revision >= told.revision && told.version <= known.version)
         {
             told_current_at = std::max(told_current_at, at);
         }
     }
 
     // A peer has a later version in force than this instance, which has read all that the peer has read: the
-    // store has lost that version, and the peer has not told its text yet.
+    // store has lost that version, and the peer has not told its text yet, or this instance cannot use it.
     bool lacks_lost_version() const
     {
-        return told_version > std::max(known.version, judged_version) &&
-               known.revision >= told_version_revision;
+        return told_version > known.version && known.revision >= told_version_revision;
     }
 
     // After its start an instance may read from the store a configuration that is older than its peers' one.
@@ -403,13 +444,19 @@
         return needed && !heard_from_peer && !holds_long && now - started_at < max_wait_for_peers;
     }
 
+    // When a read that shows no newer configuration was sent.
+    steady_time config_proof() const
+    {
+        return std::max({config_watch.read_at(), config_confirmed.at, told_current_at});
+    }
+
     steady_time config_current_at() const
     {
-        if (lacks_lost_version() || awaits_peers())
+        if (unusable && !awaits_peers())
         {
-            return {};
+            return unusable->proven_until;
         }
-        return std::max({config_watch.read_at(), config_confirmed.at, told_current_at});
+        return lacks_lost_version() || awaits_peers() ? steady_time{} : config_proof();
     }
 
     // The watch is paused while peers tell the state. Those of older builds do not prove the configuration.
@@ -417,7 +464,8 @@
     {
         bool const needed = settings.proof_limit && config && config->organisations;
         duration const limit = needed ? share_of(*settings.proof_limit, own_read_share) : duration{0};
-        if (!needed || source == state_source::store || now < next_config_read ||
+        // A text that cannot be used proves nothing when it is read again; peers name a later revision.
+        if (!needed || unusable || source == state_source::store || now < next_config_read ||
             now - config_current_at() < limit)
         {
             return;
@@ -603,14 +651,14 @@
     store_revision told_revision;         ///< The latest one of the configuration that a peer has named.
     std::uint64_t told_version = 0;       ///< The latest one that a peer has in force.
     store_revision told_version_revision; ///< What that peer has read of the configuration.
-    std::uint64_t judged_version = 0;     ///< The latest one whose text a peer has told, usable or not.
     steady_time told_current_at;          ///< Of the configuration, by what peers told.
     steady_time const started_at = boot_now();
     steady_time holds_since;
     bool heard_from_peer = false;    ///< A holder or standby has named the version that it has in force.
     update_position holder_position; ///< Position in the holder's changes.
     std::shared_ptr<serving_config const> config;
-    known_config known; ///< With the text of the configuration in force.
+    known_config known;                      ///< With the text of the configuration in force.
+    std::optional<unusable_config> unusable; ///< Set while the latest text that was read cannot be used.
     bool servers_known = false;
     bool servers_fresh = false;
     bool holds = false;      ///< This instance holds the lease.
@@ -687,7 +735,7 @@
 
 bool state_follower::config_behind() const
 {
-    return impl_->told_revision > impl_->known.revision || impl_->lacks_lost_version();
+    return impl_->told_revision > impl_->known.revision || impl_->lacks_lost_version() || impl_->unusable;
 }
 
 bool state_follower::awaits_peers() const
--- a/apps/state_follower.hpp
+++ b/apps/state_follower.hpp
@@ -86,10 +86,11 @@
     duration age() const;
     /// The latest time at which the store is known to have had no newer configuration than this instance: the
     /// time at which a read that shows it was sent. The epoch when there was none, while peers have a later
-    /// version that the store has lost, and while awaits_peers().
+    /// version that the store has lost, and while awaits_peers(). While the store has a text that this
+    /// instance cannot use, which may take keys away, it stays what it was before that text was read.
     steady_time config_current_at() const;
     /// True when a peer has named a later revision of the configuration than this instance has read, or a
-    /// later version that the store has lost.
+    /// later version that the store has lost, or when the text in the store cannot be used.
     bool config_behind() const;
     /// True after the start, while organisations need a proof, until a peer has named the version that it has
     /// in force: the store may show an older one, after it came back from an older copy of itself.
--- a/decision/caller_admission.cpp
+++ b/decision/caller_admission.cpp
@@ -15,6 +15,8 @@
 // later.
 constexpr duration unknown_key_retry_after = milliseconds{300};
 constexpr duration unproven_retry_after = milliseconds{500};
+// Ends only with a later configuration.
+constexpr duration limit_unknown_retry_after = seconds{2};
 
 duration share_of(duration whole, double share)
 {
@@ -44,6 +46,10 @@
     {
         return caller_refused{admission_fault::keys_unproven, unproven_retry_after, caller};
     }
+    if (!caller->has_known_limit)
+    {
+        return caller_refused{admission_fault::limit_unknown, limit_unknown_retry_after, caller};
+    }
     return caller_admitted{caller};
 }
 
@@ -57,6 +63,8 @@
         return "keys_unproven";
     case admission_fault::key_not_known_yet:
         return "key_not_known_yet";
+    case admission_fault::limit_unknown:
+        return "limit_unknown";
     }
     return "unknown";
 }
--- a/decision/caller_admission.hpp
+++ b/decision/caller_admission.hpp
@@ -32,6 +32,7 @@
     unknown_key,       ///< Or none, or one that cannot be read.
     keys_unproven,     ///< A configuration that takes the key away may have been accepted too long ago.
     key_not_known_yet, ///< A newer configuration may have added the key.
+    limit_unknown,     ///< The configuration names no limit of the organisation that can be read.
 };
 
 /// The request may go on, for this organisation; null where callers are not told apart.
--- a/domain/known_config.cpp
+++ b/domain/known_config.cpp
@@ -12,7 +12,8 @@
 
 bool needs_text(known_config const& peer, known_config const& own)
 {
-    return peer.version != 0 && peer.version < own.version && peer.revision >= own.revision;
+    bool const has_read = peer.revision.number != 0 || peer.version != 0;
+    return has_read && peer.version < own.version && peer.revision >= own.revision;
 }
 
 } // namespace siskinusher
--- a/domain/known_config.hpp
+++ b/domain/known_config.hpp
@@ -21,7 +21,7 @@
 bool operator==(known_config const& a, known_config const& b);
 
 /// True when a peer that knows `peer` needs the text of `own`: it has read all that this instance has read of
-/// the store, and has an older version in force.
+/// the store, and has an older version in force, or none because it cannot use the text in the store.
 bool needs_text(known_config const& peer, known_config const& own);
 
 } // namespace siskinusher
--- a/domain/organisation.cpp
+++ b/domain/organisation.cpp
@@ -13,7 +13,8 @@
 
 bool operator==(organisation const& a, organisation const& b)
 {
-    return std::tie(a.name, a.keys, a.priority, a.quota) == std::tie(b.name, b.keys, b.priority, b.quota);
+    return std::tie(a.name, a.keys, a.priority, a.quota, a.has_known_limit) ==
+           std::tie(b.name, b.keys, b.priority, b.quota, b.has_known_limit);
 }
 
 bool operator==(caller_credentials const& a, caller_credentials const& b)
--- a/domain/organisation.hpp
+++ b/domain/organisation.hpp
@@ -30,6 +30,9 @@
     std::vector<std::string> keys;    ///< Secrets; they never appear in logs, metrics or messages.
     std::optional<unsigned> priority; ///< Replaces that of the route.
     organisation_quota quota;
+    /// False when its limit cannot be read: how much its callers may use is not known, so that they are
+    /// refused for now.
+    bool has_known_limit = true;
 };
 
 /// How a caller states its key.
--- a/tests/decision/caller_admission_test.cpp
+++ b/tests/decision/caller_admission_test.cpp
@@ -41,6 +41,19 @@
     cr_assert(!fault_of(known_caller(), milliseconds{4950}, true).has_value());
 }
 
+// Guards against an organisation that may use any amount because its limit cannot be read, and against a
+// refusal for good.
+Test(caller_admission, organisation_without_a_known_limit_is_refused_for_now)
+{
+    organisation unread = known;
+    unread.has_known_limit = false;
+    admission const decision = admit_caller(&unread, read_at, {read_at, false}, bounds);
+    auto const* const refused = std::get_if<caller_refused>(&decision);
+    cr_assert(refused != nullptr && refused->fault == admission_fault::limit_unknown);
+    cr_assert(refused->retry_after > duration{0});
+    cr_assert_eq(std::string(to_string(admission_fault::limit_unknown)), "limit_unknown");
+}
+
 // Guards against requests that are refused because their configuration was read after they had arrived.
 Test(caller_admission, request_that_arrived_before_the_proof_is_admitted)
 {
--- a/tests/platform/config_review_test.cpp
+++ b/tests/platform/config_review_test.cpp
@@ -182,6 +182,11 @@
          "warning |  | tenants is empty: every request of a route that is not public gets 401\n"},
         {"no key", [](serving_config& c) { c.organisations->front().keys.clear(); },
          "warning | tenants[0] 'lab' | has no key: no request can belong to it\n"},
+        {"burst without a rate",
+         [](serving_config& c) {
+             c.organisations->front().quota = {quota_unit::tokens, 0.0, 100.0, 200.0};
+         },
+         "warning | tenants[0] 'lab' | burst (100) has no effect: without rate_per_s there is no limit\n"},
         {"burst below one request", [](serving_config& c) { c.organisations->front().quota.burst = 199.0; },
          "warning | tenants[0] 'lab' | burst (199) is below one request without its own figures (200 "
          "tokens)\n"},
--- a/tests/platform/organisation_test.cpp
+++ b/tests/platform/organisation_test.cpp
@@ -555,6 +555,78 @@
     expect_bound_kept_by_frozen(true);
 }
 
+// Guards against a key that goes on working because the text that takes it away cannot be used and counts as
+// read, and against an instance that starts beside such a text and serves nobody.
+Test(organisation, taken_key_does_not_run_beside_a_text_that_cannot_be_used, .timeout = 120)
+{
+    keyed_fleet fleet;
+    std::vector<std::unique_ptr<key_caller>> callers;
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        callers.push_back(
+            std::make_unique<key_caller>(*fleet.edges[i], key_1, "text" + std::to_string(i) + "-"));
+    }
+    std::this_thread::sleep_for(seconds{1});
+    json text = config_with_keys(2, {key_2});
+    text["routes"].push_back(7); // It is not known which requests this route is for.
+    fleet.store.write("config", "main", text);
+    auto const acknowledged = steady::now();
+    while (steady::now() < acknowledged + revoke_time + seconds{2})
+    {
+        for (std::size_t i = 0; i < 3; ++i)
+        {
+            cr_expect_eq(fleet.public_status(i), 200, "edge-%zu: a public route is closed", i);
+        }
+        std::this_thread::sleep_for(milliseconds{200});
+    }
+    for (auto const& each : callers)
+    {
+        fleet.expect_bound_kept(each->end(), acknowledged);
+    }
+    std::size_t const restarted = (fleet.holder() + 1) % 3;
+    edge_child& edge = *fleet.edges[restarted];
+    edge.process().send(SIGKILL);
+    cr_assert(edge.process().wait(seconds{5}));
+    edge.start();
+    cr_expect(edge.wait_ready(), "%s", edge.log_text().c_str());
+    cr_expect_eq(fleet.public_status(restarted), 200, "it does not know the configuration in force");
+    cr_expect_eq(fleet.status(restarted, key_1), 503, "a key without a proof is refused for now");
+    fleet.store.write("config", "main", config_with_keys(3, {key_2}));
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        cr_expect(eventually([&] { return fleet.status(i, key_2) == 200; }, change_time), "edge-%zu", i);
+        cr_expect_eq(fleet.status(i, key_1), 401, "edge-%zu", i);
+    }
+    fleet.expect_no_key_shown();
+}
+
+// Guards against a configuration that is ignored as a whole because one part cannot be read, or because a
+// limit was lifted and its burst was left: keys that it takes away went on working.
+Test(organisation, part_that_cannot_be_read_harms_itself_alone, .timeout = 60)
+{
+    keyed_fleet fleet;
+    json text = config_with_keys(2, {key_2});
+    text["tenants"][0]["rate_per_s"] = 0;
+    text["tenants"][0]["burst"] = 5;
+    text["tenants"][1]["unit"] = "unknown";
+    json route = text["routes"][0];
+    route["name"] = "odd";
+    route["path_prefix"] = "/again/odd/";
+    route["route_kind"] = "unknown";
+    text["routes"].push_back(route);
+    fleet.store.write("config", "main", text);
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        cr_expect(eventually([&] { return fleet.status(i, key_1) == 401; }, change_time), "edge-%zu", i);
+        cr_expect_eq(fleet.status(i, key_2), 200, "edge-%zu: an organisation without a limit", i);
+        cr_expect_eq(fleet.status(i, "other-secret-5"), 503, "edge-%zu: its limit cannot be read", i);
+        auto const asked = steady::now();
+        cr_expect_eq(fleet.status(i, key_2, "/again/odd/1"), 503, "edge-%zu: its service is not known", i);
+        cr_expect(steady::now() - asked < milliseconds{500}, "edge-%zu: it is refused at once", i);
+    }
+    fleet.expect_no_key_shown();
+}
+
 // Guards against a key that works again because the store shows an older configuration to an instance that
 // has just started, while its peers know the later one.
 Test(organisation, taken_key_does_not_run_after_a_start_with_an_older_copy, .timeout = 120)
