Read the configuration on time when the store cuts off watches

Cause: three watches that the store cut off at one moment counted as three failures in a row, so that calls went through a peer, which stood still. Listings waited for the one direct call a second, which a call of another kind took, and for up to 3 s for another call to succeed, whatever the time limit of a change. The configuration is tried again after 0.4 of the time for changes during an outage.

--- a/adapters/http_connection.hpp
+++ b/adapters/http_connection.hpp
@@ -34,6 +34,7 @@
     std::string body;
     bool refused = false;        ///< Nothing listens at the address.
     bool sent = false;           ///< At least one byte of the call was written.
+    bool lost = false;           ///< The connection ended after that; only outbound_pool tells.
     bool reused = false;         ///< The connection had carried an earlier call.
     std::string why;             ///< Cause when there is no answer, for the log.
     bool invalid_status = false; ///< There was one, but its status is not valid or allows no body.
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -687,6 +687,7 @@
     {
         state->outcome.sent = state->exchange && state->exchange->sent();
         state->outcome.refused = end == exchange_end::refused;
+        state->outcome.lost = end == exchange_end::lost;
         if (end != exchange_end::complete)
         {
             state->outcome.status = 0;
--- a/apps/state_follower.cpp
+++ b/apps/state_follower.cpp
@@ -52,6 +52,9 @@
 // A single change of the configuration is read at once; changes that follow it are gathered for this share of
 // the time within which they must be in force.
 constexpr double config_batch_delay_share = 0.3;
+// While the store answers no call, the configuration is tried again after this share of the time within which
+// a change must be in force: the call that shows the store's return may be another one, or come late.
+constexpr double config_outage_retry_share = 0.4;
 // A watch that has to prove the configuration waits this share of the bound on the age of the proof at most,
 // so that one lost call does not use up the bound.
 constexpr double proof_wait_share = 0.2;
@@ -73,6 +76,14 @@
     return std::chrono::duration_cast<duration>(whole * share);
 }
 
+platform::object_watch_settings config_watch_settings(duration change_time)
+{
+    platform::object_watch_settings result;
+    result.kind = config_kind;
+    result.outage_retry = std::min(result.outage_retry, share_of(change_time, config_outage_retry_share));
+    return result;
+}
+
 platform::object_watch_settings watch_settings(char const* kind, duration grace)
 {
     platform::object_watch_settings result;
@@ -122,7 +133,7 @@
           settings(std::move(settings_in)), handlers(std::move(handlers_in)), directory(settings.source),
           choice(share_of(std::min(settings.leaving_time, settings.change_time), max_told_age_share)),
           timer(loop),
-          config_watch(loop, store, log, watch_settings(config_kind, duration{0}), config_handlers()),
+          config_watch(loop, store, log, config_watch_settings(settings.change_time), config_handlers()),
           backend_watch(loop, store, log, watch_settings(backend_kind, backend_outage_grace),
                         backend_handlers()),
           crash_watch(loop, store, log, watch_settings(platform::crash_mark_kind, duration{0}),
@@ -292,9 +303,10 @@
         steady_time const proven_until = unusable ? unusable->proven_until : config_proof();
         unusable = unusable_config{object.revision, proven_until};
         metrics.add("siskin_configs_unusable_total", "store", 1);
-        log.write({"config_unusable",
+        log.write({"config_ignored",
                    {{"revision", to_string(object.revision)},
                     {"reason", reading.faults.front()},
+                    {"outcome", "unproven"},
                     {"version_in_force", std::to_string(known.version)}}});
     }
 
--- a/tests/platform/object_watch_test.cpp
+++ b/tests/platform/object_watch_test.cpp
@@ -62,6 +62,43 @@
     cr_expect(watch.proves_absence());
 }
 
+// Guards against a server that has left and is kept for the grace time of an outage: the store had only cut
+// off the watch, as it may at any time.
+Test(object_watch, removal_is_not_delayed_when_a_watch_was_cut_off)
+{
+    standins::store_standin store;
+    store.write("servers", "p1", {{"service", "plain"}});
+    boost::asio::io_context loop;
+    outbound_pool pool(loop);
+    recording_ports ports;
+    platform::metadata_store client(store.address(), pool, ports, ports);
+    platform::object_watch_settings settings;
+    settings.kind = "servers";
+    settings.outage_grace = seconds{5};
+    bool listed = false;
+    bool deleted = false;
+    platform::object_watch_handlers handlers;
+    handlers.on_object = [](platform::store_object const&) {};
+    handlers.on_deleted = [&deleted](std::string const&, store_revision const&) { deleted = true; };
+    handlers.on_listed = [&listed] { listed = true; };
+    platform::object_watch watch(loop, client, ports, settings, handlers);
+    watch.start();
+    while (!listed)
+    {
+        loop.run_one();
+    }
+    loop.run_for(milliseconds{200}); // The watch waits.
+    store.cut_off_watches();
+    std::this_thread::sleep_for(milliseconds{50});
+    store.remove("servers", "p1");
+    loop.restart();
+    loop.run_for(milliseconds{1000});
+    cr_expect(deleted);
+    cr_expect(watch.proves_absence());
+    watch.pause();
+    loop.run_for(time_of_calls);
+}
+
 // Guards against a server that is created again and then ignored, because the revision at which it is known
 // to be absent is later than its entry.
 Test(object_watch, object_that_is_created_again_is_absent_only_at_its_deletion)
--- a/tests/wire/store_standin.cpp
+++ b/tests/wire/store_standin.cpp
@@ -90,6 +90,13 @@
     changed_.notify_all();
 }
 
+void store_standin::cut_off_watches()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    ++cuts_;
+    changed_.notify_all();
+}
+
 void store_standin::drop_history()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -249,9 +256,10 @@
         std::chrono::steady_clock::now() + std::chrono::milliseconds{std::stoll(exchange.query("wait_ms"))};
     std::unique_lock<std::mutex> lock(mutex_);
     std::uint64_t const restorations = restorations_;
+    std::uint64_t const cuts = cuts_;
     for (;;)
     {
-        if (mode_ != mode::up || stopping_ || restorations_ != restorations)
+        if (mode_ != mode::up || stopping_ || restorations_ != restorations || cuts_ != cuts)
         {
             lock.unlock();
             exchange.abort();
--- a/tests/wire/store_standin.hpp
+++ b/tests/wire/store_standin.hpp
@@ -44,6 +44,8 @@
     void set_mode(mode value);
     /// Answers watches without changes at once, whatever wait they ask for.
     void end_waits_early(bool value) { ends_waits_early_ = value; }
+    /// Ends the connections of the watches that wait.
+    void cut_off_watches();
     /// Drops the history, so that every watch of an older revision is answered 410.
     void drop_history();
     /// Keeps a copy of all objects, for restore().
@@ -97,6 +99,7 @@
     std::uint64_t revision_ = 1;
     copy copy_;
     std::uint64_t restorations_ = 0;
+    std::uint64_t cuts_ = 0;
     std::optional<std::string> era_{"1"};
     std::uint64_t dropped_revision_ = 0; ///< The history up to this revision is dropped.
     mode mode_{mode::up};
