Wait for the last lines of the log in a test of organisations

Cause: request_that_a_peer_sends_keeps_its_organisation read each log once, right after the answer. An instance writes its last line of a request after its answer, by the thread of the log.

--- a/tests/platform/organisation_test.cpp
+++ b/tests/platform/organisation_test.cpp
@@ -717,7 +717,20 @@
             return fleet.has_noticed_cut(cut) && served >= 10;
         });
     cr_assert(passed_on, "%u served\n%s", served, fleet.log_of_request("passed").c_str());
+    // Both instances write their last line of the request after its answer, by a thread of the log.
+    std::string const final_lines = "event=request request=passed" + std::to_string(last) + " ";
+    bool const written = eventually(
+        [&]
+        {
+            std::size_t instances = 0;
+            for (std::size_t i = 0; i < fleet.instances(); ++i)
+            {
+                instances += fleet.edge(i).log_text().find(final_lines) != std::string::npos ? 1 : 0;
+            }
+            return instances == 2;
+        });
     std::string const log = fleet.log_of_request("passed" + std::to_string(last));
+    cr_expect(written, "%s", log.c_str());
     cr_expect_neq(log.find("via_peer=true"), std::string::npos, "%s", log.c_str());
     unsigned with_name = 0;
     for (std::size_t i = 0; i < fleet.servers(); ++i)
@@ -730,7 +743,6 @@
     cr_expect_gt(with_name, 0U);
     // Both instances name the organisation.
     std::size_t lines = 0;
-    std::string const final_lines = "event=request request=passed" + std::to_string(last) + " ";
     for (std::size_t i = 0; i < fleet.instances(); ++i)
     {
         std::string const text = fleet.edge(i).log_text();
