--- a/tests/platform/organisation_test.cpp
+++ b/tests/platform/organisation_test.cpp
@@ -235,6 +235,19 @@
         return status_of(edges[index]->call("GET", "/public/1", "s" + std::to_string(++last_id)));
     }
 
+    /// Begins to send requests with the key to each instance.
+    std::vector<std::unique_ptr<key_caller>> call_all_with(std::string const& key,
+                                                           std::string const& id_prefix)
+    {
+        std::vector<std::unique_ptr<key_caller>> callers;
+        for (std::size_t i = 0; i < edges.size(); ++i)
+        {
+            std::string const prefix = id_prefix + std::to_string(i) + "-";
+            callers.push_back(std::make_unique<key_caller>(*edges[i], key, prefix));
+        }
+        return callers;
+    }
+
     /// Takes key_1 away; returns when the store has acknowledged it.
     steady::time_point take_key_away()
     {
@@ -414,12 +427,7 @@
 Test(organisation, taken_key_does_not_run_later_than_the_bound, .timeout = 90)
 {
     keyed_fleet fleet;
-    std::vector<std::unique_ptr<key_caller>> callers;
-    for (std::size_t i = 0; i < 3; ++i)
-    {
-        callers.push_back(
-            std::make_unique<key_caller>(*fleet.edges[i], key_1, "at" + std::to_string(i) + "-"));
-    }
+    auto const callers = fleet.call_all_with(key_1, "at");
     std::this_thread::sleep_for(seconds{1});
     auto const acknowledged = fleet.take_key_away();
     unsigned refused = 0;
@@ -560,12 +568,7 @@
 Test(organisation, taken_key_does_not_run_beside_a_text_that_cannot_be_used, .timeout = 120)
 {
     keyed_fleet fleet;
-    std::vector<std::unique_ptr<key_caller>> callers;
-    for (std::size_t i = 0; i < 3; ++i)
-    {
-        callers.push_back(
-            std::make_unique<key_caller>(*fleet.edges[i], key_1, "text" + std::to_string(i) + "-"));
-    }
+    auto const callers = fleet.call_all_with(key_1, "text");
     std::this_thread::sleep_for(seconds{1});
     json text = config_with_keys(2, {key_2});
     text["routes"].push_back(7); // It is not known which requests this route is for.
