--- a/apps/ctl_check.cpp
+++ b/apps/ctl_check.cpp
@@ -210,7 +210,8 @@
         auto const in_force = check_config_text(*old_text);
         if (!in_force.config)
         {
-            err << request.against << ": instances do not take it, there is nothing to compare with\n";
+            err << request.against
+                << ": has parts that instances cannot use, there is nothing to compare with\n";
             return exit_code::usage;
         }
         if (checked.config)
@@ -237,8 +238,8 @@
         }
         else if (!request.against.empty())
         {
-            out << "changes from " << request.against << ": not known, instances do not take " << request.file
-                << '\n';
+            out << "changes from " << request.against << ": not known, instances cannot use all of "
+                << request.file << '\n';
         }
     }
     return checked.findings.empty() ? exit_code::ok : exit_code::refused;
