Review: case 12, a late order overfills an engine that has started again

An order to load gets no answer and is carried out 11 s later. Meanwhile the engine crashes and starts again under its id, and its count of orders reaches the same number with other models: the order fits again, and the engine is ordered to load 218,100 of 200,000 MB (LIMIT). It crashes, and its streams are cut.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,6 +9,7 @@
 }
 pids=()
 build_case 11 reset_answer & pids+=($!)
+build_case 12 late_order & pids+=($!)
 for pid in "${pids[@]}"; do
     wait "$pid"
 done
