Review: case 13, answers to callers that read slowly exceed the memory

200 callers at each of two machines of 160 MB get answers of 1,000,000 bytes and read them in 20 s. The memory of both processes grows by about 1 MB for each of them until the platform ends the process, three times at each machine (Fault). Also names delayed orders more clearly in the record of case 12.

--- a/review/12/late_order.cpp
+++ b/review/12/late_order.cpp
@@ -81,6 +81,18 @@
     return text.append("Content-Length: 6\r\n\r\nprompt");
 }
 
+std::string outcome_of(engine_order const& order)
+{
+    if (order.carried_out)
+    {
+        return order.status == 0 ? "now carried out, beyond the memory"
+                                 : "now " + std::to_string(order.status);
+    }
+    return order.delayed       ? "no answer, to be carried out later"
+           : order.status == 0 ? "no answer"
+                               : std::to_string(order.status);
+}
+
 /// Callers that ask for one model again and again, one stream at a time.
 class model_callers
 {
@@ -274,10 +286,7 @@
             (void)std::snprintf(time.data(), time.size(), "%8.3f ", each.at);
             record_ << time.data() << "order at i-1: " << each.op << " " << each.model << " expect "
                     << each.expected << " fence " << each.fence << " holder " << each.holder << " -> "
-                    << (each.status == 0 ? "no answer" : std::to_string(each.status))
-                    << (each.late ? (each.status == 0 && each.at > 0.0 ? " (late)" : " (late, carried out)")
-                                  : "")
-                    << "\n";
+                    << outcome_of(each) << "\n";
         }
         for (auto const& each : callers_)
         {
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,6 +10,7 @@
 pids=()
 build_case 11 reset_answer & pids+=($!)
 build_case 12 late_order & pids+=($!)
+build_case 13 slow_readers & pids+=($!)
 for pid in "${pids[@]}"; do
     wait "$pid"
 done
--- a/review/fleet3/edge_program.cpp
+++ b/review/fleet3/edge_program.cpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -40,7 +41,8 @@
 
 } // namespace
 
-edge_program::edge_program(std::string const& folder, std::string name, std::string const& store_address)
+edge_program::edge_program(std::string const& folder, std::string name, std::string const& store_address,
+                           unsigned memory_mb)
     : folder_(folder), name_(std::move(name)), callers_(reserve_address()), readiness_(reserve_address()),
       peers_(reserve_address())
 {
@@ -54,7 +56,7 @@
              << "platform: { object_store: \"" << store_address << "\", leaving_ms: 2500, change_ms: 2500 }\n"
              << "retries: { ratio: 0.2, window_s: 10, slack: 58 }\n"
              << "orders: { holder_gap_ms: 3000, load_window_s: 5 }\n"
-             << "limits: { stop_s: 8, descriptors: 4100, cpu_share: 0.25, memory_mb: 260 }\n"
+             << "limits: { stop_s: 8, descriptors: 4100, cpu_share: 0.25, memory_mb: " << memory_mb << " }\n"
              << "organisations: { revoke_fail_closed: false }\n";
     settings.close();
     start();
@@ -117,6 +119,19 @@
     return process_ > 0;
 }
 
+double edge_program::memory_in_use() const
+{
+    std::ifstream in("/proc/" + std::to_string(process_) + "/status");
+    for (std::string line; std::getline(in, line);)
+    {
+        if (line.rfind("VmRSS:", 0) == 0)
+        {
+            return std::strtod(line.c_str() + 6, nullptr) * 1024.0;
+        }
+    }
+    return 0.0;
+}
+
 bool edge_program::ready() const
 {
     return call(readiness_, "GET /api/readiness HTTP/1.1\r\nHost: ready\r\n\r\n", 1.0).status == 200;
--- a/review/fleet3/edge_program.hpp
+++ b/review/fleet3/edge_program.hpp
@@ -12,7 +12,8 @@
 {
 public:
     /// Writes the settings into `folder` and starts `target/siskin-edge`.
-    edge_program(std::string const& folder, std::string name, std::string const& store_address);
+    edge_program(std::string const& folder, std::string name, std::string const& store_address,
+                 unsigned memory_mb = 260);
     ~edge_program();
     edge_program(edge_program const&) = delete;
     edge_program& operator=(edge_program const&) = delete;
@@ -22,6 +23,8 @@
     /// Waits for the end of the process, `seconds` at most. Returns false when it still runs.
     bool wait_end(double seconds);
     bool runs();
+    /// Resident memory of the process in bytes; zero when it does not run.
+    double memory_in_use() const;
     bool ready() const;
     std::string const& callers() const { return callers_; }
     std::string const& name() const { return name_; }
--- a/review/fleet3/model_engine.cpp
+++ b/review/fleet3/model_engine.cpp
@@ -173,7 +173,7 @@
         if (order.op == "load" && order.model == delayed_model_)
         {
             delayed_model_.clear();
-            order.late = true;
+            order.delayed = true;
             late_.emplace_back(order.at + delay_, order);
             orders_.push_back(order);
             channel.drop();
@@ -321,6 +321,7 @@
                 }
                 engine_order order = each->second;
                 order.at = now;
+                order.carried_out = true;
                 order.status = carry_out(order);
                 orders_.push_back(order);
                 each = late_.erase(each);
--- a/review/fleet3/model_engine.hpp
+++ b/review/fleet3/model_engine.hpp
@@ -25,8 +25,9 @@
     std::uint64_t expected = 0;
     std::uint64_t fence = 0;
     std::string holder;
-    int status = 0;    ///< The answer; zero for none.
-    bool late = false; ///< Carried out long after it has arrived.
+    int status = 0;           ///< The answer, or that which it would have got; zero for none.
+    bool delayed = false;     ///< It gets no answer and is carried out later.
+    bool carried_out = false; ///< The time is that at which a delayed order was carried out.
 };
 
 /// Seconds since the start of the program.
