Take a reset during a write for the loss of an answer without a length

Cause: the kernel reports the error of a socket once. The pending write took it, its handler kept only that it had failed, and the read saw a plain end, which on_read_end() took for the end of the answer. A time-out of the connection (TCP_USER_TIMEOUT) was lost alike.

--- a/adapters/http_message.cpp
+++ b/adapters/http_message.cpp
@@ -64,6 +64,7 @@
         case io_status::ok:
             break;
         case io_status::closed:
+        case io_status::failed:
             return head_status::closed;
         case io_status::timed_out:
             return head_status::timed_out;
@@ -142,6 +143,8 @@
             break;
         case io_status::closed:
             return decoder_.kind() == body_kind::until_close ? body_status::complete : body_status::truncated;
+        case io_status::failed:
+            return body_status::truncated;
         case io_status::timed_out:
             return body_status::timed_out;
         case io_status::watched_gone:
--- a/adapters/outbound_pool.cpp
+++ b/adapters/outbound_pool.cpp
@@ -329,6 +329,7 @@
                                  {
                                      // The server may have answered although writing failed: read() decides.
                                      self->written_ = !error;
+                                     self->write_error_ = error;
                                  });
         read();
     }
@@ -358,11 +359,19 @@
 
     void on_read_end(boost::system::error_code error)
     {
-        bool const closed_by_server = error == boost::asio::error::eof;
-        bool const complete = closed_by_server && decoder_ && decoder_->kind() == body_kind::until_close;
+        bool const complete = ended_in_order(error) && decoder_ && decoder_->kind() == body_kind::until_close;
         finish(complete ? exchange_end::complete : exchange_end::lost);
     }
 
+    // True when the server itself has ended its bytes. The kernel reports the error of a connection only
+    // once: after a write has received a reset or a time-out, a read sees a plain end. A write receives
+    // broken_pipe when the server's end arrived before the reset.
+    bool ended_in_order(boost::system::error_code read_error) const
+    {
+        return read_error == boost::asio::error::eof &&
+               (!write_error_ || write_error_ == boost::asio::error::broken_pipe);
+    }
+
     // True when more bytes are needed.
     bool process()
     {
@@ -623,6 +632,7 @@
     bool keep_alive_ = false;
     bool sent_ = false;
     bool written_ = false;
+    boost::system::error_code write_error_;
     bool ended_ = false;
 };
 
--- a/adapters/wire_connection.cpp
+++ b/adapters/wire_connection.cpp
@@ -71,7 +71,7 @@
             {
                 continue;
             }
-            return io_status::closed;
+            return io_status::failed;
         }
         if (ready == 0)
         {
@@ -104,7 +104,7 @@
     {
         return fill(until, watched);
     }
-    return io_status::closed;
+    return count == 0 ? io_status::closed : io_status::failed;
 }
 
 io_status wire_connection::write_all(std::string_view bytes, steady_time until, std::size_t& written)
--- a/adapters/wire_connection.hpp
+++ b/adapters/wire_connection.hpp
@@ -15,7 +15,8 @@
 enum class io_status
 {
     ok,
-    closed,       ///< The other end closed or reset the connection.
+    closed,       ///< The other end closed the connection; a write reports so whatever its end was.
+    failed,       ///< A read met a reset or a time-out of the connection, so that bytes may be missing.
     timed_out,    ///< The deadline passed.
     watched_gone, ///< The watched connection was closed by its other end.
 };
--- a/tests/support/fault_server.cpp
+++ b/tests/support/fault_server.cpp
@@ -136,6 +136,11 @@
     send("0\r\n\r\n");
 }
 
+void fault_connection::end_output() const
+{
+    (void)::shutdown(descriptor_, SHUT_WR);
+}
+
 void fault_connection::reset() const
 {
     linger const at_once{1, 0};
--- a/tests/support/fault_server.hpp
+++ b/tests/support/fault_server.hpp
@@ -28,6 +28,8 @@
     void send_chunk(std::string const& data) const;
     void send_token(unsigned index) const;
     void end_stream() const;
+    /// Ends the server's bytes in order; the connection stays open for those of the client.
+    void end_output() const;
     /// Makes the close at the end of the script reset the connection.
     void reset() const;
     /// Waits until the client closes.
