Keep room for late orders to engines that have started again

Cause: an engine checks the number of orders only, and load_planner forgot orders without an answer at the new start. An order outlives the run that it was meant for. An order that brings an engine to a count at which late ones would not fit is held back, and other engines are preferred if they are faster. Answers count for the open order only; an entry that shows other models than the planner knows makes it ask the engine while late orders are possible. The calls of load_planner that need the time take it; the simulation of its tests refuses adapter orders for absent models, as engines do. order_held and siskin_orders_held_total show it. Why it works: a late order comes in at its own count only, within one run it finds what it was planned for, and no order brings a later run to that count without the room.

--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -50,6 +50,8 @@
 // An engine answers an order after one round trip between regions; a longer wait means that it does not
 // answer.
 constexpr duration order_time_limit = milliseconds{700};
+// Epoch of the first lease of a deployment.
+constexpr std::uint64_t first_epoch = 1;
 // Begun streams are reported after this time, so that few are unknown when their instance is lost.
 constexpr duration stream_report_interval = milliseconds{100};
 constexpr duration report_time_limit = milliseconds{400};
@@ -94,6 +96,16 @@
     return "unknown";
 }
 
+// Time since the start of an engine by this machine's time of day; the greatest duration when its start makes
+// no sense.
+duration age_of(backend_entry const& entry)
+{
+    auto const wall_ms =
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    bool const plausible = entry.started_at > 0 && entry.started_at / 2 < wall_ms;
+    return plausible ? duration(milliseconds{wall_ms - entry.started_at}) : duration::max();
+}
+
 // What the holder knows of an instance that reports to it.
 struct known_peer
 {
@@ -269,9 +281,13 @@
             lease_held = holds;
             if (holds)
             {
-                planner.begin_lease();
-                // A lease that lapsed and was renewed by the same record had no other holder in between.
-                if (quota_epoch != lease.epoch())
+                // A lease that lapsed and was renewed by the same record had no other holder in between, and
+                // the first one has none before it.
+                bool const same_record = quota_epoch == lease.epoch();
+                planner.begin_lease(now, same_record || lease.epoch() <= first_epoch
+                                             ? earlier_orders::own_only
+                                             : earlier_orders::of_other_holders);
+                if (!same_record)
                 {
                     quota_epoch = lease.epoch();
                     quotas.begin_lease(now);
@@ -624,7 +640,9 @@
             return;
         }
         next_plan = now + min_plan_interval;
-        for (planner_action const& step : planner.plan(now))
+        std::vector<planner_action> const steps = planner.plan(now);
+        log_held_orders();
+        for (planner_action const& step : steps)
         {
             if (auto const* const order = std::get_if<engine_order>(&step))
             {
@@ -640,6 +658,25 @@
         next_plan = std::max(next_plan, end + (end - now) * plan_pause_factor);
     }
 
+    void log_held_orders()
+    {
+        for (held_order const& each : planner.take_held_orders())
+        {
+            metrics.add("siskin_orders_held_total", siskinusher::to_string(each.order.kind), 1);
+            log.write(
+                {"order_held",
+                 {{"engine", each.order.engine},
+                  {"kind", siskinusher::to_string(each.order.kind)},
+                  {"model", each.order.model},
+                  {"adapter", each.order.adapter},
+                  {"reason", each.order.reason},
+                  {"sequence", std::to_string(each.order.expected_sequence)},
+                  {"epoch", std::to_string(lease.epoch())},
+                  {"wait_ms", std::to_string(std::chrono::duration_cast<milliseconds>(each.wait).count())},
+                  {"why", "late_order"}}});
+        }
+    }
+
     void send(engine_order const& order)
     {
         auto const epoch = lease.epoch();
@@ -951,12 +988,12 @@
 
 void placement_service::on_backend(backend_entry const& entry)
 {
-    impl_->planner.on_backend(boot_now(), entry);
+    impl_->planner.on_backend(boot_now(), entry, age_of(entry));
 }
 
 void placement_service::on_backend_gone(backend_name const& name)
 {
-    impl_->planner.on_backend_gone(name);
+    impl_->planner.on_backend_gone(boot_now(), name);
 }
 
 std::optional<quota_reply> placement_service::answer_quotas(quota_question const& question)
--- a/decision/engine_load_state_impl.hpp
+++ b/decision/engine_load_state_impl.hpp
@@ -53,6 +53,8 @@
     steady_time unreachable_until; ///< Set when an instance could not connect to its address.
     std::map<demand_table::key, steady_time> adapters; ///< Loaded or being loaded, with their last use.
     std::map<demand_table::key, steady_time> adapter_order_sent_at;
+    /// Count of orders at which an order was last held back because of late ones.
+    std::optional<std::uint64_t> held_back_at;
 
     bool can_take_order(steady_time now) const;
     /// Models that use memory or may come to do so.
--- a/decision/load_planner.cpp
+++ b/decision/load_planner.cpp
@@ -2,6 +2,7 @@
 
 #include "decision/demand_table.hpp"
 #include "decision/engine_load_state_impl.hpp"
+#include "decision/late_orders_impl.hpp"
 #include "decision/model_index.hpp"
 #include "decision/replica_policy.hpp"
 
@@ -62,6 +63,16 @@
     bool only_if_idle = false;
 };
 
+std::set<std::string> model_names(std::vector<resident_model> const& models)
+{
+    std::set<std::string> names;
+    for (resident_model const& model : models)
+    {
+        names.insert(model.name);
+    }
+    return names;
+}
+
 } // namespace
 
 class load_planner::implementation
@@ -228,7 +239,16 @@
                     break;
                 }
                 auto evicted = choose_evictions(engine, *profile, model->weights_mb, goal.only_if_idle, cost);
-                if (evicted && (best.engine == nullptr || cost < best.cost))
+                if (!evicted)
+                {
+                    continue;
+                }
+                engine_order const first =
+                    evicted->empty() ? make_order(engine, order_kind::load_model, goal.model, goal.reason)
+                                     : make_order(engine, order_kind::unload_model, evicted->front(),
+                                                  "room for " + goal.model);
+                cost += held_back_ms(now, engine, *profile, first);
+                if (best.engine == nullptr || cost < best.cost)
                 {
                     best = {&engine, cost, std::move(*evicted)};
                 }
@@ -246,7 +266,14 @@
         {
             return false;
         }
-        if (!best.evictions.empty())
+        bool const evicts = !best.evictions.empty();
+        if (holds_back(now, *best.engine,
+                       make_order(*best.engine, evicts ? order_kind::unload_model : order_kind::load_model,
+                                  evicts ? best.evictions.front() : goal.model, goal.reason)))
+        {
+            return false;
+        }
+        if (evicts)
         {
             best.engine->model_to_load_next = goal.model;
             evict_model(now, *best.engine, best.evictions.front(), steps);
@@ -256,11 +283,46 @@
         return true;
     }
 
+    static engine_order make_order(engine_load_state const& engine, order_kind kind, std::string const& model,
+                                   std::string const& reason, std::string const& adapter = {})
+    {
+        return {engine.entry.name, engine.entry.address, kind, model, adapter, engine.sequence, reason, 0};
+    }
+
+    // How long the order would have to wait for late orders, in milliseconds.
+    double held_back_ms(steady_time now, engine_load_state const& engine, model_index const& profile,
+                        engine_order const& order) const
+    {
+        if (late.leave_room(now, engine, profile, order))
+        {
+            return 0.0;
+        }
+        duration const wait = late.last_at(now, engine.entry.name) - now;
+        return std::chrono::duration<double, std::milli>(wait).count();
+    }
+
+    // True when the order must wait for late orders, which is noted once for each state of the engine.
+    bool holds_back(steady_time now, engine_load_state& engine, engine_order const& order)
+    {
+        model_index const* const profile = profile_of(engine);
+        if (profile == nullptr || late.leave_room(now, engine, *profile, order))
+        {
+            return false;
+        }
+        if (engine.held_back_at != engine.sequence)
+        {
+            engine.held_back_at = engine.sequence;
+            held_back.push_back({order, late.last_at(now, engine.entry.name) - now});
+        }
+        return true;
+    }
+
     void send(steady_time now, engine_load_state& engine, order_kind kind, std::string const& model,
               std::string const& adapter, std::string const& reason, std::vector<planner_action>& steps)
     {
-        engine_order order{engine.entry.name, engine.entry.address, kind,  model,
-                           adapter,           engine.sequence,      reason};
+        engine_order order = make_order(engine, kind, model, reason, adapter);
+        order.number = ++sent_orders;
+        late.on_sent(now, order);
         if (kind == order_kind::load_model && engine.tier_of(model) == checkpoint_tier::remote)
         {
             store_loads.push_back(now);
@@ -284,7 +346,11 @@
         if (engine.free_mb(*profile) >= model->weights_mb)
         {
             std::string const name = std::exchange(engine.model_to_load_next, "");
-            send(now, engine, order_kind::load_model, name, "", "room was made", steps);
+            std::string const reason = "room was made";
+            if (!holds_back(now, engine, make_order(engine, order_kind::load_model, name, reason)))
+            {
+                send(now, engine, order_kind::load_model, name, "", reason, steps);
+            }
             return;
         }
         if (!engine.leaving_model.empty())
@@ -317,8 +383,13 @@
             return;
         }
         engine.leaving_model.clear();
-        send(now, engine, order_kind::unload_model, model, "", "room for " + engine.model_to_load_next,
-             steps);
+        std::string const reason = "room for " + engine.model_to_load_next;
+        if (holds_back(now, engine, make_order(engine, order_kind::unload_model, model, reason)))
+        {
+            engine.model_to_load_next.clear(); // Another engine may load it sooner.
+            return;
+        }
+        send(now, engine, order_kind::unload_model, model, "", reason, steps);
     }
 
     // Asks the engine for its state when the effect of an order is overdue or the state is not certain.
@@ -446,7 +517,10 @@
             }
             if (engine.can_take_order(now) && !engine.pending &&
                 engine.adapter_loads_in_flight(now) < max_adapters_in_transit &&
-                (best == nullptr || engine.adapters.size() < best_count))
+                (best == nullptr || engine.adapters.size() < best_count) &&
+                !holds_back(
+                    now, engine,
+                    make_order(engine, order_kind::load_adapter, which.first, "requests wait", which.second)))
             {
                 best = &engine;
                 best_count = engine.adapters.size();
@@ -509,6 +583,9 @@
     }
 
     load_planner_settings const settings;
+    late_orders late;
+    std::vector<held_order> held_back;
+    std::uint64_t sent_orders = 0;
     std::shared_ptr<serving_config const> config;
     std::unordered_map<std::string, model_index> services;
     std::map<backend_name, engine_load_state> engines;
@@ -532,12 +609,13 @@
     impl_->index_config();
 }
 
-void load_planner::on_backend(steady_time now, backend_entry const& entry)
+void load_planner::on_backend(steady_time now, backend_entry const& entry, duration age)
 {
     if (!entry.is_engine)
     {
         return;
     }
+    impl_->late.on_entry(now, entry, age);
     auto const [found, inserted] = impl_->engines.try_emplace(entry.name);
     engine_load_state& engine = found->second;
     if (!inserted && engine.entry.started_at != entry.started_at)
@@ -556,6 +634,9 @@
     engine.entry.models = held;
     if (!engine.pending)
     {
+        // A late order has perhaps been carried out.
+        bool const differs = model_names(entry.models) != model_names(held);
+        engine.inquiry_due |= differs && !engine.open && impl_->late.may_change(now, entry.name);
         return;
     }
     std::string const model = engine.pending->model;
@@ -576,8 +657,10 @@
     }
 }
 
-void load_planner::on_backend_gone(backend_name const& name)
+void load_planner::on_backend_gone(steady_time now, backend_name const& name)
 {
+    impl_->late.on_entry_gone(now, name);
+    impl_->late.expire(now);
     impl_->engines.erase(name);
 }
 
@@ -594,8 +677,9 @@
     }
 }
 
-void load_planner::begin_lease()
+void load_planner::begin_lease(steady_time now, earlier_orders earlier)
 {
+    impl_->late.on_lease(now, earlier);
     for (auto& [name, engine] : impl_->engines)
     {
         engine.open.reset();
@@ -617,6 +701,7 @@
         return steps;
     }
     impl_->demand.advance(now);
+    impl_->late.expire(now);
     for (auto& [name, engine] : impl_->engines)
     {
         impl_->inquire_if_due(now, engine, steps);
@@ -645,12 +730,20 @@
 
 void load_planner::on_order_result(steady_time now, engine_order const& order, engine_order_result result)
 {
+    impl_->late.on_result(order, result);
     auto const found = impl_->engines.find(order.engine);
     if (found == impl_->engines.end())
     {
         return;
     }
     engine_load_state& engine = found->second;
+    if (!engine.open || engine.open->order.number != order.number)
+    {
+        // The order was sent to a former run of the engine or during an earlier lease, so that its answer
+        // says nothing certain about what the engine holds now.
+        engine.inquiry_due = true;
+        return;
+    }
     engine.open.reset();
     switch (result)
     {
@@ -699,6 +792,10 @@
     }
     engine_load_state& engine = found->second;
     engine.inquiry_open = false;
+    if (report.started_at != 0 && report.started_at != engine.entry.started_at)
+    {
+        impl_->late.on_restart(now, report.engine); // Its entry follows.
+    }
     if (engine.open)
     {
         // The report may be of before the order, and the order's result would then restore the sequence, but
@@ -787,6 +884,11 @@
     return result;
 }
 
+std::vector<held_order> load_planner::take_held_orders()
+{
+    return std::exchange(impl_->held_back, {});
+}
+
 std::size_t load_planner::open_orders() const
 {
     return static_cast<std::size_t>(std::count_if(impl_->engines.begin(), impl_->engines.end(),
--- a/decision/load_planner.hpp
+++ b/decision/load_planner.hpp
@@ -24,7 +24,8 @@
     std::string adapter; ///< For orders that concern an adapter.
     /// The engine refuses this order if it has accepted other orders since.
     std::uint64_t expected_sequence = 0;
-    std::string reason; ///< Why the order is sent, for the log.
+    std::string reason;       ///< Why the order is sent, for the log.
+    std::uint64_t number = 0; ///< Tells the orders of one planner apart.
 };
 /// The engine is to be asked for its state, because the outcome of an order is not clear.
 struct engine_inquiry
@@ -34,6 +35,20 @@
 };
 using planner_action = std::variant<engine_order, engine_inquiry>;
 
+/// An order that is not sent yet, because one that may still be carried out late would not fit after it.
+struct held_order
+{
+    engine_order order;
+    duration wait{0}; ///< Until the late order is too old.
+};
+
+/// Whose orders may still be carried out late when a lease begins.
+enum class earlier_orders
+{
+    own_only,
+    of_other_holders,
+};
+
 /// How an engine answered an order.
 enum class engine_order_result
 {
@@ -52,6 +67,7 @@
     std::uint64_t order_sequence = 0;
     bool busy = false;
     std::vector<resident_model> models;
+    std::int64_t started_at = 0; ///< As in the engine's entry; 0 when the report does not tell.
 };
 
 struct load_planner_settings
@@ -77,17 +93,21 @@
     load_planner& operator=(load_planner const&) = delete;
 
     void on_config(std::shared_ptr<serving_config const> config);
-    void on_backend(steady_time now, backend_entry const& entry);
-    void on_backend_gone(backend_name const& name);
+    /// `age` is the time since the engine's start. It matters for engines that this instance has just come to
+    /// know, and may be wrong by the difference of two machines' clocks.
+    void on_backend(steady_time now, backend_entry const& entry, duration age = duration::max());
+    void on_backend_gone(steady_time now, backend_name const& name);
     void on_demand(steady_time now, demand_report const& report);
 
     /// To be called when the lease was gained. Earlier holders may have sent orders, so each engine is asked
     /// for its state before it gets its first order.
-    void begin_lease();
+    void begin_lease(steady_time now, earlier_orders earlier);
 
     /// Orders and inquiries to send now. At most one for each engine is open at a time.
     std::vector<planner_action> plan(steady_time now);
     void on_order_result(steady_time now, engine_order const& order, engine_order_result result);
+    /// Orders that were held back since the last call, once for each state of an engine.
+    std::vector<held_order> take_held_orders();
     void on_report(steady_time now, engine_state_report const& report);
     void on_inquiry_failed(steady_time now, backend_name const& engine);
 
--- a/tests/decision/load_planner_simulation.hpp
+++ b/tests/decision/load_planner_simulation.hpp
@@ -26,6 +26,7 @@
     {
         backend_entry entry;
         std::set<std::string> models;
+        std::set<std::pair<std::string, std::string>> adapters;
         std::uint64_t sequence = 0;
         std::optional<engine_order> current_order;
         std::int64_t done_at = 0;
@@ -34,7 +35,8 @@
         std::int64_t requests_run_until = 0;
     };
 
-    load_planner_simulation(std::uint64_t seed, unsigned engines, unsigned models) : random(seed), planner({})
+    load_planner_simulation(std::uint64_t seed, unsigned engines, unsigned models)
+        : random(seed), planner({}), standby({})
     {
         auto made = std::make_shared<serving_config>();
         service_profile service;
@@ -58,6 +60,7 @@
         made->services.push_back(service);
         config = made;
         planner.on_config(config);
+        standby.on_config(config);
         for (unsigned i = 0; i < engines; ++i)
         {
             engine each;
@@ -70,7 +73,7 @@
             engines_by_name[each.entry.name] = each;
             publish(engines_by_name[each.entry.name]);
         }
-        planner.begin_lease();
+        planner.begin_lease(now(), earlier_orders::own_only);
     }
 
     steady_time now() const { return steady_time(milliseconds{ms}); }
@@ -100,15 +103,36 @@
         {
             stored_entries[each.entry.name] = each.entry;
             planner.on_backend(now(), each.entry);
+            standby.on_backend(now(), each.entry);
         }
     }
 
+    /// The engine starts again under its name, empty.
+    void restart(std::string const& name)
+    {
+        engine& each = engines_by_name[name];
+        each.models.clear();
+        each.adapters.clear();
+        each.current_order.reset();
+        each.sequence = 0;
+        ++each.entry.started_at;
+        publish(each);
+    }
+
+    /// The other planner, which knows the entries only, becomes the lease holder.
+    void hand_over()
+    {
+        holder = holder == &planner ? &standby : &planner;
+        holder->begin_lease(now(), earlier_orders::of_other_holders);
+    }
+
     /// Lists the stored entries again, as after an outage of the store.
     void relist_entries()
     {
         for (auto const& [name, entry] : stored_entries)
         {
             planner.on_backend(now(), entry);
+            standby.on_backend(now(), entry);
         }
     }
 
@@ -119,12 +143,28 @@
         {
             return engine_order_result::conflict;
         }
+        bool const holds = each.models.count(order.model) > 0;
+        if (order.kind != order_kind::load_model && !holds)
+        {
+            return engine_order_result::refused;
+        }
+        if (order.kind == order_kind::load_model && holds)
+        {
+            return engine_order_result::already_holds;
+        }
         ++each.sequence;
         ++orders;
-        if (order.kind == order_kind::load_adapter || order.kind == order_kind::unload_adapter)
+        if (order.kind == order_kind::unload_adapter)
         {
-            return order.kind == order_kind::load_adapter ? engine_order_result::accepted
-                                                          : engine_order_result::already_holds;
+            each.adapters.erase({order.model, order.adapter});
+            return engine_order_result::already_holds;
+        }
+        if (order.kind == order_kind::load_adapter)
+        {
+            each.adapters.insert({order.model, order.adapter});
+            overcommitted =
+                overcommitted || each.adapters.size() > config->services[0].engine->adapter_places;
+            return engine_order_result::accepted;
         }
         each.current_order = order;
         if (order.kind == order_kind::unload_model)
@@ -153,6 +193,14 @@
         }
     }
 
+    static void remove_adapters(engine& each, std::string const& model)
+    {
+        for (auto adapter = each.adapters.begin(); adapter != each.adapters.end();)
+        {
+            adapter = adapter->first == model ? each.adapters.erase(adapter) : std::next(adapter);
+        }
+    }
+
     void advance(std::int64_t span)
     {
         for (std::int64_t const end = ms + span; ms < end; ms += 10)
@@ -171,6 +219,7 @@
                     else
                     {
                         each.models.erase(order.model);
+                        remove_adapters(each, order.model);
                     }
                     publish(each);
                 }
@@ -184,31 +233,44 @@
 
     void plan()
     {
-        for (planner_action const& step : planner.plan(now()))
+        for (planner_action const& step : holder->plan(now()))
         {
             if (auto const* const order = std::get_if<engine_order>(&step))
             {
-                planner.on_order_result(now(), *order, accept_order(*order));
+                holder->on_order_result(now(), *order, accept_order(*order));
                 continue;
             }
-            engine const& each = engines_by_name[std::get<engine_inquiry>(step).engine];
-            engine_state_report report;
-            report.engine = each.entry.name;
-            report.order_sequence = each.sequence;
-            report.busy = each.current_order.has_value();
-            for (std::string const& model : each.models)
+            answer_inquiry(std::get<engine_inquiry>(step));
+        }
+    }
+
+    void answer_inquiry(engine_inquiry const& inquiry)
+    {
+        engine const& each = engines_by_name[inquiry.engine];
+        engine_state_report report;
+        report.engine = each.entry.name;
+        report.order_sequence = each.sequence;
+        report.busy = each.current_order.has_value();
+        for (std::string const& model : each.models)
+        {
+            resident_model resident{model, {}};
+            for (auto const& [of_model, adapter] : each.adapters)
             {
-                report.models.push_back({model, {}});
+                if (of_model == model)
+                {
+                    resident.adapters.insert(adapter);
+                }
             }
-            ++inquiries;
-            planner.on_report(now(), report);
+            report.models.push_back(std::move(resident));
         }
+        ++inquiries;
+        holder->on_report(now(), report);
     }
 
     void report_demand(std::string const& model, unsigned waiting, unsigned arrivals = 1,
                        unsigned priority = 2)
     {
-        planner.on_demand(now(), {"i", "i:1", {{"llm", model, "", priority, waiting, 0, arrivals}}, {}});
+        holder->on_demand(now(), {"i", "i:1", {{"llm", model, "", priority, waiting, 0, arrivals}}, {}});
     }
 
     bool held(std::string const& model) const
@@ -232,6 +294,8 @@
     random_source random;
     std::shared_ptr<serving_config const> config;
     load_planner planner;
+    load_planner standby;
+    load_planner* holder = &planner;
     std::map<std::string, engine> engines_by_name;
     std::map<std::string, backend_entry> stored_entries;
     std::int64_t ms = 1000;  ///< The virtual time.
--- a/tests/decision/load_planner_test.cpp
+++ b/tests/decision/load_planner_test.cpp
@@ -108,7 +108,7 @@
         next += 3;
         simulation.publish(each);
     }
-    simulation.planner.begin_lease();
+    simulation.planner.begin_lease(simulation.now(), earlier_orders::of_other_holders);
     unsigned at_once = 0;
     for (int i = 0; i < 200; ++i)
     {
@@ -142,7 +142,7 @@
             each.done_at = simulation.ms + 6000;
         }
     }
-    simulation.planner.begin_lease();
+    simulation.planner.begin_lease(simulation.now(), earlier_orders::of_other_holders);
     unsigned at_once = 0;
     for (int i = 0; i < 100; ++i)
     {
@@ -256,7 +256,7 @@
             if (simulation.random.below(300) == 0)
             {
                 // Another lease holder takes over and knows only the entries.
-                simulation.planner.begin_lease();
+                simulation.planner.begin_lease(simulation.now(), earlier_orders::of_other_holders);
             }
             for (planner_action const& step : simulation.planner.plan(simulation.now()))
             {
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -93,6 +93,9 @@
     cr_assert_eq(report->order_sequence, 3);
     cr_assert(report->busy);
     cr_assert_eq(report->models[0].adapters.size(), 2); // An adapter that is being loaded takes a place.
+    cr_assert_eq(report->started_at, 0);
+    auto const born = decode_engine_report("e", R"({"models":[],"seq":0,"born":1790000000000})");
+    cr_assert_eq(born->started_at, 1790000000000); // Tells a new run before the entry shows it.
     cr_assert_not(decode_engine_report("e", "{\"models\":[]}").has_value());
     cr_assert_not(decode_engine_report("e", "\xff{").has_value());
 }
