Keep no room at engines that only started lately

Cause: a holder that had just started took every engine that was born less than 21 s before for one that had started again. Change: an engine has started again only if this instance has seen two runs of its name, in its entry or in its report.

--- a/apps/placement_service.cpp
+++ b/apps/placement_service.cpp
@@ -96,16 +96,6 @@
     return "unknown";
 }
 
-// Time since the start of an engine by this machine's time of day; the greatest duration when its start makes
-// no sense.
-duration age_of(backend_entry const& entry)
-{
-    auto const wall_ms =
-        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    bool const plausible = entry.started_at > 0 && entry.started_at / 2 < wall_ms;
-    return plausible ? duration(milliseconds{wall_ms - entry.started_at}) : duration::max();
-}
-
 // What the holder knows of an instance that reports to it.
 struct known_peer
 {
@@ -988,7 +978,7 @@
 
 void placement_service::on_backend(backend_entry const& entry)
 {
-    impl_->planner.on_backend(boot_now(), entry, age_of(entry));
+    impl_->planner.on_backend(boot_now(), entry);
 }
 
 void placement_service::on_backend_gone(backend_name const& name)
--- a/decision/late_orders_impl.cpp
+++ b/decision/late_orders_impl.cpp
@@ -16,8 +16,6 @@
 // Places that are kept for late orders of other holders. Adapters load within milliseconds, so that two
 // orders in a row may both be late; after a load of a model, seconds pass until the next order.
 constexpr std::size_t foreign_adapter_places = 2;
-// Clocks of machines are a few seconds apart at most.
-constexpr duration clock_tolerance = seconds{5};
 
 double weights_of(model_index const& profile, std::string const& model)
 {
@@ -136,15 +134,11 @@
 
 } // namespace
 
-void late_orders::on_entry(steady_time now, backend_entry const& entry, duration age)
+void late_orders::on_entry(steady_time now, backend_entry const& entry)
 {
-    followed_since_ = std::min(followed_since_, now);
     auto const [found, inserted] = runs_.try_emplace(entry.name);
     engine_run& run = found->second;
-    // While this instance has not followed the entries for long, the name may have had a run that it missed.
-    bool const may_be_restart = now - followed_since_ < late_order_lifetime &&
-                                std::chrono::abs(age) < late_order_lifetime + clock_tolerance;
-    if (inserted ? may_be_restart : run.started_at != entry.started_at)
+    if (!inserted && run.started_at != entry.started_at)
     {
         run.restarted_at = now;
     }
--- a/decision/late_orders_impl.hpp
+++ b/decision/late_orders_impl.hpp
@@ -25,8 +25,7 @@
 class late_orders
 {
 public:
-    /// An engine's entry was read. `age` is the time since the engine's start, as far as clocks agree.
-    void on_entry(steady_time now, backend_entry const& entry, duration age);
+    void on_entry(steady_time now, backend_entry const& entry);
     void on_entry_gone(steady_time now, backend_name const& engine);
     /// The engine itself has named another start than its entry.
     void on_restart(steady_time now, backend_name const& engine);
@@ -53,7 +52,7 @@
     struct engine_run
     {
         std::int64_t started_at = 0;
-        /// When this start was noticed; the least time when it is no start under a name that was used before.
+        /// When this instance noticed that the name has started again; the least time when it has not.
         steady_time restarted_at = steady_time::min();
         steady_time gone_at = steady_time::max();
     };
@@ -62,7 +61,6 @@
 
     std::map<backend_name, std::vector<sent_order>> orders_;
     std::map<backend_name, engine_run> runs_;
-    steady_time followed_since_ = steady_time::max();
     steady_time foreign_until_ = steady_time::min();
 };
 
--- a/decision/load_planner.cpp
+++ b/decision/load_planner.cpp
@@ -609,13 +609,13 @@
     impl_->index_config();
 }
 
-void load_planner::on_backend(steady_time now, backend_entry const& entry, duration age)
+void load_planner::on_backend(steady_time now, backend_entry const& entry)
 {
     if (!entry.is_engine)
     {
         return;
     }
-    impl_->late.on_entry(now, entry, age);
+    impl_->late.on_entry(now, entry);
     auto const [found, inserted] = impl_->engines.try_emplace(entry.name);
     engine_load_state& engine = found->second;
     if (!inserted && engine.entry.started_at != entry.started_at)
--- a/decision/load_planner.hpp
+++ b/decision/load_planner.hpp
@@ -93,9 +93,7 @@
     load_planner& operator=(load_planner const&) = delete;
 
     void on_config(std::shared_ptr<serving_config const> config);
-    /// `age` is the time since the engine's start. It matters for engines that this instance has just come to
-    /// know, and may be wrong by the difference of two machines' clocks.
-    void on_backend(steady_time now, backend_entry const& entry, duration age = duration::max());
+    void on_backend(steady_time now, backend_entry const& entry);
     void on_backend_gone(steady_time now, backend_name const& name);
     void on_demand(steady_time now, demand_report const& report);
 
