Bound the memory of answers that callers have not read

Cause: a connection kept the memory of its largest answer for as long as it was open, and what is unsent was bounded for each connection only, not for all of them. Change: buffers of more than 4 KiB are given back when they have been written, and those for unsent answers count in request_memory. New requests are refused (503, not run, Retry-After) while there is no room; answers to requests that were admitted together may exceed the budget by a quarter, beyond that the largest are broken off, with answer_broken_off and siskin_answers_broken_off_total.

--- a/adapters/caller_connection.cpp
+++ b/adapters/caller_connection.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t read_ahead_limit = 65536;
 // The connection of a caller that does not read is closed when this many bytes of answers are unsent.
 constexpr std::size_t unsent_limit = 4U << 20U;
+// Buffers for answers up to this size are kept for the next answer and not counted: most answers are smaller.
+constexpr std::size_t usual_answer = 4096;
 // After the head of a request, its body must be complete within this time.
 constexpr duration body_time = seconds{10};
 // A caller that accepts no bytes for this long is treated as gone. The kernel applies the limit also when the
@@ -44,6 +46,7 @@
 caller_connection::~caller_connection()
 {
     server_->memory->let_go(counted_input_);
+    server_->memory->let_go(counted_output_);
 }
 
 void caller_connection::start()
@@ -82,6 +85,7 @@
     }
     socket_.close(ignored);
     drop_body();
+    server_->memory->release(boot_now(), std::exchange(counted_output_, 0));
     if (was_serving)
     {
         --server_->open_requests;
@@ -157,6 +161,25 @@
     server_->memory->hold(counted_input_);
 }
 
+void caller_connection::count_output()
+{
+    if (phase_ == phase::closed)
+    {
+        return; // The buffers are freed with the connection.
+    }
+    std::size_t const buffers = queued_.capacity() + writing_.capacity();
+    std::size_t const bytes = buffers > 2 * usual_answer ? buffers : 0;
+    if (bytes > counted_output_)
+    {
+        server_->memory->hold(bytes - counted_output_);
+    }
+    else if (bytes < counted_output_)
+    {
+        server_->memory->release(boot_now(), counted_output_ - bytes);
+    }
+    counted_output_ = bytes;
+}
+
 // Handles requests until more bytes are needed or one is not answered at once. A call for an answer that was
 // sent at once does nothing, because the loop in progress goes on with the next request.
 void caller_connection::process()
@@ -465,6 +488,11 @@
     }
     queued_.append(bytes);
     flush();
+    count_output();
+    if (server_->memory->overdrawn() && server_->on_overdrawn)
+    {
+        server_->on_overdrawn();
+    }
 }
 
 void caller_connection::flush()
@@ -485,7 +513,7 @@
     boost::asio::async_write(socket_, boost::asio::buffer(writing_),
                              [self = shared_from_this()](boost::system::error_code error, std::size_t)
                              {
-                                 self->writing_.clear();
+                                 self->drop_written();
                                  if (error)
                                  {
                                      self->close();
@@ -497,6 +525,17 @@
                              });
 }
 
+// A connection does not keep the memory of its largest answer.
+void caller_connection::drop_written()
+{
+    writing_.clear();
+    if (writing_.capacity() > usual_answer)
+    {
+        std::string().swap(writing_);
+    }
+    count_output();
+}
+
 // Ends the sending side after the last answer, and waits until the caller closes its side.
 void caller_connection::finish_sending()
 {
--- a/adapters/caller_connection_impl.hpp
+++ b/adapters/caller_connection_impl.hpp
@@ -28,6 +28,8 @@
     caller_server::head_check check_head; ///< Empty for none.
     std::function<void(std::shared_ptr<caller_exchange>)> on_request;
     std::function<void(caller_connection*)> on_closed;
+    /// Answers take more memory than there is.
+    std::function<void()> on_overdrawn;
 };
 
 /// One connection of a caller: reads requests one after the other and writes the answers.
@@ -46,6 +48,8 @@
     /// True when all answers are written and the connection only waits for the caller to close it.
     bool discarding() const { return phase_ == phase::discarding; }
     bool has_unsent() const { return !writing_.empty() || !queued_.empty(); }
+    /// Bytes of memory for answers that the caller has not taken yet.
+    std::size_t unsent_bytes() const { return counted_output_; }
     steady_time idle_since() const { return idle_since_; }
     std::string caller_address() const;
 
@@ -73,12 +77,14 @@
     bool admit(std::size_t head_bytes, body_framing const& framing);
     bool make_room_for_chunks();
     void count_input();
+    void count_output();
     bool may_read_ahead() const;
     void refuse(int status, std::string_view header_lines = {});
     void refuse_without_memory(std::size_t wanted);
     void drop_body();
     void enqueue(std::string_view bytes);
     void flush();
+    void drop_written();
     void finish_sending();
     void after_answer();
     void start_timer(duration span);
@@ -109,6 +115,7 @@
     std::string body_;
     memory_share share_; ///< Of the request whose body is read.
     std::size_t counted_input_ = 0;
+    std::size_t counted_output_ = 0;
     duration discard_limit_; ///< How long bytes behind the last request are discarded.
     steady_time idle_since_;
     std::function<void()> gone_handler_;
--- a/adapters/caller_server.cpp
+++ b/adapters/caller_server.cpp
@@ -156,7 +156,33 @@
         }
     }
 
+    // Closes the connections that hold most for answers until the rest has room.
+    void break_off_largest()
+    {
+        request_memory const& memory = *state->memory;
+        while (memory.overdrawn())
+        {
+            auto const largest =
+                std::max_element(connections.begin(), connections.end(),
+                                 [](auto const& a, auto const& b)
+                                 { return a.second->unsent_bytes() < b.second->unsent_bytes(); });
+            if (largest == connections.end() || largest->second->unsent_bytes() == 0)
+            {
+                return;
+            }
+            auto const connection = largest->second;
+            broken_off_answer const facts{connection->caller_address(), connection->unsent_bytes(),
+                                          memory.held(), memory.budget()};
+            connection->close();
+            if (on_broken_off)
+            {
+                on_broken_off(facts);
+            }
+        }
+    }
+
     caller_server_settings const settings;
+    std::function<void(broken_off_answer const&)> on_broken_off;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer accept_retry_timer;
     std::shared_ptr<caller_server_state> const state = std::make_shared<caller_server_state>();
@@ -173,6 +199,14 @@
                                : std::make_shared<request_memory>(std::numeric_limits<std::size_t>::max());
     impl_->state->on_closed = [server = impl_.get()](caller_connection* closed)
     { server->connections.erase(closed); };
+    // Closing a connection tells its user, who may be adding the answer to another one at the moment.
+    impl_->state->on_overdrawn = [weak = std::weak_ptr<implementation>(impl_)]
+    {
+        if (auto const server = weak.lock())
+        {
+            boost::asio::post(server->acceptor.get_executor(), [server] { server->break_off_largest(); });
+        }
+    };
 }
 
 caller_server::~caller_server()
@@ -231,6 +265,11 @@
     impl_->state->on_no_memory = std::move(handler);
 }
 
+void caller_server::on_broken_off(std::function<void(broken_off_answer const&)> handler)
+{
+    impl_->on_broken_off = std::move(handler);
+}
+
 void caller_server::drain()
 {
     impl_->state->draining = true;
--- a/adapters/caller_server.hpp
+++ b/adapters/caller_server.hpp
@@ -91,6 +91,15 @@
     duration retry_after{0};
 };
 
+/// An answer that is broken off because its caller reads slowly and there is no memory for all answers.
+struct broken_off_answer
+{
+    std::string caller;    ///< IP number and port.
+    std::size_t bytes = 0; ///< That its connection held.
+    std::size_t held = 0;  ///< Bytes that are held for all callers.
+    std::size_t budget = 0;
+};
+
 /// The answer to a request that is refused by its head alone.
 struct head_refusal
 {
@@ -122,6 +131,8 @@
     void set_limits(caller_limits const& limits);
     /// The handler is called for each request that is refused because there is no memory for it.
     void on_no_memory(refusal_handler handler);
+    /// The handler is called for each answer that is broken off for lack of memory.
+    void on_broken_off(std::function<void(broken_off_answer const&)> handler);
     /// The check is made for each request that has a body, before the body is read. The connection of a
     /// request that it refuses is closed.
     void check_heads(head_check check);
--- a/apps/edge_process.cpp
+++ b/apps/edge_process.cpp
@@ -260,6 +260,7 @@
     {
         callers.on_no_memory([this](request_head const& head, memory_refusal const& facts)
                              { return refuse_without_memory(head, facts); });
+        callers.on_broken_off([this](broken_off_answer const& facts) { report_broken_off(facts); });
         callers.check_heads([this](request_head const& head) { return service.refuse_by_head(head); });
         service.on_missing_model([this] { placement.report_soon(); });
         crash_reports.on_blocked([this] { service.on_blocked(); });
@@ -431,6 +432,17 @@
         return platform::encode_retry_after(facts.retry_after);
     }
 
+    void report_broken_off(broken_off_answer const& facts)
+    {
+        metrics.add("siskin_answers_broken_off_total", "no_memory", 1);
+        log.write({"answer_broken_off",
+                   {{"reason", "no_memory"},
+                    {"caller", facts.caller},
+                    {"bytes", std::to_string(facts.bytes)},
+                    {"bytes_held", std::to_string(facts.held)},
+                    {"budget", std::to_string(facts.budget)}}});
+    }
+
     void on_readiness(std::shared_ptr<caller_exchange> const& exchange)
     {
         std::string const& target = exchange->head().target;
--- a/decision/request_memory.cpp
+++ b/decision/request_memory.cpp
@@ -13,6 +13,8 @@
 // One part in this many of the budget is for small requests only, so that they are served while large ones
 // use up the rest.
 constexpr std::size_t small_request_part = 8;
+// Answers to requests that have been admitted may exceed the budget by one part in this many of it.
+constexpr std::size_t overdraft_part = 4;
 // Released and refused bytes are counted over this time.
 constexpr duration count_window = seconds{1};
 // Bounds of the time after which a refused caller should come again. Below the lower one the caller would
@@ -26,6 +28,11 @@
 
 request_memory::request_memory(std::size_t budget) : budget_(budget) {}
 
+bool request_memory::overdrawn() const
+{
+    return held_ > budget_ && held_ - budget_ > budget_ / overdraft_part;
+}
+
 std::size_t request_memory::largest_request() const
 {
     return std::max(limit_for(budget_), std::min(budget_, small_request));
--- a/decision/request_memory.hpp
+++ b/decision/request_memory.hpp
@@ -7,10 +7,11 @@
 namespace siskinusher
 {
 
-/// Counts the bytes that a process holds for the requests of callers, and decides whether it has room for
-/// another request.
+/// Counts the bytes that a process holds for callers, for their requests and for answers that they have not
+/// read, and decides whether it has room for another request.
 ///
 /// A request is admitted with all bytes that it will need, so that an admitted one never waits for others.
+/// What its answer will need is not known then, so that answers may exceed the budget.
 class request_memory
 {
 public:
@@ -21,6 +22,8 @@
     std::size_t held() const { return held_; }
     /// False when the budget is used up.
     bool has_room() const { return held_ < budget_; }
+    /// True when answers exceed the budget by so much that one must be broken off.
+    bool overdrawn() const;
     /// Size of the largest request that is ever admitted.
     std::size_t largest_request() const;
 
