--- a/tests/platform/request_memory_test.cpp
+++ b/tests/platform/request_memory_test.cpp
@@ -168,7 +168,10 @@
         {
             bool const shown = each == "TCPRcvQDrop" || each == "PruneCalled" || each == "TCPTimeouts" ||
                                each == "TCPMemoryPressures" || each == "TCPAbortOnMemory";
-            text << (shown ? ", " + each + " " + number : "");
+            if (shown)
+            {
+                text << ", " << each << " " << number;
+            }
         }
     }
     return text.str();
